Lay out the workspace, its checks and the shared types

Cause: the repository was empty; every part needs one formatter, one linter set and one set of names first. Measured: scripts/test passes on the empty modules; no behaviour yet.

--- /dev/null
+++ b/crates/ivytrail-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder until the shell is written.
+fn main() {}
--- /dev/null
+++ b/crates/ivytrail-fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, a backend server and callers. Never shipped.
--- /dev/null
+++ b/crates/ivytrail/src/admission.rs
@@ -0,0 +1,1 @@
+//! Admission at the guard: which attempts run, wait or are refused.
--- /dev/null
+++ b/crates/ivytrail/src/claim.rs
@@ -0,0 +1,1 @@
+//! Claims: at most one run for each idempotency key.
--- /dev/null
+++ b/crates/ivytrail/src/lease.rs
@@ -0,0 +1,1 @@
+//! Ownership leases among the members of a ring.
--- /dev/null
+++ b/crates/ivytrail/src/quarantine.rs
@@ -0,0 +1,1 @@
+//! Requests that crash backend servers, and how they are kept from the next one.
--- /dev/null
+++ b/crates/ivytrail/src/quota.rs
@@ -0,0 +1,1 @@
+//! Rate and burst of client accounts, counted across the fleet.
--- /dev/null
+++ b/crates/ivytrail/src/retry.rs
@@ -0,0 +1,1 @@
+//! Bounds on retries: conserved tokens in the call chain and a ratio per route.
--- /dev/null
+++ b/crates/ivytrail/src/routing.rs
@@ -0,0 +1,1 @@
+//! Choice of the upstream for an attempt.
--- /dev/null
+++ b/crates/ivytrail/src/settings.rs
@@ -0,0 +1,15 @@
+//! Settings: the tree that operators change while traffic runs, and the file that a daemon starts with.
+//!
+//! The tree has one subtree per team ([`TeamSubtree`]). A change replaces a whole subtree, issues a key or withdraws
+//! one; each accepted change gets the next fleet-wide [`Revision`] and one entry in the audit trail ([`SettingsChange`]).
+
+pub mod check;
+pub mod edit;
+pub mod feed;
+pub mod file;
+pub mod tree;
+
+pub use tree::{
+    ClientAccount, KeyRecord, PriorityClass, Revision, RoutePolicy, ServicePolicy, SettingsChange,
+    SettingsTree, TeamSubtree, TreeEdit,
+};
--- /dev/null
+++ b/crates/ivytrail/src/settings/check.rs
@@ -0,0 +1,1 @@
+//! Checks of a team's subtree before it is accepted.
--- /dev/null
+++ b/crates/ivytrail/src/settings/edit.rs
@@ -0,0 +1,1 @@
+//! Application of changes to the settings tree.
--- /dev/null
+++ b/crates/ivytrail/src/settings/feed.rs
@@ -0,0 +1,1 @@
+//! Spread of accepted changes to every daemon.
--- /dev/null
+++ b/crates/ivytrail/src/settings/file.rs
@@ -0,0 +1,1 @@
+//! The file that a daemon starts with.
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Golden sessions, randomised runs and process tests.
