--- /dev/null
+++ b/crates/ivytrail-fakes/src/backend.rs
@@ -0,0 +1,1 @@
+//! Stand-in for a backend server.
--- a/crates/ivytrail-fakes/src/lib.rs
+++ b/crates/ivytrail-fakes/src/lib.rs
@@ -1,1 +1,8 @@
 //! Small stand-ins for the platform, a backend server and callers. Never shipped.
+//!
+//! Each stand-in is a library function and a program: tests run them in their own process, the demo and the benches
+//! start them as programs.
+
+pub mod backend;
+pub mod platform;
+pub mod server;
--- /dev/null
+++ b/crates/ivytrail-fakes/src/server.rs
@@ -0,0 +1,99 @@
+//! HTTP listeners for the stand-ins.
+
+use std::net::SocketAddr;
+
+use anyhow::{Context, Result};
+use salvo::{
+    Listener, Router, Server,
+    conn::TcpListener,
+    conn::tcp::TcpAcceptor,
+    http::{StatusCode, header},
+    prelude::{Handler, Request, Response},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::task::JoinHandle;
+
+/// Largest request body that a stand-in reads, in bytes.
+pub const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// A listener that serves one handler until it is dropped.
+///
+/// Dropping it closes the listener and every connection at once, as a killed process would.
+#[derive(Debug)]
+pub struct LocalServer {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl LocalServer {
+    /// Binds `address` and serves every request with `handler`. Port 0 takes a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address can't be bound.
+    pub async fn start<H>(address: SocketAddr, handler: H) -> Result<LocalServer>
+    where
+        H: Handler,
+    {
+        let acceptor: TcpAcceptor = TcpListener::new(address)
+            .try_bind()
+            .await
+            .with_context(|| format!("address {address} can't be bound"))?;
+        let address = acceptor.local_addr()?;
+        let router = Router::with_path("{**rest}").goal(handler);
+        let server = Server::new(acceptor).disable_fuse();
+        let task = tokio::spawn(async move { server.serve(router).await });
+        Ok(LocalServer { address, task })
+    }
+
+    /// Returns the address that callers connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits until the listener ends, which it does only when it fails.
+    pub async fn join(mut self) {
+        // A failed task has nothing left to report: the process that waits here ends either way.
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for LocalServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Reads a JSON body.
+///
+/// # Errors
+///
+/// Returns an error when the body is not whole, too large or not of type `T`.
+pub async fn read_json<T>(req: &mut Request) -> Result<T>
+where
+    T: DeserializeOwned,
+{
+    let body = req.payload_with_max_size(MAX_BODY_BYTES).await?;
+    Ok(serde_json::from_slice(body)?)
+}
+
+/// Answers with `value` as JSON.
+pub fn write_json<T>(res: &mut Response, value: &T)
+where
+    T: Serialize,
+{
+    match serde_json::to_vec(value) {
+        Ok(body) => {
+            res.headers_mut()
+                .insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
+            res.body(body);
+        }
+        Err(cause) => write_error(res, StatusCode::INTERNAL_SERVER_ERROR, &cause.to_string()),
+    }
+}
+
+/// Answers with a status and a line of text.
+pub fn write_error(res: &mut Response, status: StatusCode, message: &str) {
+    res.status_code(status);
+    res.body(format!("{message}\n"));
+}
