Add the backend server stand-in

Cause: what ran has to be counted at the far end, so that doubled and misreported requests are facts. Ruled out: sampling the slow-down in slices (the timer's granularity of 1 ms would distort it); an effect at the very end of a request, which would leave no window in which it ran but is not answered. Conclusion: usable in process (BackendFake) and as a program.

--- /dev/null
+++ b/crates/ivytrail-fakes/src/bin/fake-backend.rs
@@ -0,0 +1,64 @@
+//! Runs the backend server stand-in as a program.
+
+use std::{net::SocketAddr, time::Duration};
+
+use anyhow::Result;
+use gumdrop::Options;
+use ivytrail_fakes::backend::{BackendFake, BackendSettings, CrashMode, NestedCall};
+
+#[derive(Debug, Options)]
+struct BackendOptions {
+    #[options(help = "prints this help")]
+    help: bool,
+    #[options(required, no_short, meta = "IP:PORT", help = "address to listen on")]
+    address: Option<SocketAddr>,
+    #[options(no_short, meta = "IP:PORT", help = "local address of its own daemon")]
+    daemon: Option<SocketAddr>,
+    #[options(required, no_short, meta = "NAME", help = "service that it runs")]
+    service: String,
+    #[options(no_short, meta = "N", help = "requests that it runs at once", default = "16")]
+    slots: u32,
+    #[options(no_short, meta = "X", help = "multiple of the slots to shed at", default = "2")]
+    shed_multiple: f64,
+    #[options(no_short, meta = "MS", help = "mean time of a request", default = "5")]
+    service_time_ms: u64,
+    #[options(no_short, meta = "SHARE", help = "varying share of that time", default = "0.5")]
+    jitter: f64,
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "time without requests after the start",
+        default = "0"
+    )]
+    start_ms: u64,
+    #[options(no_short, meta = "MS", help = "time of slower requests after that", default = "0")]
+    cold_start_ms: u64,
+    #[options(no_short, meta = "'METHOD /path'", help = "nested call; may be repeated")]
+    calls: Vec<NestedCall>,
+    #[options(no_short, meta = "N", help = "payload of an answer in bytes", default = "256")]
+    answer_bytes: usize,
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let options = BackendOptions::parse_args_default_or_exit();
+    let Some(address) = options.address else { anyhow::bail!("--address is missing") };
+    let settings = BackendSettings {
+        address,
+        daemon: options.daemon,
+        service: options.service,
+        slots: options.slots,
+        shed_multiple: options.shed_multiple,
+        service_time: Duration::from_millis(options.service_time_ms),
+        jitter: options.jitter,
+        start_time: Duration::from_millis(options.start_ms),
+        cold_start: Duration::from_millis(options.cold_start_ms),
+        calls: options.calls,
+        answer_bytes: options.answer_bytes,
+        crash_mode: CrashMode::ExitProcess,
+    };
+    let mut backend = BackendFake::start(settings).await?;
+    println!("{}", backend.address());
+    backend.join().await;
+    Ok(())
+}
--- a/crates/ivytrail-fakes/src/bin/fake-platform.rs
+++ b/crates/ivytrail-fakes/src/bin/fake-platform.rs
@@ -24,7 +24,7 @@
     let Some(address) = options.address else { anyhow::bail!("--address is missing") };
     let rates =
         PlatformRates { writes_per_s: options.writes_per_s, reads_per_s: options.reads_per_s };
-    let platform = PlatformFake::start(address, rates).await?;
+    let mut platform = PlatformFake::start(address, rates).await?;
     println!("{}", platform.address());
     platform.join().await;
     Ok(())
--- a/crates/ivytrail-fakes/src/lib.rs
+++ b/crates/ivytrail-fakes/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each stand-in is a library function and a program: tests run them in their own process, the demo and the benches
 //! start them as programs.
 
+pub mod answer;
 pub mod backend;
 pub mod platform;
 pub mod server;
--- a/crates/ivytrail-fakes/src/platform.rs
+++ b/crates/ivytrail-fakes/src/platform.rs
@@ -101,7 +101,7 @@
     }
 
     /// Waits until the listener ends, which it does only when it fails.
-    pub async fn join(self) {
+    pub async fn join(&mut self) {
         self.server.join().await;
     }
 }
--- a/crates/ivytrail-fakes/src/server.rs
+++ b/crates/ivytrail-fakes/src/server.rs
@@ -52,7 +52,7 @@
     }
 
     /// Waits until the listener ends, which it does only when it fails.
-    pub async fn join(mut self) {
+    pub async fn join(&mut self) {
         // A failed task has nothing left to report: the process that waits here ends either way.
         let _ = (&mut self.task).await;
     }
