Add the caller stand-in and its comparison with what ran

Cause: goodput, recovery and the truth of each answer have to be measured from the callers' side. Ruled out: a closed loop of callers, which slows down with the system and hides overload; effects read over HTTP alone, because a killed backend server takes its counts along (it can append them to a file).

--- a/crates/ivytrail-fakes/src/backend.rs
+++ b/crates/ivytrail-fakes/src/backend.rs
@@ -13,7 +13,7 @@
 //! | anything else | runs a request |
 //!
 //! Request headers: `x-crash: 1` (or a service's name) ends the process while the request runs, `x-truncate: 1` cuts
-//! the answer, `x-late-ms` delays the answer after the effect.
+//! the answer, `x-late-ms` delays the answer after the effect, `x-no-work: 1` takes no time.
 
 mod announcer;
 mod handler;
@@ -22,7 +22,10 @@
 
 use std::{
     collections::VecDeque,
+    fs::{File, OpenOptions},
+    io::Write,
     net::SocketAddr,
+    path::PathBuf,
     str::FromStr,
     sync::{
         Arc,
@@ -105,6 +108,8 @@
     pub answer_bytes: usize,
     /// What happens on a request that crashes it.
     pub crash_mode: CrashMode,
+    /// File to which the serial of each request that takes effect is appended: it outlives a killed process.
+    pub effects_file: Option<PathBuf>,
 }
 
 impl BackendSettings {
@@ -123,6 +128,7 @@
             calls: Vec::new(),
             answer_bytes: 256,
             crash_mode: CrashMode::default(),
+            effects_file: None,
         }
     }
 
@@ -225,6 +231,7 @@
     settings: BackendSettings,
     control: Mutex<ServerControl>,
     log: Mutex<RunLog>,
+    effects: Mutex<Option<File>>,
     in_flight: AtomicU32,
     load_samples: Mutex<VecDeque<u32>>,
     is_draining: AtomicBool,
@@ -239,6 +246,7 @@
     fn new(settings: BackendSettings) -> Result<BackendState> {
         Ok(BackendState {
             log: Mutex::new(RunLog::new(&settings.service)),
+            effects: Mutex::new(open_effects(&settings)?),
             settings,
             control: Mutex::default(),
             in_flight: AtomicU32::new(0),
@@ -252,6 +260,16 @@
         })
     }
 
+    /// Takes effect for the request with `serial`.
+    fn take_effect(&self, serial: &str) {
+        self.log.lock().record_effect(serial);
+        let mut effects = self.effects.lock();
+        let written = effects.as_mut().map(|file| file.write_all(format!("{serial}\n").as_bytes()));
+        if let Some(Err(cause)) = written {
+            ::log::error!("event=effect-not-written serial={serial} cause=\"{cause}\"");
+        }
+    }
+
     fn server_state(&self) -> ServerState {
         match self.is_draining.load(Ordering::Acquire) {
             true => ServerState::Draining,
@@ -280,6 +298,14 @@
     }
 }
 
+fn open_effects(settings: &BackendSettings) -> Result<Option<File>> {
+    let open = |path: &PathBuf| {
+        let file = OpenOptions::new().create(true).append(true).open(path);
+        file.with_context(|| format!("effects file {} can't be opened", path.display()))
+    };
+    settings.effects_file.as_ref().map(open).transpose()
+}
+
 async fn sample_load(state: Arc<BackendState>) {
     let mut ticks = tokio::time::interval(LOAD_SAMPLE_INTERVAL);
     loop {
--- a/crates/ivytrail-fakes/src/backend/handler.rs
+++ b/crates/ivytrail-fakes/src/backend/handler.rs
@@ -126,7 +126,8 @@
             return WorkResult::Shed;
         }
         let Some(hold) = SlotHold::take(&self.state, serial) else { return WorkResult::Shed };
-        hold.work(0.5).await;
+        let amount = if headers.contains_key("x-no-work") { 0.0 } else { 1.0 };
+        hold.work(0.5 * amount).await;
         if self.crashes_on(headers) {
             self.crash();
             return WorkResult::Crashed;
@@ -136,14 +137,14 @@
             self.state.log.lock().nested_failures += 1;
             return failed;
         }
-        hold.work(0.25).await;
+        hold.work(0.25 * amount).await;
         if deadline.is_some_and(|it| it <= Instant::now()) {
             hold.answer();
             self.state.log.lock().expired += 1;
             return WorkResult::Expired;
         }
-        self.state.log.lock().record_effect(serial);
-        hold.work(0.25).await;
+        self.state.take_effect(serial);
+        hold.work(0.25 * amount).await;
         let late = header_millis(headers, "x-late-ms").unwrap_or(Duration::ZERO);
         tokio::time::sleep(late).await;
         hold.answer();
--- a/crates/ivytrail-fakes/src/backend/work.rs
+++ b/crates/ivytrail-fakes/src/backend/work.rs
@@ -53,6 +53,9 @@
 
     /// Works for `share` of a sampled service time, slower with excess concurrency, in a cold start and on demand.
     pub(super) async fn work(&self, share: f64) {
+        if share <= 0.0 {
+            return;
+        }
         let span = self.state.settings.service_time.mul_f64(share * sample(&self.state));
         self.state.pause(span.mul_f64(self.state.slowness())).await;
     }
--- a/crates/ivytrail-fakes/src/bin/fake-backend.rs
+++ b/crates/ivytrail-fakes/src/bin/fake-backend.rs
@@ -1,6 +1,6 @@
 //! Runs the backend server stand-in as a program.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use anyhow::Result;
 use gumdrop::Options;
@@ -37,6 +37,8 @@
     calls: Vec<NestedCall>,
     #[options(no_short, meta = "N", help = "payload of an answer in bytes", default = "256")]
     answer_bytes: usize,
+    #[options(no_short, meta = "FILE", help = "file to append the serials of effects to")]
+    effects_file: Option<PathBuf>,
 }
 
 #[tokio::main]
@@ -55,6 +57,7 @@
         cold_start: Duration::from_millis(options.cold_start_ms),
         calls: options.calls,
         answer_bytes: options.answer_bytes,
+        effects_file: options.effects_file,
         crash_mode: CrashMode::ExitProcess,
     };
     let mut backend = BackendFake::start(settings).await?;
--- /dev/null
+++ b/crates/ivytrail-fakes/src/caller/schedule.rs
@@ -0,0 +1,91 @@
+//! The seeded schedule of an open-loop load.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use super::{AccountLoad, CallKind, LoadPhase, LoadPlan};
+
+/// A request that is due at a given time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScheduledCall {
+    /// When it is due, since the start of the run.
+    pub at: Duration,
+    /// Serial, unique in the run.
+    pub serial: String,
+    /// Index of its kind in the plan.
+    pub kind: usize,
+    /// Index of its client account in the plan.
+    pub account: usize,
+    /// Index of its phase in the plan.
+    pub phase: usize,
+    /// Index of the entry that gets its first attempt.
+    pub entry: usize,
+}
+
+/// Returns the plan's requests in the order in which they are due. The same plan always gives the same schedule.
+///
+/// Each client account's arrivals are a Poisson process.
+pub fn schedule_calls(plan: &LoadPlan) -> Vec<ScheduledCall> {
+    let mut calls = Vec::new();
+    for (idx, account) in plan.accounts.iter().enumerate() {
+        let seed = plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(idx as u64);
+        let mut rng = StdRng::seed_from_u64(seed);
+        schedule_account(plan, idx, account, &mut rng, &mut calls);
+    }
+    calls.sort_by_key(|call| call.at);
+    for (idx, call) in calls.iter_mut().enumerate() {
+        call.serial = format!("{:x}-{idx}", plan.seed);
+    }
+    calls
+}
+
+fn schedule_account(
+    plan: &LoadPlan,
+    account_idx: usize,
+    account: &AccountLoad,
+    rng: &mut StdRng,
+    calls: &mut Vec<ScheduledCall>,
+) {
+    let mut phase_start = Duration::ZERO;
+    for (phase_idx, phase) in plan.phases.iter().enumerate() {
+        let phase_end = phase_start + Duration::from_millis(phase.length_ms);
+        let rate = account.offered_per_s * phase_factor(phase, account);
+        let mut at = phase_start + next_gap(rate, rng);
+        while at < phase_end {
+            calls.push(ScheduledCall {
+                at,
+                serial: String::new(),
+                kind: pick_kind(&plan.kinds, rng),
+                account: account_idx,
+                phase: phase_idx,
+                entry: rng.random_range(0..plan.entries.len()),
+            });
+            at += next_gap(rate, rng);
+        }
+        phase_start = phase_end;
+    }
+}
+
+/// Returns an exponential gap with mean `1 / rate`, at most a day.
+fn next_gap(rate: f64, rng: &mut StdRng) -> Duration {
+    const LONGEST_S: f64 = 86_400.0;
+    let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+    Duration::from_secs_f64((-uniform.ln() / rate.max(f64::EPSILON)).min(LONGEST_S))
+}
+
+fn phase_factor(phase: &LoadPhase, account: &AccountLoad) -> f64 {
+    phase.account_factors.get(&account.name).copied().unwrap_or(phase.factor)
+}
+
+fn pick_kind(kinds: &[CallKind], rng: &mut StdRng) -> usize {
+    let total: f64 = kinds.iter().map(|kind| kind.share).sum();
+    let mut rest = rng.random_range(0.0..1.0) * total;
+    for (idx, kind) in kinds.iter().enumerate() {
+        rest -= kind.share;
+        if rest < 0.0 {
+            return idx;
+        }
+    }
+    kinds.len() - 1
+}
--- /dev/null
+++ b/crates/ivytrail-fakes/src/caller/verdict.rs
@@ -0,0 +1,224 @@
+//! Comparison of what callers were told with what backend servers ran.
+
+use std::{collections::HashMap, io::BufRead, path::Path, time::Duration};
+
+use anyhow::{Context, Result};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use super::{CallEnd, CallRecord, LoadPlan, recovery::is_in_time};
+use crate::backend::RunLog;
+
+/// How often each request took effect, by service.
+#[derive(Clone, Debug, Default)]
+pub struct EffectCounts {
+    counts: HashMap<String, HashMap<String, u32>>,
+}
+
+impl EffectCounts {
+    /// Adds what a running backend server counted.
+    pub fn add_log(&mut self, log: &RunLog) {
+        for (serial, record) in &log.runs {
+            self.add(&log.service, serial, record.ran_at_ms.len() as u32);
+        }
+    }
+
+    /// Adds the effects that a backend server of `service` wrote to a file, which outlives the backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file can't be read.
+    pub fn add_file(&mut self, service: &str, path: &Path) -> Result<()> {
+        let file = std::fs::File::open(path).with_context(|| format!("{}", path.display()))?;
+        for line in std::io::BufReader::new(file).lines() {
+            self.add(service, line?.trim_end(), 1);
+        }
+        Ok(())
+    }
+
+    /// Returns how often the request with `serial` took effect in `service`.
+    pub fn count(&self, service: &str, serial: &str) -> u32 {
+        self.counts.get(service).and_then(|by_serial| by_serial.get(serial)).copied().unwrap_or(0)
+    }
+
+    /// Returns how many effects there were in `service`.
+    pub fn total(&self, service: &str) -> u64 {
+        self.counts.get(service).map_or(0, |it| it.values().map(|count| u64::from(*count)).sum())
+    }
+
+    fn add(&mut self, service: &str, serial: &str, count: u32) {
+        let by_serial = self.counts.entry(service.to_string()).or_default();
+        *by_serial.entry(serial.to_string()).or_default() += count;
+    }
+}
+
+/// Requests for which what the caller was told, or how often it ran, is wrong.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadVerdict {
+    /// Requests that are not idempotent and took effect more than once in one service.
+    pub doubled: u64,
+    /// Requests answered whole that took no effect at the service that answered.
+    pub lost: u64,
+    /// Requests told not to have run that took effect somewhere.
+    pub misreported: u64,
+    /// Requests that got another request's answer.
+    pub crossed: u64,
+    /// Serials of the first few of them.
+    pub examples: Vec<String>,
+}
+
+impl LoadVerdict {
+    /// Most serials that are named.
+    const MAX_EXAMPLES: usize = 10;
+
+    /// Returns whether nothing is wrong.
+    pub fn is_clean(&self) -> bool {
+        self.doubled + self.lost + self.misreported + self.crossed == 0
+    }
+
+    fn add(&mut self, record: &CallRecord, wrong: WrongEnd) {
+        match wrong {
+            WrongEnd::Doubled => self.doubled += 1,
+            WrongEnd::Lost => self.lost += 1,
+            WrongEnd::Misreported => self.misreported += 1,
+            WrongEnd::Crossed => self.crossed += 1,
+        }
+        if self.examples.len() < Self::MAX_EXAMPLES {
+            self.examples.push(format!("{wrong:?} {} {:?}", record.serial, record.end));
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum WrongEnd {
+    Doubled,
+    Lost,
+    Misreported,
+    Crossed,
+}
+
+/// Compares each record with the effects that backend servers counted.
+pub fn judge_records(
+    plan: &LoadPlan,
+    records: &[CallRecord],
+    effects: &EffectCounts,
+) -> LoadVerdict {
+    let mut verdict = LoadVerdict::default();
+    for record in records {
+        let kind = &plan.kinds[record.kind];
+        let counts: Vec<u32> =
+            kind.effects.iter().map(|service| effects.count(service, &record.serial)).collect();
+        if !kind.idempotent && counts.iter().any(|count| 1 < *count) {
+            verdict.add(record, WrongEnd::Doubled);
+        }
+        match &record.end {
+            CallEnd::Whole if counts.first().is_none_or(|count| *count == 0) => {
+                verdict.add(record, WrongEnd::Lost);
+            }
+            CallEnd::NotRun { .. } if counts.iter().any(|count| 0 < *count) => {
+                verdict.add(record, WrongEnd::Misreported);
+            }
+            CallEnd::Crossed => verdict.add(record, WrongEnd::Crossed),
+            _ => {}
+        }
+    }
+    verdict
+}
+
+/// Figures of a set of requests.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadSummary {
+    /// Requests.
+    pub requests: u64,
+    /// Requests answered whole.
+    pub whole: u64,
+    /// Requests answered whole within their deadlines.
+    pub in_time: u64,
+    /// Requests refused as not run.
+    pub refused_not_run: u64,
+    /// Requests that may have run.
+    pub unknown: u64,
+    /// Requests that a backend server answered with an error.
+    pub failed: u64,
+    /// Attempts of all requests.
+    pub attempts: u64,
+    /// Median latency of whole answers, in microseconds.
+    pub p50_us: u64,
+    /// 99th percentile of the latency of whole answers, in microseconds.
+    pub p99_us: u64,
+    /// 99.9th percentile of the latency of whole answers, in microseconds.
+    pub p999_us: u64,
+    /// Ends by reason, for the requests that are not whole.
+    pub reasons: std::collections::BTreeMap<String, u64>,
+}
+
+impl LoadSummary {
+    /// Returns the share of requests that ended whole within their deadlines.
+    pub fn in_time_share(&self) -> f64 {
+        self.in_time as f64 / self.requests.max(1) as f64
+    }
+}
+
+/// Adds up records.
+pub fn summarize<'a, I>(plan: &LoadPlan, records: I) -> LoadSummary
+where
+    I: IntoIterator<Item = &'a CallRecord>,
+{
+    let mut summary = LoadSummary::default();
+    let mut latencies = LatencyHistogram::default();
+    for record in records {
+        summary.requests += 1;
+        summary.attempts += u64::from(record.attempts);
+        summary.in_time += u64::from(is_in_time(plan, record));
+        let reason = match &record.end {
+            CallEnd::Whole => {
+                summary.whole += 1;
+                latencies.record(record.latency);
+                continue;
+            }
+            CallEnd::NotRun { reason } => {
+                summary.refused_not_run += 1;
+                format!("not-run {reason}")
+            }
+            CallEnd::Unknown { reason } => {
+                summary.unknown += 1;
+                format!("unknown {reason}")
+            }
+            CallEnd::Failed { status } => {
+                summary.failed += 1;
+                format!("failed {status}")
+            }
+            CallEnd::Crossed => "crossed".to_string(),
+        };
+        *summary.reasons.entry(reason).or_default() += 1;
+    }
+    summary.p50_us = latencies.quantile(0.5);
+    summary.p99_us = latencies.quantile(0.99);
+    summary.p999_us = latencies.quantile(0.999);
+    summary
+}
+
+/// Latencies in microseconds, up to a minute, with three significant digits.
+#[derive(Clone, Debug)]
+pub struct LatencyHistogram(Option<Histogram<u64>>);
+
+impl Default for LatencyHistogram {
+    fn default() -> LatencyHistogram {
+        // The bounds are constants that the library accepts, so the histogram is always there.
+        LatencyHistogram(Histogram::new_with_bounds(1, 60_000_000, 3).ok())
+    }
+}
+
+impl LatencyHistogram {
+    /// Records one latency.
+    pub fn record(&mut self, latency: Duration) {
+        if let Some(histogram) = &mut self.0 {
+            histogram.saturating_record(latency.as_micros() as u64);
+        }
+    }
+
+    /// Returns the quantile in microseconds, or 0 when nothing was recorded.
+    pub fn quantile(&self, quantile: f64) -> u64 {
+        self.0.as_ref().map_or(0, |histogram| histogram.value_at_quantile(quantile))
+    }
+}
--- a/crates/ivytrail-fakes/src/lib.rs
+++ b/crates/ivytrail-fakes/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod answer;
 pub mod backend;
+pub mod caller;
 pub mod platform;
 pub mod server;
