Read the daemon's settings file with every finding at once

Cause: a daemon needs its name, addresses, platform, peer secret and operators before it can do anything. Ruled out: serde derive with deny_unknown_fields, which stops at the first error. Change: DaemonSettings::parse walks the JSON value; ObjectReader collects findings with their JSON path. The peer secret is never quoted in a finding or in Debug output.

--- a/crates/ivytrail/src/settings.rs
+++ b/crates/ivytrail/src/settings.rs
@@ -7,6 +7,7 @@
 pub mod edit;
 pub mod feed;
 pub mod file;
+mod reader;
 pub mod tree;
 
 pub use tree::{
--- a/crates/ivytrail/src/settings/file.rs
+++ b/crates/ivytrail/src/settings/file.rs
@@ -1,1 +1,311 @@
-//! The file that a daemon starts with.
+//! The settings file that a daemon starts with.
+//!
+//! It holds what a daemon can't learn from others: its own name and addresses, where the platform is, and the
+//! credentials of peers and operators. Everything else is in the settings tree. Each field with its unit, default and
+//! bounds is listed in `docs/CONFIGURATION.md`.
+
+use std::{collections::BTreeSet, fmt, net::SocketAddr, time::Duration};
+
+use serde_json::Value;
+
+use crate::{
+    error::Findings,
+    id::{ContentDigest, DomainName, InstanceName},
+};
+
+use super::reader::{
+    NAME_ALLOWED, NumberBounds, ObjectReader, ROOT_PLACE, name_in, parse_document, unexpected,
+};
+
+/// Least length of the secret that the daemons share, in bytes.
+const MIN_SECRET_BYTES: usize = 16;
+
+/// Length of a SHA-256 digest in hexadecimal.
+const HEX_DIGEST_CHARS: usize = 64;
+
+const ADDRESS_ALLOWED: &str = "an IP address and a port, e.g. \"10.0.0.7:7100\"";
+const PLATFORM_ALLOWED: &str = "a URL \"http://host:port\"";
+const SECRET_ALLOWED: &str = "a text of at least 16 bytes, the same at every daemon";
+const DIGEST_ALLOWED: &str = "the SHA-256 of the token as 64 hexadecimal digits";
+const OPERATORS_ALLOWED: &str = "a list of {\"name\", \"token_digest\"}";
+
+/// The settings that a daemon starts with.
+///
+/// # Example
+///
+/// ```
+/// use ivytrail::settings::file::DaemonSettings;
+///
+/// let findings = DaemonSettings::parse(r#"{"name": "Booking 1"}"#).unwrap_err();
+/// assert!(findings.iter().any(|it| it.place == "$.name"));
+/// assert!(findings.iter().any(|it| it.place == "$.failure_domain"));
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct DaemonSettings {
+    /// Name of the instance, stable across restarts and unique in the fleet.
+    pub name: InstanceName,
+    /// Failure domain that the instance is in.
+    pub failure_domain: DomainName,
+    /// Region that the failure domain is in.
+    pub region: String,
+    /// Address on which callers are served.
+    pub caller_address: SocketAddr,
+    /// Address for the instance's own backend server: announcements and nested calls.
+    pub local_address: SocketAddr,
+    /// Address on which other daemons reach this one. It is announced to them as it stands.
+    pub peer_address: SocketAddr,
+    /// Address for operators: settings, health and metrics.
+    pub operator_address: SocketAddr,
+    /// Base URL of the platform's table service and object store, without a trailing slash.
+    pub platform: String,
+    /// Secret that the daemons share; a peer without it is refused.
+    pub peer_secret: PeerSecret,
+    /// Operators who may use the operator address.
+    pub operators: Vec<OperatorCredential>,
+    /// Limits on what one daemon holds.
+    pub limits: DaemonLimits,
+    /// Intervals and timeouts.
+    pub intervals: DaemonIntervals,
+}
+
+/// Secret that the daemons share. It never reaches a log.
+#[derive(Clone, PartialEq, Eq)]
+pub struct PeerSecret(String);
+
+impl PeerSecret {
+    /// Returns the secret itself.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for PeerSecret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("PeerSecret(..)")
+    }
+}
+
+/// An operator with the digest of the bearer token that proves the name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OperatorCredential {
+    /// Name that the audit trail shows.
+    pub name: String,
+    /// SHA-256 of the token.
+    pub token_digest: ContentDigest,
+}
+
+/// Limits on what one daemon holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DaemonLimits {
+    /// Largest request or answer body, in bytes.
+    pub max_body_bytes: usize,
+    /// Largest request head (request line and headers), in bytes.
+    pub max_header_bytes: usize,
+    /// Greatest number of connections from callers.
+    pub max_connections: usize,
+    /// Greatest number of calls at this daemon at once, waiting ones included.
+    pub max_calls: usize,
+}
+
+/// Intervals and timeouts of one daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DaemonIntervals {
+    /// Between two readings of the settings' head row by a poller.
+    pub settings_poll: Duration,
+    /// Between two rounds of gossip with other daemons.
+    pub gossip: Duration,
+    /// Longest wait for an answer of the platform.
+    pub platform_timeout: Duration,
+    /// Longest wait for a control answer of another daemon.
+    pub peer_timeout: Duration,
+    /// Longest wait for the head of a caller's request on an open connection.
+    pub header_timeout: Duration,
+    /// Longest time that a graceful shutdown waits for running requests.
+    pub shutdown_grace: Duration,
+}
+
+impl DaemonSettings {
+    /// Reads the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns everything that is wrong with the file, each finding with its JSON path, what was found and what is
+    /// allowed.
+    pub fn parse(text: &str) -> Result<DaemonSettings, Findings> {
+        let document = parse_document(text)?;
+        let mut findings = Findings::default();
+        let settings = read_settings(&document, &mut findings);
+        match settings {
+            Some(settings) => findings.into_result(settings),
+            None => Err(findings),
+        }
+    }
+}
+
+fn read_settings(document: &Value, findings: &mut Findings) -> Option<DaemonSettings> {
+    let mut reader = ObjectReader::new(document, ROOT_PLACE, findings);
+    let name = reader.required("name", NAME_ALLOWED, name_in);
+    let failure_domain = reader.required("failure_domain", NAME_ALLOWED, name_in);
+    let region = reader.optional("region", NAME_ALLOWED, name_in);
+    let caller_address = reader.required("caller_address", ADDRESS_ALLOWED, address_in);
+    let local_address = reader.required("local_address", ADDRESS_ALLOWED, address_in);
+    let peer_address = reader.required("peer_address", ADDRESS_ALLOWED, address_in);
+    let operator_address = reader.required("operator_address", ADDRESS_ALLOWED, address_in);
+    let platform = reader.required("platform", PLATFORM_ALLOWED, platform_in);
+    let peer_secret = read_secret(&mut reader);
+    let operators = read_operators(&mut reader);
+    let limits = read_limits(&mut reader);
+    let intervals = read_intervals(&mut reader);
+    check_peer_address(&mut reader, peer_address);
+    check_distinct(
+        &mut reader,
+        [
+            ("caller_address", caller_address),
+            ("local_address", local_address),
+            ("peer_address", peer_address),
+            ("operator_address", operator_address),
+        ],
+    );
+    reader.finish();
+    Some(DaemonSettings {
+        name: name?.into(),
+        failure_domain: failure_domain?.into(),
+        region: region.unwrap_or("default").to_string(),
+        caller_address: caller_address?,
+        local_address: local_address?,
+        peer_address: peer_address?,
+        operator_address: operator_address?,
+        platform: platform?,
+        peer_secret: peer_secret?,
+        operators,
+        limits,
+        intervals,
+    })
+}
+
+fn address_in(value: &Value) -> Option<SocketAddr> {
+    let address = value.as_str()?.parse::<SocketAddr>().ok()?;
+    (address.port() != 0).then_some(address)
+}
+
+fn platform_in(value: &Value) -> Option<String> {
+    let url = value.as_str()?;
+    let host = url.strip_prefix("http://")?.trim_end_matches('/');
+    let is_plain = !host.is_empty() && !host.contains(['/', '?', '#', ' ', '@']);
+    is_plain.then(|| format!("http://{host}"))
+}
+
+/// Reads the peer secret. Its findings don't quote it, since findings are shown and logged.
+fn read_secret(reader: &mut ObjectReader<'_, '_>) -> Option<PeerSecret> {
+    let text = reader.required("peer_secret", SECRET_ALLOWED, |it| Some(it.as_str()))?;
+    match text {
+        Some(text) if MIN_SECRET_BYTES <= text.len() => Some(PeerSecret(text.to_string())),
+        Some(text) => {
+            let message = format!("found {} bytes; allowed: {SECRET_ALLOWED}", text.len());
+            reader.report("peer_secret", message);
+            None
+        }
+        None => {
+            reader.report("peer_secret", format!("isn't a text; allowed: {SECRET_ALLOWED}"));
+            None
+        }
+    }
+}
+
+fn read_operators(reader: &mut ObjectReader<'_, '_>) -> Vec<OperatorCredential> {
+    let list = reader.optional("operators", OPERATORS_ALLOWED, Value::as_array);
+    let place = reader.place_of("operators");
+    let mut names = BTreeSet::new();
+    let mut operators = Vec::new();
+    for (idx, value) in list.into_iter().flatten().enumerate() {
+        let place = format!("{place}[{idx}]");
+        let Some(operator) = read_operator(value, &place, reader.findings()) else { continue };
+        if !names.insert(operator.name.clone()) {
+            let message = format!("\"{}\" stands twice; allowed: each name once", operator.name);
+            reader.findings().push(format!("{place}.name"), message);
+        }
+        operators.push(operator);
+    }
+    operators
+}
+
+fn read_operator(
+    value: &Value,
+    place: &str,
+    findings: &mut Findings,
+) -> Option<OperatorCredential> {
+    let mut reader = ObjectReader::new(value, place, findings);
+    let name = reader.required("name", NAME_ALLOWED, name_in);
+    let token_digest = reader.required("token_digest", DIGEST_ALLOWED, digest_in);
+    reader.finish();
+    Some(OperatorCredential { name: name?.to_string(), token_digest: token_digest? })
+}
+
+fn digest_in(value: &Value) -> Option<ContentDigest> {
+    let text = value.as_str()?;
+    let is_digest = text.len() == HEX_DIGEST_CHARS && text.bytes().all(|it| it.is_ascii_hexdigit());
+    if !is_digest {
+        return None;
+    }
+    let mut digest = [0; 32];
+    for (idx, byte) in digest.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * idx..2 * idx + 2], 16).ok()?;
+    }
+    Some(ContentDigest(digest))
+}
+
+fn read_limits(reader: &mut ObjectReader<'_, '_>) -> DaemonLimits {
+    let mut limits = reader.section("limits");
+    let mut size = |name, least, greatest, default| {
+        limits.bounded(name, NumberBounds { least, greatest, default }) as usize
+    };
+    let settings = DaemonLimits {
+        max_body_bytes: size("max_body_bytes", 1_024, 64 << 20, 1 << 20),
+        max_header_bytes: size("max_header_bytes", 1_024, 1 << 20, 16 << 10),
+        max_connections: size("max_connections", 1, 1_000_000, 10_000),
+        max_calls: size("max_calls", 1, 1_000_000, 5_000),
+    };
+    limits.finish();
+    settings
+}
+
+fn read_intervals(reader: &mut ObjectReader<'_, '_>) -> DaemonIntervals {
+    let mut intervals = reader.section("intervals");
+    let mut millis = |name, least, greatest, default| {
+        Duration::from_millis(intervals.bounded(name, NumberBounds { least, greatest, default }))
+    };
+    let settings = DaemonIntervals {
+        settings_poll: millis("settings_poll_ms", 100, 2_000, 1_000),
+        gossip: millis("gossip_ms", 50, 2_000, 500),
+        platform_timeout: millis("platform_timeout_ms", 50, 10_000, 1_000),
+        peer_timeout: millis("peer_timeout_ms", 50, 10_000, 500),
+        header_timeout: millis("header_timeout_ms", 100, 60_000, 10_000),
+        shutdown_grace: millis("shutdown_grace_ms", 0, 600_000, 30_000),
+    };
+    intervals.finish();
+    settings
+}
+
+fn check_peer_address(reader: &mut ObjectReader<'_, '_>, address: Option<SocketAddr>) {
+    if address.is_some_and(|it| it.ip().is_unspecified()) {
+        let value = Value::from(address.map(|it| it.to_string()));
+        reader
+            .report("peer_address", unexpected(&value, "an address that other daemons can reach"));
+    }
+}
+
+fn check_distinct<const N: usize>(
+    reader: &mut ObjectReader<'_, '_>,
+    addresses: [(&'static str, Option<SocketAddr>); N],
+) {
+    let mut seen: Vec<(&str, SocketAddr)> = Vec::new();
+    for (name, address) in addresses {
+        let Some(address) = address else { continue };
+        if let Some((other, _)) = seen.iter().find(|(_, it)| *it == address) {
+            let message =
+                format!("found {address}, which is {other} too; allowed: an address of its own");
+            reader.report(name, message);
+        }
+        seen.push((name, address));
+    }
+}
--- /dev/null
+++ b/crates/ivytrail/src/settings/reader.rs
@@ -0,0 +1,180 @@
+//! Reads JSON documents field by field and collects every finding, so that one reading reports them all.
+
+use std::fmt::Display;
+
+use serde_json::{Map, Value};
+
+use crate::error::Findings;
+
+/// Longest piece of a wrong value that a finding quotes, in characters.
+const MAX_QUOTE_CHARS: usize = 60;
+
+/// Place of a document's root in a JSON path.
+pub(crate) const ROOT_PLACE: &str = "$";
+
+/// Reads the fields of one JSON object.
+///
+/// Every field that is asked for becomes a known one; [`ObjectReader::finish`] reports all others. A wrong or missing
+/// field yields `None` and a finding, and reading goes on.
+pub(crate) struct ObjectReader<'d, 'f> {
+    place: String,
+    fields: Option<&'d Map<String, Value>>,
+    known: Vec<&'static str>,
+    findings: &'f mut Findings,
+}
+
+impl<'d, 'f> ObjectReader<'d, 'f> {
+    /// Starts to read `value`, which lies at `place`. A value that isn't an object is a finding.
+    pub(crate) fn new(
+        value: &'d Value,
+        place: impl Into<String>,
+        findings: &'f mut Findings,
+    ) -> Self {
+        let place = place.into();
+        let fields = value.as_object();
+        if fields.is_none() {
+            findings.push(place.clone(), unexpected(value, "an object"));
+        }
+        ObjectReader { place, fields, known: Vec::new(), findings }
+    }
+
+    /// Returns the JSON path of the field `name`.
+    pub(crate) fn place_of(&self, name: &str) -> String {
+        child_place(&self.place, name)
+    }
+
+    /// Records a finding about the field `name`.
+    pub(crate) fn report(&mut self, name: &str, message: impl Into<String>) {
+        let place = self.place_of(name);
+        self.findings.push(place, message);
+    }
+
+    /// Returns the field `name` when it is there.
+    pub(crate) fn field(&mut self, name: &'static str) -> Option<&'d Value> {
+        self.known.push(name);
+        self.fields?.get(name)
+    }
+
+    /// Returns the field `name` as `convert` reads it; `allowed` says what it takes.
+    pub(crate) fn optional<T, C>(
+        &mut self,
+        name: &'static str,
+        allowed: &str,
+        convert: C,
+    ) -> Option<T>
+    where
+        C: FnOnce(&'d Value) -> Option<T>,
+    {
+        let value = self.field(name)?;
+        let converted = convert(value);
+        if converted.is_none() {
+            self.report(name, unexpected(value, allowed));
+        }
+        converted
+    }
+
+    /// Returns the field `name` like [`ObjectReader::optional`]; its absence is a finding.
+    pub(crate) fn required<T, C>(
+        &mut self,
+        name: &'static str,
+        allowed: &str,
+        convert: C,
+    ) -> Option<T>
+    where
+        C: FnOnce(&'d Value) -> Option<T>,
+    {
+        let missing = self.fields.is_some_and(|fields| !fields.contains_key(name));
+        if missing {
+            self.known.push(name);
+            self.report(name, format!("is missing; allowed: {allowed}"));
+            return None;
+        }
+        self.optional(name, allowed, convert)
+    }
+
+    /// Returns the whole number in the field `name`, or `default` when it is absent or wrong.
+    pub(crate) fn bounded(&mut self, name: &'static str, bounds: NumberBounds) -> u64 {
+        let allowed = format!("a whole number from {} to {}", bounds.least, bounds.greatest);
+        let convert =
+            |it: &Value| it.as_u64().filter(|n| (bounds.least..=bounds.greatest).contains(n));
+        self.optional(name, &allowed, convert).unwrap_or(bounds.default)
+    }
+
+    /// Returns a reader of the object in the field `name`; an absent one reads as an empty object.
+    pub(crate) fn section(&mut self, name: &'static str) -> ObjectReader<'d, '_> {
+        let place = self.place_of(name);
+        match self.field(name) {
+            Some(value) => ObjectReader::new(value, place, self.findings),
+            None => {
+                ObjectReader { place, fields: None, known: Vec::new(), findings: self.findings }
+            }
+        }
+    }
+
+    /// Lends the findings, for values that are read by other means.
+    pub(crate) fn findings(&mut self) -> &mut Findings {
+        self.findings
+    }
+
+    /// Reports every field that nobody asked for.
+    pub(crate) fn finish(self) {
+        let unknown = self.fields.into_iter().flat_map(Map::keys);
+        for name in unknown.filter(|name| !self.known.contains(&name.as_str())) {
+            let message = format!("unknown field; allowed: {}", self.known.join(", "));
+            self.findings.push(child_place(&self.place, name), message);
+        }
+    }
+}
+
+/// Bounds and default of a whole number.
+#[derive(Clone, Copy)]
+pub(crate) struct NumberBounds {
+    /// Least allowed value.
+    pub(crate) least: u64,
+    /// Greatest allowed value.
+    pub(crate) greatest: u64,
+    /// Value of an absent field.
+    pub(crate) default: u64,
+}
+
+/// Reads `text` as JSON; a syntax error is a finding with its line and column.
+pub(crate) fn parse_document(text: &str) -> Result<Value, Findings> {
+    serde_json::from_str(text).map_err(|cause| {
+        let mut findings = Findings::default();
+        findings.push(ROOT_PLACE, format!("isn't JSON: {cause}"));
+        findings
+    })
+}
+
+/// Returns the JSON path of the member `name` of the object at `place`.
+pub(crate) fn child_place(place: &str, name: impl Display) -> String {
+    format!("{place}.{name}")
+}
+
+/// Returns the message for a value that is not what is allowed.
+pub(crate) fn unexpected(value: &Value, allowed: &str) -> String {
+    let text = value.to_string();
+    let quote = text.chars().take(MAX_QUOTE_CHARS).collect::<String>();
+    let ellipsis = if quote.len() < text.len() { "..." } else { "" };
+    format!("found {quote}{ellipsis}; allowed: {allowed}")
+}
+
+/// Longest name, in bytes.
+pub(crate) const MAX_NAME_BYTES: usize = 64;
+
+/// What a name may look like, for messages.
+pub(crate) const NAME_ALLOWED: &str =
+    "1 to 64 of the characters a-z, 0-9, '-' and '_', the first one a letter or digit";
+
+/// Returns whether `name` may be the name of a team, account, route, service, key or instance.
+pub(crate) fn is_name(name: &str) -> bool {
+    let is_plain = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit();
+    let starts_plain = name.bytes().next().is_some_and(is_plain);
+    let is_inner = |byte: u8| is_plain(byte) || byte == b'-' || byte == b'_';
+    starts_plain && name.len() <= MAX_NAME_BYTES && name.bytes().all(is_inner)
+}
+
+/// Returns `value` as a name.
+pub(crate) fn name_in(value: &Value) -> Option<&str> {
+    value.as_str().filter(|name| is_name(name))
+}
