--- /dev/null
+++ b/crates/ivytrail-daemon/src/caller_desk.rs
@@ -0,0 +1,217 @@
+//! The callers' interface, and the same for nested calls of this daemon's own backend server.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use ivytrail::{
+    id::{CallId, CallToken, ContentDigest},
+    message::{CallOutcome, RefusalReason},
+    reducer::{CallAnswer, CallRequest, CallSource, DaemonEvent},
+};
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, async_trait,
+    http::{HeaderName, HeaderValue, StatusCode},
+};
+
+use crate::{
+    executor::EffectExecutor,
+    run_client::{TOKEN_HEADER, is_connection_header},
+};
+
+/// Header that tells a caller what became of its request.
+pub const OUTCOME_HEADER: &str = "ivytrail-outcome";
+/// Header that tells a caller why its request was refused.
+pub const REASON_HEADER: &str = "ivytrail-reason";
+/// Header that carries the precise time to wait before coming back, in milliseconds.
+pub const RETRY_AFTER_MS_HEADER: &str = "retry-after-ms";
+/// Header by which a caller sets a time limit, in milliseconds.
+const TIMEOUT_HEADER: &str = "ivytrail-timeout-ms";
+/// Header of the caller's idempotency key.
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Longest idempotency key, in bytes.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
+
+/// Which of the two interfaces a request came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeskSide {
+    /// Callers with keys.
+    Callers,
+    /// This daemon's own backend server with the tokens of its running calls.
+    Nested,
+}
+
+/// Handles every request on one of the two interfaces.
+#[derive(Clone, Debug)]
+pub struct CallerDesk {
+    executor: EffectExecutor,
+    side: DeskSide,
+    max_body_bytes: usize,
+}
+
+impl CallerDesk {
+    /// Returns a handler for `side` that takes bodies up to `max_body_bytes`.
+    pub fn new(executor: EffectExecutor, side: DeskSide, max_body_bytes: usize) -> Arc<CallerDesk> {
+        Arc::new(CallerDesk { executor, side, max_body_bytes })
+    }
+
+    async fn answer(&self, req: &mut Request) -> CallAnswer {
+        let Some(source) = self.source_of(req) else { return refusal(RefusalReason::BadToken) };
+        let Ok(body) = req.payload_with_max_size(self.max_body_bytes).await.cloned() else {
+            return refusal(RefusalReason::BadRequest);
+        };
+        let idempotency_key = header_text(req, IDEMPOTENCY_HEADER);
+        if idempotency_key.as_ref().is_some_and(|it| MAX_IDEMPOTENCY_KEY_BYTES < it.len()) {
+            return refusal(RefusalReason::BadRequest);
+        }
+        let (call, receiver) = self.executor.shell().add_call(body.clone());
+        let mut presence = CallerPresence { executor: &self.executor, call, answered: false };
+        let path = req.uri().path_and_query().map_or("/", |it| it.as_str()).to_string();
+        self.executor.apply(DaemonEvent::CallReceived(CallRequest {
+            call,
+            source,
+            method: req.method().as_str().to_string(),
+            path,
+            headers: passed_headers(req),
+            idempotency_key,
+            body_digest: ContentDigest::of_parts(&[&body]),
+            time_limit: header_text(req, TIMEOUT_HEADER)
+                .and_then(|it| it.parse().ok())
+                .map(Duration::from_millis),
+        }));
+        let answer = receiver.await;
+        presence.answered = true;
+        // The sender is dropped unanswered only when the process ends.
+        answer.unwrap_or_else(|_| refusal_with(CallOutcome::Unknown, RefusalReason::Draining))
+    }
+
+    fn source_of(&self, req: &Request) -> Option<CallSource> {
+        match self.side {
+            DeskSide::Callers => {
+                let digest = key_of(req).map(|it| ContentDigest::of_parts(&[it.as_bytes()]));
+                Some(CallSource::Caller(digest))
+            }
+            DeskSide::Nested => {
+                let token = header_text(req, TOKEN_HEADER)?;
+                u128::from_str_radix(&token, 16).ok().map(|it| CallSource::Nested(CallToken(it)))
+            }
+        }
+    }
+}
+
+/// Tells the reducer when the caller closes its connection before the answer.
+struct CallerPresence<'a> {
+    executor: &'a EffectExecutor,
+    call: CallId,
+    answered: bool,
+}
+
+impl Drop for CallerPresence<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.executor.shell().take_call(self.call);
+            self.executor.apply(DaemonEvent::CallerGone { call: self.call });
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for CallerDesk {
+    async fn handle(&self, req: &mut Request, _depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+        let answer = self.answer(req).await;
+        write_answer(res, answer);
+        // No later handler, and no error page in place of the backend server's own body.
+        ctrl.skip_rest();
+    }
+}
+
+/// Returns the key that a caller showed.
+fn key_of(req: &Request) -> Option<String> {
+    let bearer = header_text(req, "authorization")
+        .and_then(|it| it.strip_prefix("Bearer ").map(|key| key.trim().to_string()));
+    bearer.or_else(|| header_text(req, "ivytrail-key"))
+}
+
+fn header_text(req: &Request, name: &str) -> Option<String> {
+    req.headers().get(name).and_then(|it| it.to_str().ok()).map(str::to_string)
+}
+
+/// Returns the headers that go to the backend server: no credentials, nothing of one connection, nothing that only
+/// the system itself may say.
+fn passed_headers(req: &Request) -> Vec<(String, String)> {
+    req.headers()
+        .iter()
+        .filter(|(name, _)| {
+            let name = name.as_str();
+            !is_connection_header(name) && name != "authorization" && !name.starts_with("ivytrail-")
+        })
+        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_string())))
+        .collect()
+}
+
+fn refusal(reason: RefusalReason) -> CallAnswer {
+    refusal_with(CallOutcome::NotRun, reason)
+}
+
+fn refusal_with(outcome: CallOutcome, reason: RefusalReason) -> CallAnswer {
+    CallAnswer::Refused { outcome, reason, retry_after: None }
+}
+
+fn write_answer(res: &mut Response, answer: CallAnswer) {
+    match answer {
+        CallAnswer::Whole { status, headers, body } => {
+            res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY));
+            for (name, value) in headers {
+                set_header(res, &name, &value);
+            }
+            set_header(res, OUTCOME_HEADER, &CallOutcome::Ran.to_string());
+            res.body(body);
+        }
+        CallAnswer::Refused { outcome, reason, retry_after } => {
+            res.status_code(status_of(reason));
+            set_header(res, OUTCOME_HEADER, &outcome.to_string());
+            set_header(res, REASON_HEADER, &reason.to_string());
+            if let Some(wait) = retry_after {
+                set_header(res, "retry-after", &wait.as_secs_f64().ceil().to_string());
+                set_header(res, RETRY_AFTER_MS_HEADER, &wait.as_millis().to_string());
+            }
+            set_header(res, "content-type", "application/json");
+            let wait_ms = retry_after.map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
+            let body = serde_json::json!({
+                "outcome": outcome.to_string(),
+                "reason": reason.to_string(),
+                "retry_after_ms": wait_ms,
+            });
+            res.body(Bytes::from(body.to_string()));
+        }
+    }
+}
+
+fn set_header(res: &mut Response, name: &str, value: &str) {
+    match (HeaderName::from_bytes(name.as_bytes()), HeaderValue::from_str(value)) {
+        (Ok(name), Ok(value)) => {
+            res.headers_mut().append(name, value);
+        }
+        // A header that can't be written again can't have been read from the wire either.
+        _ => log::debug!("event=header_dropped name={name:?}"),
+    }
+}
+
+/// Returns the HTTP status for a refusal.
+fn status_of(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::NoRoute => StatusCode::NOT_FOUND,
+        RefusalReason::BadKey | RefusalReason::BadToken => StatusCode::UNAUTHORIZED,
+        RefusalReason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::BadRequest => StatusCode::BAD_REQUEST,
+        RefusalReason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        RefusalReason::ConnectionLost | RefusalReason::BrokenAnswer => StatusCode::BAD_GATEWAY,
+        RefusalReason::ClaimInDoubt | RefusalReason::KeyReused => StatusCode::CONFLICT,
+        RefusalReason::Overloaded
+        | RefusalReason::NoUpstream
+        | RefusalReason::Quarantined
+        | RefusalReason::StaleSettings
+        | RefusalReason::Draining
+        | RefusalReason::NotOwner
+        | RefusalReason::CallerGone => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/ivytrail-daemon/src/executor.rs
@@ -0,0 +1,177 @@
+//! Carries out the reducer's effects.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use ivytrail::{
+    id::{AttemptId, CallId, CallToken, MemberId},
+    message::{AttemptHeader, AttemptReply, ControlMessage},
+    reducer::{BreakCause, CallAnswer, DaemonEffect, DaemonEvent},
+};
+
+use crate::{
+    peer_client::{PeerClient, SendError},
+    run_client::RunClient,
+    shell::DaemonShell,
+};
+
+/// The shell together with its clients. Cloning it is cheap.
+#[derive(Clone, Debug)]
+pub struct EffectExecutor(Arc<ExecutorParts>);
+
+#[derive(Debug)]
+struct ExecutorParts {
+    shell: DaemonShell,
+    peers: PeerClient,
+    runs: RunClient,
+    proposals: tokio::sync::mpsc::UnboundedSender<ivytrail::lease::RingDefinition>,
+}
+
+impl EffectExecutor {
+    /// Returns an executor for the shell; proposed ring definitions go to `proposals`.
+    pub fn new(
+        shell: DaemonShell,
+        peers: PeerClient,
+        runs: RunClient,
+        proposals: tokio::sync::mpsc::UnboundedSender<ivytrail::lease::RingDefinition>,
+    ) -> EffectExecutor {
+        EffectExecutor(Arc::new(ExecutorParts { shell, peers, runs, proposals }))
+    }
+
+    /// Returns the shell.
+    pub fn shell(&self) -> &DaemonShell {
+        &self.0.shell
+    }
+
+    /// Returns the client for the backend server.
+    pub fn runs(&self) -> &RunClient {
+        &self.0.runs
+    }
+
+    /// Applies an event and carries out its effects.
+    pub fn apply(&self, event: DaemonEvent) {
+        let effects = self.0.shell.reduce(event);
+        self.execute(effects);
+    }
+
+    fn execute(&self, effects: Vec<DaemonEffect>) {
+        let mut control: BTreeMap<String, Vec<ControlMessage>> = BTreeMap::new();
+        for effect in effects {
+            match effect {
+                DaemonEffect::AnswerCall { call, answer } => self.answer_call(call, answer),
+                DaemonEffect::SendAttempt { call, to, address, header } => {
+                    self.send_attempt(call, to, address, header);
+                }
+                DaemonEffect::SendInquiry { address, attempt, patience } => {
+                    self.send_inquiry(address, attempt, patience);
+                }
+                DaemonEffect::SendCancel { address, attempt } => self.send_cancel(address, attempt),
+                DaemonEffect::StartRun { attempt, header, token, time_left } => {
+                    self.start_run(attempt, header, token, time_left);
+                }
+                DaemonEffect::CancelRun { attempt } => {
+                    if let Some(handle) = self.shell().take_run(&attempt) {
+                        handle.abort();
+                    }
+                }
+                DaemonEffect::ReplyAttempt { reply, body } => self.reply_attempt(&reply, &body),
+                DaemonEffect::SendControl { address, message, .. } => {
+                    control.entry(address).or_default().push(message);
+                }
+                DaemonEffect::ProposeRing(definition) => {
+                    // The control loop ends only with the process.
+                    let _ = self.0.proposals.send(definition);
+                }
+                DaemonEffect::LogLine(line) => log::info!("{line}"),
+            }
+        }
+        for (address, messages) in control {
+            self.send_control(address, messages);
+        }
+    }
+
+    fn answer_call(&self, call: CallId, answer: CallAnswer) {
+        if let Some(waiting) = self.shell().take_call(call) {
+            // A caller that went away meanwhile needs no answer.
+            let _ = waiting.sender.send(answer);
+        }
+    }
+
+    fn send_attempt(&self, call: CallId, to: MemberId, address: String, header: Box<AttemptHeader>) {
+        let Some(body) = self.shell().call_body(call) else { return };
+        let executor = self.clone();
+        tokio::spawn(async move {
+            let serial = header.attempt.serial;
+            let patience = header.time_left;
+            let event = match executor.0.peers.send_attempt(&address, &header, &body, patience).await {
+                Ok((reply, body)) if reply.attempt == header.attempt => {
+                    DaemonEvent::AttemptAnswered { reply, body }
+                }
+                Ok(_) => {
+                    log::warn!("event=crossed_answer guard={to} attempt={}", header.attempt);
+                    DaemonEvent::AttemptBroken { serial, cause: BreakCause::Lost }
+                }
+                Err(SendError::NotSent(cause)) => {
+                    log::info!("event=attempt_not_sent guard={to} cause={cause:?}");
+                    DaemonEvent::AttemptBroken { serial, cause: BreakCause::NotSent }
+                }
+                Err(SendError::Lost(cause)) => {
+                    log::info!("event=attempt_lost guard={to} cause={cause:?}");
+                    DaemonEvent::AttemptBroken { serial, cause: BreakCause::Lost }
+                }
+            };
+            executor.apply(event);
+        });
+    }
+
+    fn send_inquiry(&self, address: String, attempt: AttemptId, patience: Duration) {
+        let executor = self.clone();
+        tokio::spawn(async move {
+            let event = match executor.0.peers.send_inquiry(&address, &attempt, patience).await {
+                Ok((reply, body)) if reply.attempt == attempt => DaemonEvent::AttemptAnswered { reply, body },
+                Ok(_) | Err(_) => DaemonEvent::InquiryBroken { serial: attempt.serial },
+            };
+            executor.apply(event);
+        });
+    }
+
+    fn send_cancel(&self, address: String, attempt: AttemptId) {
+        let executor = self.clone();
+        tokio::spawn(async move { executor.0.peers.send_cancel(&address, &attempt).await });
+    }
+
+    fn send_control(&self, address: String, messages: Vec<ControlMessage>) {
+        let executor = self.clone();
+        tokio::spawn(async move {
+            let replies = executor.0.peers.send_control(&address, &messages).await;
+            if let Ok((from, replies)) = replies {
+                for message in replies {
+                    executor.apply(DaemonEvent::ControlReceived { from: from.clone(), message });
+                }
+            }
+        });
+    }
+
+    fn start_run(&self, attempt: AttemptId, header: Box<AttemptHeader>, token: CallToken, time_left: Duration) {
+        let body = self.shell().take_attempt_body(&attempt);
+        let executor = self.clone();
+        let key = attempt.clone();
+        let task = tokio::spawn(async move {
+            let end = executor.0.runs.run(&header, token, time_left, body).await;
+            executor.shell().take_run(&attempt);
+            executor.apply(DaemonEvent::RunEnded { attempt, end });
+        });
+        // A run that ended already leaves a handle behind that ends nothing; the attempt's removal drops it.
+        if !task.is_finished() {
+            self.shell().add_run(key, task.abort_handle());
+        }
+    }
+
+    fn reply_attempt(&self, reply: &AttemptReply, body: &Bytes) {
+        for sender in self.shell().take_attempt(&reply.attempt) {
+            // A connection that closed meanwhile asks again if it needs the answer.
+            let _ = sender.send((reply.clone(), body.clone()));
+        }
+        self.shell().take_run(&reply.attempt);
+    }
+}
--- /dev/null
+++ b/crates/ivytrail-daemon/src/local_desk.rs
@@ -0,0 +1,81 @@
+//! The backend server's interface: announcements, and everything else as nested calls.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use ivytrail::{
+    id::ServiceName,
+    reducer::{BackendNotice, BackendState, DaemonEvent},
+};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode};
+use serde::Deserialize;
+
+use crate::executor::EffectExecutor;
+
+/// Longest announcement, in bytes.
+const MAX_ANNOUNCEMENT_BYTES: usize = 16 * 1024;
+
+/// Handles `POST /announce`.
+#[derive(Clone, Debug)]
+pub struct AnnounceDesk {
+    executor: EffectExecutor,
+}
+
+/// Body of an announcement.
+#[derive(Debug, Deserialize)]
+struct AnnouncementBody {
+    service: ServiceName,
+    address: String,
+    slots: u32,
+    state: AnnouncedState,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum AnnouncedState {
+    Starting,
+    Serving,
+    Draining,
+}
+
+impl AnnounceDesk {
+    /// Returns a handler.
+    pub fn new(executor: EffectExecutor) -> Arc<AnnounceDesk> {
+        Arc::new(AnnounceDesk { executor })
+    }
+
+    async fn answer(&self, req: &mut Request) -> Result<(), String> {
+        let body = req
+            .payload_with_max_size(MAX_ANNOUNCEMENT_BYTES)
+            .await
+            .map_err(|cause| format!("the announcement can't be read: {cause}"))?;
+        let announcement: AnnouncementBody =
+            serde_json::from_slice(body).map_err(|cause| format!("the announcement is not as expected: {cause}"))?;
+        self.executor.runs().set_address(&announcement.address);
+        let state = match announcement.state {
+            AnnouncedState::Starting => BackendState::Starting,
+            AnnouncedState::Serving => BackendState::Serving,
+            AnnouncedState::Draining => BackendState::Draining,
+        };
+        let notice = BackendNotice { service: announcement.service, slots: announcement.slots, state };
+        self.executor.apply(DaemonEvent::BackendAnnounced(notice));
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Handler for AnnounceDesk {
+    async fn handle(&self, req: &mut Request, _depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+        match self.answer(req).await {
+            Ok(()) => {
+                res.status_code(StatusCode::OK);
+                res.body(Bytes::from_static(b"{\"ok\":true}"));
+            }
+            Err(message) => {
+                res.status_code(StatusCode::BAD_REQUEST);
+                res.body(Bytes::from(serde_json::json!({ "ok": false, "error": message }).to_string()));
+            }
+        }
+        ctrl.skip_rest();
+    }
+}
--- /dev/null
+++ b/crates/ivytrail-daemon/src/peer_client.rs
@@ -0,0 +1,156 @@
+//! Requests from this daemon to other daemons.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use ivytrail::{
+    id::{AttemptId, MemberId},
+    message::{
+        AttemptHeader, AttemptReply, ControlMessage,
+        frame::{decode_frame, encode_frame},
+    },
+};
+use reqwest::Client;
+
+/// Time limit for opening a connection to another daemon.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit of a control exchange.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// What an attempt's request may take beyond the time that the call has left.
+const PATIENCE_MARGIN: Duration = Duration::from_millis(20);
+/// Idle connections kept to each daemon.
+const MAX_IDLE_PER_PEER: usize = 64;
+
+/// Why a request to a guard brought no answer.
+#[derive(Debug, Display)]
+pub enum SendError {
+    /// No connection could be opened, so nothing was sent.
+    #[display("not sent: {_0}")]
+    NotSent(String),
+    /// It may have arrived.
+    #[display("lost: {_0}")]
+    Lost(String),
+}
+
+/// Sends attempts, inquiries and control messages.
+#[derive(Debug)]
+pub struct PeerClient {
+    me: MemberId,
+    secret: String,
+    pooled: Client,
+    // An inquiry must not use a connection that may have gone silent, so it always opens a new one.
+    fresh: Client,
+}
+
+impl PeerClient {
+    /// Returns a client that shows `secret` to other daemons.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP client can't be set up.
+    pub fn new(me: MemberId, secret: String) -> anyhow::Result<PeerClient> {
+        let pooled = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE_PER_PEER)
+            .tcp_nodelay(true)
+            .no_proxy()
+            .build()?;
+        let fresh = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .pool_max_idle_per_host(0)
+            .tcp_nodelay(true)
+            .no_proxy()
+            .build()?;
+        Ok(PeerClient { me, secret, pooled, fresh })
+    }
+
+    /// Sends an attempt and returns the guard's answer with its body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells whether the attempt can have arrived.
+    pub async fn send_attempt(
+        &self,
+        address: &str,
+        header: &AttemptHeader,
+        body: &Bytes,
+        patience: Duration,
+    ) -> Result<(AttemptReply, Bytes), SendError> {
+        let frame = encode_frame(header, body);
+        self.exchange(&self.pooled, address, "attempt", frame, patience + PATIENCE_MARGIN).await
+    }
+
+    /// Asks on a new connection what became of an attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the guard gave no answer.
+    pub async fn send_inquiry(
+        &self,
+        address: &str,
+        attempt: &AttemptId,
+        patience: Duration,
+    ) -> Result<(AttemptReply, Bytes), SendError> {
+        let frame = encode_frame(attempt, &[]);
+        self.exchange(&self.fresh, address, "inquiry", frame, patience + PATIENCE_MARGIN).await
+    }
+
+    /// Tells a guard that an attempt is given up. A lost message costs the guard some wasted work, no more.
+    pub async fn send_cancel(&self, address: &str, attempt: &AttemptId) {
+        let frame = encode_frame(attempt, &[]);
+        if let Err(cause) = self.post(&self.pooled, address, "cancel", frame, CONTROL_TIMEOUT).await {
+            log::debug!("event=cancel_lost address={address} cause={:?}", cause.to_string());
+        }
+    }
+
+    /// Sends control messages and returns the receiver with its replies.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the receiver gave no answer.
+    pub async fn send_control(
+        &self,
+        address: &str,
+        messages: &[ControlMessage],
+    ) -> Result<(MemberId, Vec<ControlMessage>), SendError> {
+        let frame = encode_frame(&(&self.me, messages), &[]);
+        let bytes = self.post(&self.pooled, address, "control", frame, CONTROL_TIMEOUT).await?;
+        let (head, _) = decode_frame(bytes).map_err(|cause| SendError::Lost(cause.to_string()))?;
+        Ok(head)
+    }
+
+    async fn exchange(
+        &self,
+        client: &Client,
+        address: &str,
+        path: &str,
+        frame: Bytes,
+        patience: Duration,
+    ) -> Result<(AttemptReply, Bytes), SendError> {
+        let bytes = self.post(client, address, path, frame, patience).await?;
+        decode_frame(bytes).map_err(|cause| SendError::Lost(cause.to_string()))
+    }
+
+    async fn post(
+        &self,
+        client: &Client,
+        address: &str,
+        path: &str,
+        frame: Bytes,
+        patience: Duration,
+    ) -> Result<Bytes, SendError> {
+        let request = client
+            .post(format!("http://{address}/{path}"))
+            .bearer_auth(&self.secret)
+            .timeout(patience)
+            .body(frame);
+        let response = request.send().await.map_err(classify)?;
+        let response = response.error_for_status().map_err(|cause| SendError::Lost(cause.to_string()))?;
+        response.bytes().await.map_err(|cause| SendError::Lost(cause.to_string()))
+    }
+}
+
+fn classify(cause: reqwest::Error) -> SendError {
+    if cause.is_connect() { SendError::NotSent(cause.to_string()) } else { SendError::Lost(cause.to_string()) }
+}
--- /dev/null
+++ b/crates/ivytrail-daemon/src/peer_desk.rs
@@ -0,0 +1,109 @@
+//! The interface for other daemons: attempts, inquiries, cancellations and control messages.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use ivytrail::{
+    id::{AttemptId, MemberId},
+    message::{
+        AttemptHeader, ControlMessage,
+        frame::{decode_frame, encode_frame},
+    },
+    reducer::DaemonEvent,
+};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode};
+use subtle::ConstantTimeEq;
+
+use crate::executor::EffectExecutor;
+
+/// What a frame between daemons may hold beyond the body of a request, in bytes.
+const HEAD_ALLOWANCE_BYTES: usize = 512 * 1024;
+
+/// Handles the requests of other daemons.
+#[derive(Clone, Debug)]
+pub struct PeerDesk {
+    executor: EffectExecutor,
+    me: MemberId,
+    authorization: String,
+    max_frame_bytes: usize,
+}
+
+impl PeerDesk {
+    /// Returns a handler that takes requests from daemons that show `secret`.
+    pub fn new(executor: EffectExecutor, me: MemberId, secret: &str, max_body_bytes: usize) -> Arc<PeerDesk> {
+        let authorization = format!("Bearer {secret}");
+        let max_frame_bytes = max_body_bytes + HEAD_ALLOWANCE_BYTES;
+        Arc::new(PeerDesk { executor, me, authorization, max_frame_bytes })
+    }
+
+    async fn answer(&self, req: &mut Request) -> Result<Bytes, StatusCode> {
+        if !self.is_peer(req) {
+            return Err(StatusCode::UNAUTHORIZED);
+        }
+        let path = req.uri().path().to_string();
+        let frame = req
+            .payload_with_max_size(self.max_frame_bytes)
+            .await
+            .cloned()
+            .map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
+        match path.as_str() {
+            "/attempt" => self.take_attempt(frame).await,
+            "/inquiry" => self.take_inquiry(frame).await,
+            "/cancel" => {
+                let (attempt, _) = decode_frame(frame).map_err(|_| StatusCode::BAD_REQUEST)?;
+                self.executor.apply(DaemonEvent::CancelReceived { attempt });
+                Ok(Bytes::new())
+            }
+            "/control" => self.take_control(frame),
+            _ => Err(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn is_peer(&self, req: &Request) -> bool {
+        let shown = req.headers().get("authorization").map_or(&[][..], |it| it.as_bytes());
+        shown.ct_eq(self.authorization.as_bytes()).into()
+    }
+
+    async fn take_attempt(&self, frame: Bytes) -> Result<Bytes, StatusCode> {
+        let (header, body): (AttemptHeader, Bytes) = decode_frame(frame).map_err(|_| StatusCode::BAD_REQUEST)?;
+        let receiver = self.executor.shell().add_attempt(header.attempt.clone(), Some(body));
+        self.executor.apply(DaemonEvent::AttemptReceived(Box::new(header)));
+        let (reply, body) = receiver.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+        Ok(encode_frame(&reply, &body))
+    }
+
+    async fn take_inquiry(&self, frame: Bytes) -> Result<Bytes, StatusCode> {
+        let (attempt, _): (AttemptId, Bytes) = decode_frame(frame).map_err(|_| StatusCode::BAD_REQUEST)?;
+        let receiver = self.executor.shell().add_attempt(attempt.clone(), None);
+        self.executor.apply(DaemonEvent::InquiryReceived { attempt });
+        let (reply, body) = receiver.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+        Ok(encode_frame(&reply, &body))
+    }
+
+    fn take_control(&self, frame: Bytes) -> Result<Bytes, StatusCode> {
+        let ((from, messages), _): ((MemberId, Vec<ControlMessage>), Bytes) =
+            decode_frame(frame).map_err(|_| StatusCode::BAD_REQUEST)?;
+        for message in messages {
+            self.executor.apply(DaemonEvent::ControlReceived { from: from.clone(), message });
+        }
+        let replies: (&MemberId, &[ControlMessage]) = (&self.me, &[]);
+        Ok(encode_frame(&replies, &[]))
+    }
+}
+
+#[async_trait]
+impl Handler for PeerDesk {
+    async fn handle(&self, req: &mut Request, _depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+        match self.answer(req).await {
+            Ok(frame) => {
+                res.status_code(StatusCode::OK);
+                res.body(frame);
+            }
+            Err(status) => {
+                res.status_code(status);
+                res.body(Bytes::from(status.canonical_reason().unwrap_or("refused")));
+            }
+        }
+        ctrl.skip_rest();
+    }
+}
--- /dev/null
+++ b/crates/ivytrail-daemon/src/run_client.rs
@@ -0,0 +1,118 @@
+//! Runs at the backend server beside this daemon.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ivytrail::{id::CallToken, message::AttemptHeader, reducer::RunEnd};
+use parking_lot::RwLock;
+use reqwest::{Client, Method, Response, StatusCode};
+
+/// Header that carries the token for nested calls.
+pub const TOKEN_HEADER: &str = "ivytrail-token";
+/// Header that carries the time left, in milliseconds.
+pub const DEADLINE_HEADER: &str = "ivytrail-deadline-ms";
+/// Header that carries the attempt's identifier, which the backend server echoes.
+pub const REQUEST_HEADER: &str = "ivytrail-request";
+/// Header by which a backend server says that it refused a request before starting it.
+pub const SHED_HEADER: &str = "ivytrail-shed";
+/// Time limit for opening a connection to the backend server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Idle connections kept to the backend server.
+const MAX_IDLE_CONNECTIONS: usize = 256;
+
+/// Sends requests to the backend server.
+#[derive(Debug)]
+pub struct RunClient {
+    client: Client,
+    address: RwLock<Option<String>>,
+}
+
+impl RunClient {
+    /// Returns a client; it knows no backend server until one has announced itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP client can't be set up.
+    pub fn new() -> anyhow::Result<RunClient> {
+        let client = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+            .tcp_nodelay(true)
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .build()?;
+        Ok(RunClient { client, address: RwLock::new(None) })
+    }
+
+    /// Sets the address that the backend server has announced.
+    pub fn set_address(&self, address: &str) {
+        let mut current = self.address.write();
+        if current.as_deref() != Some(address) {
+            *current = Some(address.to_string());
+        }
+    }
+
+    /// Runs one request and returns how it ended.
+    pub async fn run(&self, header: &AttemptHeader, token: CallToken, time_left: Duration, body: Bytes) -> RunEnd {
+        let Some(address) = self.address.read().clone() else { return RunEnd::NotSent };
+        let Ok(method) = Method::from_bytes(header.method.as_bytes()) else { return RunEnd::NotSent };
+        let request_id = header.attempt.to_string();
+        let mut request = self
+            .client
+            .request(method, format!("http://{address}{}", header.path))
+            .timeout(time_left)
+            .header(TOKEN_HEADER, format!("{:032x}", token.0))
+            .header(DEADLINE_HEADER, time_left.as_millis().to_string())
+            .header(REQUEST_HEADER, &request_id);
+        for (name, value) in &header.headers {
+            request = request.header(name, value);
+        }
+        match request.body(body).send().await {
+            Ok(response) => whole_answer(response, &request_id).await,
+            Err(cause) if cause.is_connect() => RunEnd::NotSent,
+            Err(cause) if cause.is_timeout() => RunEnd::TimedOut,
+            Err(_) => RunEnd::Broken,
+        }
+    }
+}
+
+async fn whole_answer(response: Response, request_id: &str) -> RunEnd {
+    let status = response.status();
+    let headers = response.headers().clone();
+    let text_of = |name: &str| headers.get(name).and_then(|it| it.to_str().ok());
+    // An answer to another request means that the connection carried a late answer.
+    if text_of(REQUEST_HEADER).is_some_and(|it| it != request_id) {
+        return RunEnd::Broken;
+    }
+    if status == StatusCode::SERVICE_UNAVAILABLE && text_of(SHED_HEADER).is_some() {
+        let retry_after = text_of("retry-after").and_then(|it| it.parse().ok()).map(Duration::from_secs_f64);
+        return RunEnd::Shed { retry_after };
+    }
+    let kept = headers
+        .iter()
+        .filter(|(name, _)| !is_connection_header(name.as_str()))
+        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_string())))
+        .collect();
+    match response.bytes().await {
+        Ok(body) => RunEnd::Answered { status: status.as_u16(), headers: kept, body },
+        Err(cause) if cause.is_timeout() => RunEnd::TimedOut,
+        Err(_) => RunEnd::Broken,
+    }
+}
+
+/// Returns whether a header belongs to one connection and is not passed on.
+pub fn is_connection_header(name: &str) -> bool {
+    matches!(
+        name,
+        "connection"
+            | "keep-alive"
+            | "proxy-connection"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+            | "content-length"
+            | "host"
+            | "expect"
+    )
+}
--- a/crates/ivytrail/src/message.rs
+++ b/crates/ivytrail/src/message.rs
@@ -3,13 +3,19 @@
 //! An attempt travels as one HTTP request between daemons: a length, an [`AttemptHeader`] in MessagePack, the body as
 //! it came. Its answer is a length, an [`AttemptReply`] in MessagePack, the body as the backend server gave it.
 
+pub mod frame;
+
 use std::time::Duration;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 
 use crate::{
     id::{AccountName, AttemptId, ContentDigest, RootId, RouteName, ServiceName},
+    lease::LeaseMessage,
+    membership::GossipMessage,
+    quota::{QuotaAsk, QuotaGrant},
     settings::{PriorityClass, Revision},
 };
 
@@ -97,6 +103,9 @@
     pub claim: Option<ContentDigest>,
     /// Time at which the idempotency key was made, in milliseconds since the Unix epoch, where the key tells it.
     pub claim_made_ms: Option<u64>,
+    /// Set when the entry has refused the request already: the owner of the claim then only replays or joins an
+    /// earlier run, and otherwise confirms the refusal, so that "not run" is proved.
+    pub refuse_as: Option<RefusalReason>,
     /// Digest of route, account and body, for quarantine and for key reuse.
     pub fingerprint: ContentDigest,
     /// Settings revision in force at the entry.
@@ -158,4 +167,30 @@
     pub queued: u32,
     /// Requests with an admission level above this are refused at present.
     pub level_cut: u16,
+    /// The smallest level cut met lately by this guard's nested calls.
+    pub chain_cut: u16,
+}
+
+impl LoadReport {
+    /// A level cut that refuses nothing.
+    pub const OPEN_CUT: u16 = u16::MAX;
+}
+
+/// A control message between daemons.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ControlMessage {
+    /// Membership.
+    Gossip(GossipMessage),
+    /// Leases of a ring.
+    Lease {
+        /// Name of the ring.
+        ring: SmolStr,
+        /// The message.
+        message: LeaseMessage,
+    },
+    /// Asks for quota tokens.
+    QuotaAsk(QuotaAsk),
+    /// Hands over quota tokens.
+    QuotaGrant(QuotaGrant),
 }
--- /dev/null
+++ b/crates/ivytrail/src/reducer/event.rs
@@ -0,0 +1,192 @@
+//! What a daemon is told: the reducer's only input.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::{
+    id::{AttemptId, CallId, CallToken, ContentDigest, MemberId, ServiceName},
+    message::{AttemptHeader, AttemptReply, ControlMessage},
+    settings::index::SettingsInForce,
+    time::{TimePoint, WallClock},
+};
+
+/// An event with the clock readings at which the daemon saw it.
+#[derive(Clone, Debug)]
+pub struct TimedEvent {
+    /// The daemon's monotonic clock.
+    pub now: TimePoint,
+    /// The daemon's wall clock.
+    pub wall: WallClock,
+    /// What happened.
+    pub event: DaemonEvent,
+}
+
+/// What happened at a daemon.
+#[derive(Clone, Debug)]
+pub enum DaemonEvent {
+    /// A request came, from a caller or from this daemon's own backend server.
+    CallReceived(CallRequest),
+    /// A guard answered an attempt.
+    AttemptAnswered {
+        /// The answer.
+        reply: AttemptReply,
+        /// Body of the backend server's answer.
+        body: Bytes,
+    },
+    /// An attempt ended without an answer.
+    AttemptBroken {
+        /// Serial number of the attempt.
+        serial: u64,
+        /// How it ended.
+        cause: BreakCause,
+    },
+    /// A question for an attempt's fate ended without an answer.
+    InquiryBroken {
+        /// Serial number of the attempt.
+        serial: u64,
+    },
+    /// The caller closed its connection.
+    CallerGone {
+        /// The call.
+        call: CallId,
+    },
+    /// An attempt reached this guard.
+    AttemptReceived(Box<AttemptHeader>),
+    /// An entry asks what became of an attempt; the reply goes to the asking connection.
+    InquiryReceived {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// An entry gave an attempt up.
+    CancelReceived {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// A run at the backend server ended.
+    RunEnded {
+        /// The attempt that ran.
+        attempt: AttemptId,
+        /// How it ended.
+        end: RunEnd,
+    },
+    /// The backend server announced itself.
+    BackendAnnounced(BackendNotice),
+    /// Another daemon sent a control message.
+    ControlReceived {
+        /// The sender.
+        from: MemberId,
+        /// The message.
+        message: ControlMessage,
+    },
+    /// The platform's table or a peer told of a member, or of a ring's definition.
+    ControlLearned(LearnedFact),
+    /// A newer settings tree is in force.
+    SettingsInstalled(SettingsInForce),
+    /// This daemon may rely on its settings and keys until the given time.
+    AuthorityConfirmed {
+        /// End of the confirmation.
+        until: TimePoint,
+    },
+    /// An operator or the end of the process asks this daemon to leave.
+    DrainRequested,
+    /// Time passed.
+    Tick,
+}
+
+/// A request at its entry daemon.
+#[derive(Clone, Debug)]
+pub struct CallRequest {
+    /// Number that the shell gave it.
+    pub call: CallId,
+    /// Where it came from.
+    pub source: CallSource,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers without credentials and without connection headers.
+    pub headers: Vec<(String, String)>,
+    /// The idempotency key, where the caller gave one.
+    pub idempotency_key: Option<String>,
+    /// Digest of the body.
+    pub body_digest: ContentDigest,
+    /// Time limit that the caller set, where it set one.
+    pub time_limit: Option<Duration>,
+}
+
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallSource {
+    /// A caller, with the digest of the key that it showed.
+    Caller(Option<ContentDigest>),
+    /// This daemon's own backend server, with the token of the running call.
+    Nested(CallToken),
+}
+
+/// How an attempt ended without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BreakCause {
+    /// No connection could be opened, so nothing was sent.
+    NotSent,
+    /// The connection broke, or its answer was not one to this attempt.
+    Lost,
+}
+
+/// How a run at the backend server ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RunEnd {
+    /// The backend server gave a whole answer.
+    Answered {
+        /// HTTP status.
+        status: u16,
+        /// Headers of the answer.
+        headers: Vec<(String, String)>,
+        /// Body of the answer.
+        body: Bytes,
+    },
+    /// The backend server refused to start it.
+    Shed {
+        /// When to come back, where the backend server said so.
+        retry_after: Option<Duration>,
+    },
+    /// No connection to the backend server could be opened.
+    NotSent,
+    /// The connection broke, or the answer was cut.
+    Broken,
+    /// The deadline passed.
+    TimedOut,
+}
+
+/// State of a backend server as it announces it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendState {
+    /// It takes no requests yet.
+    Starting,
+    /// It takes requests.
+    Serving,
+    /// It finishes what runs and takes nothing new.
+    Draining,
+    /// It has not announced itself for a while.
+    Silent,
+}
+
+/// An announcement of the backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BackendNotice {
+    /// Service that it runs.
+    pub service: ServiceName,
+    /// Requests that it can run at once.
+    pub slots: u32,
+    /// Its state.
+    pub state: BackendState,
+}
+
+/// A fact about the fleet, read from the platform's table.
+#[derive(Clone, Debug)]
+pub enum LearnedFact {
+    /// A daemon.
+    Member(crate::membership::MemberRecord),
+    /// A ring's definition.
+    Ring(crate::lease::RingDefinition),
+}
