--- a/crates/ivytrail/src/settings.rs
+++ b/crates/ivytrail/src/settings.rs
@@ -4,9 +4,12 @@
 //! one; each accepted change gets the next fleet-wide [`Revision`] and one entry in the audit trail ([`SettingsChange`]).
 
 pub mod check;
+pub mod credential;
+mod document;
 pub mod edit;
 pub mod feed;
 pub mod file;
+pub mod lookup;
 mod reader;
 pub mod tree;
 
--- a/crates/ivytrail/src/settings/check.rs
+++ b/crates/ivytrail/src/settings/check.rs
@@ -1,1 +1,278 @@
-//! Checks of a team's subtree before it is accepted.
+//! Checks of what operators declare, before it is accepted.
+//!
+//! [`parse_subtree`] needs nothing but the text, so that an operator's tool can run it offline. [`check_subtree`] and
+//! [`check_key`] compare an edit with the rest of the tree; they run against the very revision that the edit follows.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+
+use crate::{
+    error::Findings,
+    id::{KeyName, TeamName},
+};
+
+use super::{
+    document::parse_document,
+    reader::{NAME_ALLOWED, NumberBounds, ObjectReader, ROOT_PLACE, child_place, is_name, name_in},
+    tree::{
+        ClientAccount, KeyRecord, PriorityClass, RoutePolicy, ServicePolicy, SettingsTree,
+        TeamSubtree,
+    },
+};
+
+/// HTTP methods that a route can take.
+const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+
+/// Greatest rate of a client account, in requests per second.
+const MAX_RATE_PER_S: f64 = 1_000_000.0;
+
+/// Least rate of a client account, in requests per second: one in a thousand seconds.
+const MIN_RATE_PER_S: f64 = 0.001;
+
+/// Longest path prefix of a route, in bytes.
+const MAX_PATH_BYTES: usize = 256;
+
+const DEADLINE_MS: NumberBounds = NumberBounds { least: 1, greatest: 600_000, default: 2_000 };
+const RETRY_BUDGET: NumberBounds = NumberBounds { least: 0, greatest: 100, default: 3 };
+const QUEUE_MS: NumberBounds = NumberBounds { least: 0, greatest: 60_000, default: 100 };
+
+/// Greatest number of requests that one backend server runs at once.
+const MAX_CONCURRENCY: u64 = 100_000;
+
+const PATH_ALLOWED: &str = "a path of at most 256 printable ASCII bytes that starts with '/', without '?', '#', '%', \
+                            '\\', empty or dot segments, and without a '/' at its end unless it is \"/\"";
+const PRIORITY_ALLOWED: &str = "\"critical\", \"normal\" or \"sheddable\"";
+const FLAG_ALLOWED: &str = "true or false";
+
+/// Returns whether `name` may be the name of a team, account, route, service or key.
+pub fn is_valid_name(name: &str) -> bool {
+    is_name(name)
+}
+
+/// Reads a team's subtree and checks it by itself.
+///
+/// # Errors
+///
+/// Returns everything that is wrong: unknown fields, values out of bounds, routes to services that the subtree doesn't
+/// declare, routes that take the same requests.
+pub fn parse_subtree(text: &str) -> Result<TeamSubtree, Findings> {
+    let document = parse_document(text)?;
+    let mut findings = Findings::default();
+    let mut reader = ObjectReader::new(&document, ROOT_PLACE, &mut findings);
+    let mut subtree = TeamSubtree::default();
+    for (name, value, place) in named_entries(&mut reader, "accounts") {
+        let account = read_account(value, &place, reader.findings());
+        subtree.accounts.extend(account.map(|it| (name.into(), it)));
+    }
+    for (name, value, place) in named_entries(&mut reader, "services") {
+        let service = read_service(value, &place, reader.findings());
+        subtree.services.insert(name.into(), service);
+    }
+    for (name, value, place) in named_entries(&mut reader, "routes") {
+        let route = read_route(value, &place, reader.findings());
+        subtree.routes.extend(route.map(|it| (name.into(), it)));
+    }
+    check_routes(&subtree, reader.findings());
+    reader.finish();
+    findings.into_result(subtree)
+}
+
+/// Checks a team's new subtree against the other teams' subtrees and the keys in force.
+///
+/// # Errors
+///
+/// Returns a finding for each account or service whose name another team uses, for each route that takes the same
+/// requests as another team's, and for each account that is left out while keys speak for it.
+pub fn check_subtree(
+    tree: &SettingsTree,
+    team: &TeamName,
+    subtree: &TeamSubtree,
+) -> Result<(), Findings> {
+    let mut findings = Findings::default();
+    if !is_name(team.as_str()) {
+        findings.push(ROOT_PLACE, format!("team name \"{team}\"; allowed: {NAME_ALLOWED}"));
+    }
+    for (other, theirs) in tree.teams.iter().filter(|(other, _)| *other != team) {
+        check_names(other, theirs, subtree, &mut findings);
+        check_paths(other, theirs, subtree, &mut findings);
+    }
+    check_removed_accounts(tree, team, subtree, &mut findings);
+    findings.into_result(())
+}
+
+/// Checks a key that is to be issued.
+///
+/// # Errors
+///
+/// Returns a finding when its name is malformed or taken, when no team has its account, or when the same secret is in
+/// force under another name.
+pub fn check_key(tree: &SettingsTree, name: &KeyName, record: &KeyRecord) -> Result<(), Findings> {
+    let mut findings = Findings::default();
+    if !is_name(name.as_str()) {
+        findings.push("$.name", format!("found \"{name}\"; allowed: {NAME_ALLOWED}"));
+    }
+    if tree.keys.contains_key(name) {
+        findings.push("$.name", format!("key \"{name}\" is in force; allowed: a name not in use"));
+    }
+    if !tree.teams.values().any(|it| it.accounts.contains_key(&record.account)) {
+        findings.push("$.account", format!("no team has an account \"{}\"", record.account));
+    }
+    if let Some((other, _)) = tree.keys.iter().find(|(_, it)| it.digest == record.digest) {
+        findings.push("$.digest", format!("key \"{other}\" has the same secret"));
+    }
+    findings.into_result(())
+}
+
+/// Returns the entries of a section with well-formed names and their places; the other names are findings.
+fn named_entries<'d>(
+    reader: &mut ObjectReader<'d, '_>,
+    section: &'static str,
+) -> Vec<(&'d str, &'d Value, String)> {
+    let section_place = reader.place_of(section);
+    let mut named = Vec::new();
+    for (name, value) in reader.entries(section) {
+        let place = child_place(&section_place, name);
+        if is_name(name) {
+            named.push((name, value, place));
+        } else {
+            reader.findings().push(place, format!("name; allowed: {NAME_ALLOWED}"));
+        }
+    }
+    named
+}
+
+fn read_account(value: &Value, place: &str, findings: &mut Findings) -> Option<ClientAccount> {
+    let mut reader = ObjectReader::new(value, place, findings);
+    let rate_allowed = format!("a number from {MIN_RATE_PER_S} to {MAX_RATE_PER_S}");
+    let in_rate =
+        |it: &Value| it.as_f64().filter(|n| (MIN_RATE_PER_S..=MAX_RATE_PER_S).contains(n));
+    let in_burst = |it: &Value| it.as_f64().filter(|n| (1.0..=MAX_RATE_PER_S).contains(n));
+    let rate_per_s = reader.required("rate_per_s", &rate_allowed, in_rate);
+    let burst = reader.required("burst", &format!("a number from 1 to {MAX_RATE_PER_S}"), in_burst);
+    let weight = reader.optional("weight", &rate_allowed, in_rate);
+    reader.finish();
+    Some(ClientAccount { rate_per_s: rate_per_s?, burst: burst?, weight })
+}
+
+fn read_service(value: &Value, place: &str, findings: &mut Findings) -> ServicePolicy {
+    let mut reader = ObjectReader::new(value, place, findings);
+    let concurrency_allowed = format!("a whole number from 1 to {MAX_CONCURRENCY}");
+    let in_concurrency = |it: &Value| {
+        it.as_u64().filter(|n| (1..=MAX_CONCURRENCY).contains(n)).and_then(|n| n.try_into().ok())
+    };
+    let max_concurrency = reader.optional("max_concurrency", &concurrency_allowed, in_concurrency);
+    let max_queue_ms = reader.bounded("max_queue_ms", QUEUE_MS);
+    reader.finish();
+    ServicePolicy { max_concurrency, max_queue_ms }
+}
+
+fn read_route(value: &Value, place: &str, findings: &mut Findings) -> Option<RoutePolicy> {
+    let mut reader = ObjectReader::new(value, place, findings);
+    let method = reader.required("method", &format!("one of {}", METHODS.join(", ")), method_in);
+    let path = reader.required("path", PATH_ALLOWED, path_in);
+    let service = reader.required("service", NAME_ALLOWED, name_in);
+    let priority = reader.optional("priority", PRIORITY_ALLOWED, priority_in);
+    let idempotent = reader.optional("idempotent", FLAG_ALLOWED, Value::as_bool);
+    let open = reader.optional("open", FLAG_ALLOWED, Value::as_bool);
+    let deadline_ms = reader.bounded("deadline_ms", DEADLINE_MS);
+    let retry_budget = reader.bounded("retry_budget", RETRY_BUDGET);
+    reader.finish();
+    Some(RoutePolicy {
+        method: method?.to_string(),
+        path: path?.to_string(),
+        service: service?.into(),
+        priority: priority.unwrap_or_default(),
+        idempotent: idempotent.unwrap_or_default(),
+        open: open.unwrap_or_default(),
+        deadline_ms,
+        retry_budget: u32::try_from(retry_budget).ok()?,
+    })
+}
+
+fn method_in(value: &Value) -> Option<&str> {
+    value.as_str().filter(|method| METHODS.contains(method))
+}
+
+fn path_in(value: &Value) -> Option<&str> {
+    let path = value.as_str()?;
+    let inner = path.strip_prefix('/')?;
+    let is_plain = |byte: u8| byte.is_ascii_graphic() && !b"?#%\\".contains(&byte);
+    let segments_fit = inner.split('/').all(|it| !["", ".", ".."].contains(&it));
+    let fits = path.len() <= MAX_PATH_BYTES && path.bytes().all(is_plain);
+    (fits && (inner.is_empty() || segments_fit)).then_some(path)
+}
+
+fn priority_in(value: &Value) -> Option<PriorityClass> {
+    match value.as_str()? {
+        "critical" => Some(PriorityClass::Critical),
+        "normal" => Some(PriorityClass::Normal),
+        "sheddable" => Some(PriorityClass::Sheddable),
+        _ => None,
+    }
+}
+
+/// Checks that each route's service is declared and that no two routes take the same requests.
+fn check_routes(subtree: &TeamSubtree, findings: &mut Findings) {
+    let mut owners = BTreeMap::new();
+    for (name, route) in &subtree.routes {
+        let place = format!("$.routes.{name}");
+        if !subtree.services.contains_key(&route.service) {
+            let message = format!("service \"{}\" isn't declared in $.services", route.service);
+            findings.push(child_place(&place, "service"), message);
+        }
+        if let Some(owner) = owners.insert((&route.method, &route.path), name) {
+            let message = format!("{} {} is route \"{owner}\" already", route.method, route.path);
+            findings.push(child_place(&place, "path"), message);
+        }
+    }
+}
+
+fn check_names(
+    other: &TeamName,
+    theirs: &TeamSubtree,
+    ours: &TeamSubtree,
+    findings: &mut Findings,
+) {
+    for name in ours.accounts.keys().filter(|name| theirs.accounts.contains_key(*name)) {
+        findings.push(format!("$.accounts.{name}"), format!("team \"{other}\" has this account"));
+    }
+    for name in ours.services.keys().filter(|name| theirs.services.contains_key(*name)) {
+        findings.push(format!("$.services.{name}"), format!("team \"{other}\" has this service"));
+    }
+}
+
+fn check_paths(
+    other: &TeamName,
+    theirs: &TeamSubtree,
+    ours: &TeamSubtree,
+    findings: &mut Findings,
+) {
+    let taken = theirs.routes.iter().map(|(name, it)| ((&it.method, &it.path), name));
+    let taken = taken.collect::<BTreeMap<_, _>>();
+    for (name, route) in &ours.routes {
+        if let Some(owner) = taken.get(&(&route.method, &route.path)) {
+            let message =
+                format!("{} {} is route \"{owner}\" of team \"{other}\"", route.method, route.path);
+            findings.push(format!("$.routes.{name}.path"), message);
+        }
+    }
+}
+
+fn check_removed_accounts(
+    tree: &SettingsTree,
+    team: &TeamName,
+    subtree: &TeamSubtree,
+    findings: &mut Findings,
+) {
+    let Some(before) = tree.teams.get(team) else { return };
+    let is_removed = |record: &KeyRecord| {
+        before.accounts.contains_key(&record.account)
+            && !subtree.accounts.contains_key(&record.account)
+    };
+    for (key, record) in tree.keys.iter().filter(|(_, it)| is_removed(it)) {
+        let message =
+            format!("is left out while key \"{key}\" speaks for it; withdraw the key first");
+        findings.push(format!("$.accounts.{}", record.account), message);
+    }
+}
--- /dev/null
+++ b/crates/ivytrail/src/settings/credential.rs
@@ -0,0 +1,49 @@
+//! Digests of secrets: keys of client accounts and tokens of operators.
+//!
+//! A secret is never kept. What is kept is its SHA-256, written as 64 hexadecimal digits; a secret is long and random,
+//! so that a slow password hash would add nothing but latency on every request.
+
+use serde_json::Value;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::id::ContentDigest;
+
+/// Length of a digest in hexadecimal, in characters.
+const HEX_DIGEST_CHARS: usize = 64;
+
+/// What a digest looks like, for messages.
+pub(crate) const DIGEST_ALLOWED: &str = "a SHA-256 digest as 64 hexadecimal digits";
+
+/// Returns the SHA-256 of a secret, as `sha256sum` prints it for the secret without a line end.
+pub fn secret_digest(secret: &str) -> ContentDigest {
+    ContentDigest(Sha256::digest(secret.as_bytes()).into())
+}
+
+/// Returns whether two digests are equal, in a time that does not depend on where they differ.
+pub fn digests_match(left: &ContentDigest, right: &ContentDigest) -> bool {
+    left.0.ct_eq(&right.0).into()
+}
+
+/// Returns a digest as 64 hexadecimal digits.
+pub fn digest_to_hex(digest: &ContentDigest) -> String {
+    digest.0.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Reads a digest from 64 hexadecimal digits.
+pub fn digest_from_hex(text: &str) -> Option<ContentDigest> {
+    let is_digest = text.len() == HEX_DIGEST_CHARS && text.bytes().all(|it| it.is_ascii_hexdigit());
+    if !is_digest {
+        return None;
+    }
+    let mut digest = [0; 32];
+    for (idx, byte) in digest.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * idx..2 * idx + 2], 16).ok()?;
+    }
+    Some(ContentDigest(digest))
+}
+
+/// Returns the digest in a JSON value.
+pub(crate) fn digest_in(value: &Value) -> Option<ContentDigest> {
+    digest_from_hex(value.as_str()?)
+}
--- a/crates/ivytrail/src/settings/file.rs
+++ b/crates/ivytrail/src/settings/file.rs
@@ -13,20 +13,18 @@
     id::{ContentDigest, DomainName, InstanceName},
 };
 
-use super::reader::{
-    NAME_ALLOWED, NumberBounds, ObjectReader, ROOT_PLACE, name_in, parse_document, unexpected,
+use super::{
+    credential::{DIGEST_ALLOWED, digest_in},
+    document::parse_document,
+    reader::{NAME_ALLOWED, NumberBounds, ObjectReader, ROOT_PLACE, name_in, unexpected},
 };
 
 /// Least length of the secret that the daemons share, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
-/// Length of a SHA-256 digest in hexadecimal.
-const HEX_DIGEST_CHARS: usize = 64;
-
 const ADDRESS_ALLOWED: &str = "an IP address and a port, e.g. \"10.0.0.7:7100\"";
 const PLATFORM_ALLOWED: &str = "a URL \"http://host:port\"";
 const SECRET_ALLOWED: &str = "a text of at least 16 bytes, the same at every daemon";
-const DIGEST_ALLOWED: &str = "the SHA-256 of the token as 64 hexadecimal digits";
 const OPERATORS_ALLOWED: &str = "a list of {\"name\", \"token_digest\"}";
 
 /// The settings that a daemon starts with.
@@ -241,19 +239,6 @@
     Some(OperatorCredential { name: name?.to_string(), token_digest: token_digest? })
 }
 
-fn digest_in(value: &Value) -> Option<ContentDigest> {
-    let text = value.as_str()?;
-    let is_digest = text.len() == HEX_DIGEST_CHARS && text.bytes().all(|it| it.is_ascii_hexdigit());
-    if !is_digest {
-        return None;
-    }
-    let mut digest = [0; 32];
-    for (idx, byte) in digest.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * idx..2 * idx + 2], 16).ok()?;
-    }
-    Some(ContentDigest(digest))
-}
-
 fn read_limits(reader: &mut ObjectReader<'_, '_>) -> DaemonLimits {
     let mut limits = reader.section("limits");
     let mut size = |name, least, greatest, default| {
--- a/crates/ivytrail/src/settings/reader.rs
+++ b/crates/ivytrail/src/settings/reader.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// Returns the entries of the object in the field `name`; none when it is absent or no object.
+    pub(crate) fn entries(&mut self, name: &'static str) -> Vec<(&'d str, &'d Value)> {
+        let entries = self.optional(name, "an object", Value::as_object);
+        entries.into_iter().flatten().map(|(key, value)| (key.as_str(), value)).collect()
+    }
+
     /// Lends the findings, for values that are read by other means.
     pub(crate) fn findings(&mut self) -> &mut Findings {
         self.findings
@@ -137,15 +143,6 @@
     pub(crate) default: u64,
 }
 
-/// Reads `text` as JSON; a syntax error is a finding with its line and column.
-pub(crate) fn parse_document(text: &str) -> Result<Value, Findings> {
-    serde_json::from_str(text).map_err(|cause| {
-        let mut findings = Findings::default();
-        findings.push(ROOT_PLACE, format!("isn't JSON: {cause}"));
-        findings
-    })
-}
-
 /// Returns the JSON path of the member `name` of the object at `place`.
 pub(crate) fn child_place(place: &str, name: impl Display) -> String {
     format!("{place}.{name}")
