--- /dev/null
+++ b/crates/ivytrail/src/reducer.rs
@@ -0,0 +1,216 @@
+//! The reducer: every event of one daemon goes in, every effect comes out as data.
+//!
+//! [`DaemonReducer::apply`] reads as a table of contents: it hands each event to the flow that owns it. The flows ask
+//! the decision modules (admission, retries, routing, quota, claims, membership, leases, quarantine), which own their
+//! state; the reducer keeps none of its own beside theirs.
+//!
+//! # Example
+//!
+//! ```
+//! use ivytrail::{
+//!     id::MemberId,
+//!     reducer::{DaemonEvent, DaemonIdentity, DaemonReducer, TimedEvent},
+//!     time::{TimePoint, WallClock},
+//! };
+//!
+//! let member = MemberId { instance: "booking-1".into(), incarnation: 1 };
+//! let identity = DaemonIdentity::new(member, "kolkata", "127.0.0.1:7101");
+//! let mut reducer = DaemonReducer::new(identity, [7; 32]);
+//! let event = TimedEvent {
+//!     now: TimePoint::from_millis(5),
+//!     wall: WallClock::from_millis(1_700_000_000_000),
+//!     event: DaemonEvent::Tick,
+//! };
+//! let effects = reducer.apply(event);
+//! assert!(effects.is_empty());
+//! ```
+
+mod call_flow;
+mod control_flow;
+mod effect;
+mod entry;
+mod event;
+mod guard;
+mod run_flow;
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use rand::{SeedableRng, rngs::StdRng};
+
+pub use self::{
+    effect::{CallAnswer, DaemonEffect},
+    event::{
+        BackendNotice, BackendState, BreakCause, CallRequest, CallSource, DaemonEvent, LearnedFact,
+        RunEnd, TimedEvent,
+    },
+};
+use self::{control_flow::ControlPlane, entry::EntryCalls, guard::GuardRuns};
+use crate::{
+    admission::{AdmissionOptions, AdmissionQueue, EntryGate},
+    id::{AccountName, ContentDigest, DomainName, MemberId, RouteName},
+    message::LoadReport,
+    quarantine::CrashQuarantine,
+    retry::RetryRatio,
+    routing::{RoutingOptions, UpstreamPicker},
+    settings::index::SettingsInForce,
+    time::{TimePoint, WallClock},
+};
+
+/// Time without an announcement after which the backend server counts as silent.
+const ANNOUNCEMENT_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Who a daemon is.
+#[derive(Clone, Debug)]
+pub struct DaemonIdentity {
+    /// This run of the daemon.
+    pub member: MemberId,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Address of its peer interface, as other daemons reach it.
+    pub peer_address: String,
+}
+
+impl DaemonIdentity {
+    /// Returns the identity of `member` in the failure domain `domain`.
+    pub fn new(member: MemberId, domain: &str, peer_address: &str) -> DaemonIdentity {
+        let peer_address = peer_address.to_string();
+        DaemonIdentity { member, domain: domain.into(), peer_address }
+    }
+}
+
+/// All decisions of one daemon.
+#[derive(Debug)]
+pub struct DaemonReducer {
+    identity: DaemonIdentity,
+    settings: SettingsInForce,
+    /// End of the time for which the settings are known to be in force.
+    authority_until: TimePoint,
+    is_leaving: bool,
+    entry: EntryCalls,
+    guard: GuardRuns,
+    admission: AdmissionQueue,
+    gate: EntryGate,
+    picker: UpstreamPicker,
+    ratios: HashMap<(RouteName, Option<AccountName>), RetryRatio>,
+    quarantine: CrashQuarantine,
+    backend: BackendWatch,
+    control: ControlPlane,
+    rng: StdRng,
+}
+
+/// What is known of the backend server beside this daemon.
+#[derive(Clone, Debug)]
+struct BackendWatch {
+    notice: Option<BackendNotice>,
+    heard_at: TimePoint,
+}
+
+/// One step of the reducer: the clocks, and the effects so far.
+struct Turn {
+    now: TimePoint,
+    wall: WallClock,
+    out: Vec<DaemonEffect>,
+}
+
+impl Turn {
+    fn log(&mut self, line: String) {
+        self.out.push(DaemonEffect::LogLine(line));
+    }
+}
+
+impl DaemonReducer {
+    /// Returns the reducer of a daemon that has just started, with empty hands. `seed` feeds every random choice and
+    /// must not be guessable, since call tokens are drawn from it.
+    pub fn new(identity: DaemonIdentity, seed: [u8; 32]) -> DaemonReducer {
+        let number = ContentDigest::of_parts(&[&seed]).prefix();
+        let routing = RoutingOptions::new(identity.domain.clone(), number);
+        let admission = AdmissionOptions { seed: number, ..AdmissionOptions::default() };
+        DaemonReducer {
+            settings: SettingsInForce::default(),
+            authority_until: TimePoint::ORIGIN,
+            is_leaving: false,
+            entry: EntryCalls::new(identity.member.clone()),
+            guard: GuardRuns::new(seed),
+            admission: AdmissionQueue::new(admission),
+            gate: EntryGate::new(),
+            picker: UpstreamPicker::new(routing),
+            ratios: HashMap::new(),
+            quarantine: CrashQuarantine::new(identity.member.clone()),
+            backend: BackendWatch { notice: None, heard_at: TimePoint::ORIGIN },
+            control: ControlPlane::new(&identity, number),
+            rng: StdRng::seed_from_u64(number.rotate_left(17)),
+            identity,
+        }
+    }
+
+    /// Applies one event and returns what has to be done for it.
+    pub fn apply(&mut self, event: TimedEvent) -> Vec<DaemonEffect> {
+        let mut turn = Turn { now: event.now, wall: event.wall, out: Vec::new() };
+        match event.event {
+            DaemonEvent::CallReceived(request) => self.receive_call(&mut turn, request),
+            DaemonEvent::AttemptAnswered { reply, body } => {
+                self.receive_answer(&mut turn, &reply, body);
+            }
+            DaemonEvent::AttemptBroken { serial, cause } => {
+                self.receive_break(&mut turn, serial, cause);
+            }
+            DaemonEvent::InquiryBroken { serial } => self.receive_no_fate(&mut turn, serial),
+            DaemonEvent::CallerGone { call } => self.drop_call(&mut turn, call),
+            DaemonEvent::AttemptReceived(header) => self.receive_attempt(&mut turn, header),
+            DaemonEvent::InquiryReceived { attempt } => self.receive_inquiry(&mut turn, &attempt),
+            DaemonEvent::CancelReceived { attempt } => self.cancel_attempt(&mut turn, &attempt),
+            DaemonEvent::RunEnded { attempt, end } => self.end_run(&mut turn, &attempt, end),
+            DaemonEvent::BackendAnnounced(notice) => self.hear_backend(&mut turn, notice),
+            DaemonEvent::ControlReceived { from, message } => {
+                self.receive_control(&mut turn, &from, message);
+            }
+            DaemonEvent::ControlLearned(fact) => self.learn(&mut turn, fact),
+            DaemonEvent::SettingsInstalled(settings) => self.install_settings(&mut turn, settings),
+            DaemonEvent::AuthorityConfirmed { until } => {
+                self.authority_until = self.authority_until.max(until);
+            }
+            DaemonEvent::DrainRequested => self.start_leaving(&mut turn),
+            DaemonEvent::Tick => self.tick(&mut turn),
+        }
+        self.settle_control(&mut turn);
+        turn.out
+    }
+
+    /// Returns whether nothing is left that a graceful shutdown would cut.
+    pub fn is_idle(&self) -> bool {
+        self.entry.is_empty() && self.guard.is_empty()
+    }
+
+    /// Returns the settings in force here.
+    pub fn settings(&self) -> &SettingsInForce {
+        &self.settings
+    }
+
+    /// Returns this guard's load.
+    pub fn load(&self) -> LoadReport {
+        self.admission.load()
+    }
+
+    fn tick(&mut self, turn: &mut Turn) {
+        self.tick_calls(turn);
+        self.tick_runs(turn);
+        self.tick_control(turn);
+    }
+
+    fn install_settings(&mut self, turn: &mut Turn, settings: SettingsInForce) {
+        let (before, after) = (self.settings.revision(), settings.revision());
+        if after < before {
+            turn.log(format!("event=settings_ignored revision={after} in_force={before}"));
+            return;
+        }
+        self.settings = settings;
+        self.control.install_accounts(turn.now, &self.settings);
+        turn.log(format!("event=settings_in_force revision={after}"));
+    }
+}
+
+/// Control messages of one turn that wait for their address, with those to this daemon itself.
+type ControlOutbox = VecDeque<(MemberId, crate::message::ControlMessage)>;
--- a/crates/ivytrail/src/reducer/entry.rs
+++ b/crates/ivytrail/src/reducer/entry.rs
@@ -36,6 +36,8 @@
     pub parent: Option<AttemptId>,
     /// Guards that refused it or broke.
     pub tried: Vec<MemberId>,
+    /// When to come back, for a call that the entry itself refuses.
+    pub refuse_after: Option<Duration>,
     outstanding: Option<OutstandingAttempt>,
     inquiry_at: Option<TimePoint>,
 }
@@ -144,6 +146,7 @@
             purse,
             parent,
             tried: Vec::new(),
+            refuse_after: None,
             outstanding: None,
             inquiry_at: None,
         };
@@ -162,7 +165,7 @@
         let call = self.calls.get_mut(&id).expect("only a received call is sent");
         assert!(call.outstanding.is_none(), "{id} has an attempt outstanding");
         // One token stays here, so that a lost attempt does not take the last retry with it.
-        let lent = call.purse.lend(call.purse.available().saturating_sub(1));
+        let lent = call.purse.lend(call.purse.held().saturating_sub(1));
         let mut header = call.template.clone();
         header.attempt = AttemptId { entry: self.me.clone(), serial };
         header.retry_tokens = lent;
@@ -223,7 +226,13 @@
     }
 
     /// Takes the end of an attempt without an answer.
-    pub fn broken(&mut self, serial: u64, cause: BreakCause, out: &mut Vec<DaemonEffect>) -> NextStep {
+    pub fn broken(
+        &mut self,
+        now: TimePoint,
+        serial: u64,
+        cause: BreakCause,
+        out: &mut Vec<DaemonEffect>,
+    ) -> NextStep {
         let Some(id) = self.attempts.get(&serial).copied() else { return NextStep::Wait };
         let call = self.calls.get_mut(&id).expect("an outstanding attempt belongs to a call");
         let claimed = call.template.claim.is_some();
@@ -237,7 +246,7 @@
             BreakCause::Lost => {
                 attempt.broken = true;
                 attempt.inquired = true;
-                out.push(inquiry(call.deadline, attempt, &self.me, call.template.time_left));
+                out.push(inquiry(attempt, &self.me, call.deadline.since(now)));
                 NextStep::Wait
             }
             BreakCause::NotSent => {
@@ -310,7 +319,7 @@
             match &mut call.outstanding {
                 Some(attempt) if call.inquiry_at == Some(due) && !attempt.inquired => {
                     attempt.inquired = true;
-                    out.push(inquiry(call.deadline, attempt, &self.me, call.deadline.since(now)));
+                    out.push(inquiry(attempt, &self.me, call.deadline.since(now)));
                 }
                 _ => {}
             }
@@ -330,8 +339,7 @@
     }
 }
 
-fn inquiry(deadline: TimePoint, attempt: &OutstandingAttempt, me: &MemberId, patience: Duration) -> DaemonEffect {
-    let patience = patience.min(deadline.since(attempt.sent_at));
+fn inquiry(attempt: &OutstandingAttempt, me: &MemberId, patience: Duration) -> DaemonEffect {
     let attempt_id = AttemptId { entry: me.clone(), serial: attempt.serial };
     DaemonEffect::SendInquiry { address: attempt.address.clone(), attempt: attempt_id, patience }
 }
--- a/crates/ivytrail/src/settings.rs
+++ b/crates/ivytrail/src/settings.rs
@@ -9,6 +9,7 @@
 pub mod edit;
 pub mod feed;
 pub mod file;
+pub mod index;
 pub mod lookup;
 mod reader;
 pub mod tree;
--- a/crates/ivytrail/src/settings/index.rs
+++ b/crates/ivytrail/src/settings/index.rs
@@ -1,39 +1,34 @@
-//! Look-ups that every request needs, built once for each revision.
+//! Settings in force at a daemon: the tree of one revision with the lookups that every request needs.
 
-use std::{collections::HashMap, sync::Arc};
+use std::sync::Arc;
 
 use crate::{
-    id::{AccountName, ContentDigest, KeyName, RouteName},
-    settings::{ClientAccount, RoutePolicy, ServicePolicy, SettingsTree},
+    id::{AccountName, ContentDigest, RouteName, ServiceName},
+    settings::{
+        ClientAccount, Revision, RoutePolicy, ServicePolicy, SettingsTree,
+        lookup::{AccountIndex, KeyIndex, RouteTable},
+    },
 };
 
-/// A settings tree in force, with its look-ups. Cloning it is cheap.
+/// A settings tree in force, with its lookups. Cloning it is cheap.
 #[derive(Clone, Debug, Default)]
 pub struct SettingsInForce(Arc<SettingsIndex>);
 
 #[derive(Debug, Default)]
 struct SettingsIndex {
     tree: SettingsTree,
-    routes: Vec<(RouteName, RoutePolicy)>,
-    keys: HashMap<ContentDigest, (KeyName, AccountName)>,
+    routes: RouteTable,
+    accounts: AccountIndex,
+    keys: KeyIndex,
 }
 
 impl SettingsInForce {
-    /// Returns the look-ups for `tree`.
+    /// Returns the lookups for `tree`.
     pub fn new(tree: SettingsTree) -> SettingsInForce {
-        let mut routes: Vec<_> = tree
-            .teams
-            .values()
-            .flat_map(|it| it.routes.iter().map(|(name, policy)| (name.clone(), policy.clone())))
-            .collect();
-        // The longest path comes first, so that the first match is the most specific one.
-        routes.sort_by_key(|(_, policy)| std::cmp::Reverse(policy.path.len()));
-        let keys = tree
-            .keys
-            .iter()
-            .map(|(name, record)| (record.digest, (name.clone(), record.account.clone())))
-            .collect();
-        SettingsInForce(Arc::new(SettingsIndex { tree, routes, keys }))
+        let routes = RouteTable::new(&tree);
+        let accounts = AccountIndex::new(&tree);
+        let keys = KeyIndex::new(&tree);
+        SettingsInForce(Arc::new(SettingsIndex { tree, routes, accounts, keys }))
     }
 
     /// Returns the tree itself.
@@ -41,32 +36,33 @@
         &self.0.tree
     }
 
-    /// Returns the route that takes the request, the one with the longest matching path.
+    /// Returns the revision in force.
+    pub fn revision(&self) -> Revision {
+        self.0.tree.revision
+    }
+
+    /// Returns the route that takes the request.
     pub fn find_route(&self, method: &str, path: &str) -> Option<(&RouteName, &RoutePolicy)> {
-        let path = path.split('?').next().unwrap_or(path);
-        self.0
-            .routes
-            .iter()
-            .find(|(_, policy)| policy.method == method && has_path_prefix(path, &policy.path))
-            .map(|(name, policy)| (name, policy))
+        self.0.routes.find(method, path).map(|(_, name, policy)| (name, policy))
     }
 
-    /// Returns the client account of the key with `digest`.
+    /// Returns the client account of the key whose secret has `digest`.
     pub fn find_key(&self, digest: &ContentDigest) -> Option<&AccountName> {
-        self.0.keys.get(digest).map(|(_, account)| account)
+        self.0.keys.find_digest(digest).map(|record| &record.account)
     }
 
     /// Returns the declaration of `account`.
     pub fn find_account(&self, account: &AccountName) -> Option<&ClientAccount> {
-        self.0.tree.teams.values().find_map(|it| it.accounts.get(account))
+        self.0.accounts.find(account)
+    }
+
+    /// Returns all client accounts, in no particular order.
+    pub fn accounts(&self) -> impl Iterator<Item = (&AccountName, &ClientAccount)> {
+        self.0.accounts.iter()
     }
 
     /// Returns the declaration of the service with `name`.
-    pub fn find_service(&self, name: &crate::id::ServiceName) -> Option<&ServicePolicy> {
+    pub fn find_service(&self, name: &ServiceName) -> Option<&ServicePolicy> {
         self.0.tree.teams.values().find_map(|it| it.services.get(name))
     }
 }
-
-fn has_path_prefix(path: &str, prefix: &str) -> bool {
-    path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/'))
-}
--- a/crates/ivytrail/src/settings/lookup.rs
+++ b/crates/ivytrail/src/settings/lookup.rs
@@ -132,9 +132,13 @@
     /// The lookup goes by the secret's digest, whose bytes a caller can't choose, and the digests are compared in
     /// constant time.
     pub fn find(&self, secret: &str) -> Option<&KeyRecord> {
-        let digest = secret_digest(secret);
-        let (_, record) = self.keys.get(&digest)?;
-        digests_match(&record.digest, &digest).then_some(record)
+        self.find_digest(&secret_digest(secret))
+    }
+
+    /// Returns the record of the key whose secret has `digest`.
+    pub fn find_digest(&self, digest: &ContentDigest) -> Option<&KeyRecord> {
+        let (_, record) = self.keys.get(digest)?;
+        digests_match(&record.digest, digest).then_some(record)
     }
 
     /// Returns whether no key is in force.
