Add the membership view: gossip, probes, suspicion, repair

Cause: daemons need to know which others run, which service each guards and in which state. Ruled out: heartbeats in the platform's table (6,800 writers), exchange of whole lists (600 KB a time). Change: MemberView with rumors, digests of the list in 32 groups of 32 buckets, SWIM-like probes, lookups of services while the list is not whole yet. Conclusion: complete in its interface; bytes per second are to be measured next.

--- /dev/null
+++ b/crates/ivytrail/src/membership/book.rs
@@ -0,0 +1,210 @@
+//! The member list: the greatest record of each instance, and digests that tell where two lists differ.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use rand::{RngExt, rngs::StdRng, seq::IndexedRandom};
+
+use super::record::{BUCKETS, MemberRecord, MemberState, bucket_of};
+use crate::{
+    id::{InstanceName, MemberId, ServiceName},
+    time::TimePoint,
+};
+
+/// Number of groups into which the buckets are gathered; a group has as many buckets.
+pub(crate) const GROUPS: usize = 32;
+
+/// What one member keeps of another.
+#[derive(Clone, Debug)]
+pub(crate) struct BookEntry {
+    pub(crate) record: MemberRecord,
+    /// When something of the member itself was last heard.
+    pub(crate) heard_at: TimePoint,
+    /// When the record's member was found to be over.
+    over_at: TimePoint,
+}
+
+/// What became of a record that was offered to the book.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MergeResult {
+    /// It is now the record of its instance.
+    Taken,
+    /// The book had it already.
+    Known,
+    /// The book has a greater one.
+    Older,
+}
+
+/// The greatest record of each instance.
+#[derive(Debug)]
+pub(crate) struct RecordBook {
+    entries: BTreeMap<InstanceName, BookEntry>,
+    /// Instances whose member runs, in no order, to draw from.
+    running: Vec<InstanceName>,
+    buckets: Vec<BTreeSet<InstanceName>>,
+    digests: Vec<u64>,
+    changes: Vec<MemberRecord>,
+}
+
+impl RecordBook {
+    pub(crate) fn new() -> RecordBook {
+        RecordBook {
+            entries: BTreeMap::new(),
+            running: Vec::new(),
+            buckets: vec![BTreeSet::new(); BUCKETS],
+            digests: vec![0; BUCKETS],
+            changes: Vec::new(),
+        }
+    }
+
+    /// Takes `record` when it is greater than the record of its instance.
+    pub(crate) fn merge(&mut self, now: TimePoint, record: &MemberRecord) -> MergeResult {
+        let entry = self.entries.get(&record.member.instance);
+        match entry.map(|it| it.record.clone()) {
+            // The end of a member that was never known is no news; taking it would keep tombstones alive for ever.
+            None if record.state.is_over() => MergeResult::Older,
+            Some(known) if known == *record => MergeResult::Known,
+            Some(known) if !record.supersedes(&known) => MergeResult::Older,
+            known => {
+                self.replace(now, known.as_ref(), record);
+                MergeResult::Taken
+            }
+        }
+    }
+
+    pub(crate) fn entry(&self, member: &MemberId) -> Option<&BookEntry> {
+        self.entries.get(&member.instance).filter(|it| it.record.member == *member)
+    }
+
+    pub(crate) fn of_instance(&self, instance: &InstanceName) -> Option<&BookEntry> {
+        self.entries.get(instance)
+    }
+
+    pub(crate) fn hear(&mut self, now: TimePoint, member: &MemberId) {
+        let entry = self.entries.get_mut(&member.instance);
+        if let Some(entry) = entry.filter(|it| it.record.member == *member) {
+            entry.heard_at = now;
+        }
+    }
+
+    pub(crate) fn records(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.entries.values().map(|it| &it.record)
+    }
+
+    pub(crate) fn n_running(&self) -> usize {
+        self.running.len()
+    }
+
+    pub(crate) fn running_at(&self, idx: usize) -> Option<&MemberRecord> {
+        self.running.get(idx).and_then(|it| self.entries.get(it)).map(|it| &it.record)
+    }
+
+    /// Returns up to `n_wanted` different running members other than `except`, drawn at random.
+    pub(crate) fn sample(
+        &self,
+        rng: &mut StdRng,
+        n_wanted: usize,
+        except: &MemberId,
+    ) -> Vec<MemberId> {
+        const DRAWS_PER_MEMBER: usize = 4;
+        let mut sample: Vec<MemberId> = Vec::with_capacity(n_wanted);
+        if self.running.is_empty() {
+            return sample;
+        }
+        for _ in 0..n_wanted * DRAWS_PER_MEMBER {
+            let drawn = self.running_at(rng.random_range(0..self.running.len()));
+            match drawn.map(|it| &it.member) {
+                Some(member) if member != except && !sample.contains(member) => {
+                    sample.push(member.clone());
+                }
+                _ => {}
+            }
+            if sample.len() == n_wanted {
+                break;
+            }
+        }
+        sample
+    }
+
+    /// Returns a dead member drawn at random, if there is one.
+    pub(crate) fn sample_dead(&self, rng: &mut StdRng) -> Option<&MemberRecord> {
+        let dead = self.records().filter(|it| it.state == MemberState::Dead);
+        dead.collect::<Vec<_>>().choose(rng).copied()
+    }
+
+    /// Returns running members of `service` in the order of their names, skipping `offset`.
+    pub(crate) fn of_service(
+        &self,
+        service: &ServiceName,
+        offset: usize,
+    ) -> impl Iterator<Item = &MemberRecord> {
+        self.records()
+            .filter(move |it| !it.state.is_over() && it.service.as_ref() == Some(service))
+            .skip(offset)
+    }
+
+    pub(crate) fn digest(&self) -> u64 {
+        self.digests.iter().fold(0, |acc, it| acc ^ it)
+    }
+
+    pub(crate) fn group_digests(&self) -> Vec<u64> {
+        self.digests
+            .chunks(BUCKETS / GROUPS)
+            .map(|it| it.iter().fold(0, |acc, it| acc ^ it))
+            .collect()
+    }
+
+    pub(crate) fn bucket_digests(&self, group: usize) -> &[u64] {
+        self.digests.chunks(BUCKETS / GROUPS).nth(group).unwrap_or(&[])
+    }
+
+    pub(crate) fn bucket_records(&self, bucket: usize) -> impl Iterator<Item = &MemberRecord> {
+        let names = self.buckets.get(bucket).into_iter().flatten();
+        names.filter_map(|it| self.entries.get(it)).map(|it| &it.record)
+    }
+
+    /// Forgets members whose run has been over for longer than `tombstone_time`.
+    pub(crate) fn forget_tombstones(&mut self, now: TimePoint, tombstone_time: Duration) {
+        let forgotten: Vec<InstanceName> = self
+            .entries
+            .iter()
+            .filter(|(_, it)| it.record.state.is_over() && tombstone_time < now.since(it.over_at))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &forgotten {
+            self.entries.remove(name);
+            self.buckets[bucket_of(name)].remove(name);
+        }
+    }
+
+    pub(crate) fn take_changes(&mut self) -> Vec<MemberRecord> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn replace(&mut self, now: TimePoint, known: Option<&MemberRecord>, record: &MemberRecord) {
+        let name = &record.member.instance;
+        let bucket = bucket_of(name);
+        let was_running = known.is_some_and(|it| !it.state.is_over());
+        let is_running = !record.state.is_over();
+        if let Some(old) = known.filter(|_| was_running) {
+            self.digests[bucket] ^= old.digest();
+        }
+        if let Some(old) = known.filter(|it| it.member != record.member && was_running) {
+            self.changes.push(MemberRecord { state: MemberState::Dead, ..old.clone() });
+        }
+        if is_running {
+            self.digests[bucket] ^= record.digest();
+        }
+        match (was_running, is_running) {
+            (false, true) => self.running.push(name.clone()),
+            (true, false) => self.running.retain(|it| it != name),
+            _ => {}
+        }
+        self.buckets[bucket].insert(name.clone());
+        self.changes.push(record.clone());
+        let entry = BookEntry { record: record.clone(), heard_at: now, over_at: now };
+        self.entries.insert(name.clone(), entry);
+    }
+}
--- /dev/null
+++ b/crates/ivytrail/src/membership/exchange.rs
@@ -0,0 +1,283 @@
+//! How a member takes what others send.
+
+use rand::seq::IndexedRandom;
+
+use super::{
+    GossipBody, GossipMessage, MemberRecord, MemberRumor, MemberState, MemberView,
+    book::GROUPS,
+    record::{BUCKETS, bucket_of},
+};
+use crate::{
+    id::{MemberId, ServiceName},
+    time::TimePoint,
+};
+
+/// Buckets of one group.
+const GROUP_BUCKETS: usize = BUCKETS / GROUPS;
+
+/// Buckets whose records are exchanged in one repair.
+const REPAIR_BUCKETS: usize = 4;
+
+impl MemberView {
+    /// Takes a rumor and passes it on when it is news.
+    pub(super) fn hear_rumor(&mut self, now: TimePoint, rumor: MemberRumor) {
+        let is_news = match &rumor {
+            MemberRumor::Record(record) => self.take_record(now, record),
+            MemberRumor::Suspect { member, version } | MemberRumor::Dead { member, version }
+                if member.instance == self.me.member.instance =>
+            {
+                self.hear_of_self(now, member.incarnation, *version, true);
+                false
+            }
+            MemberRumor::Suspect { member, version } => self.hear_suspicion(now, member, *version),
+            MemberRumor::Dead { member, version } => self.hear_death(now, member, *version),
+        };
+        if is_news {
+            self.rumors.push(rumor, self.options.rumor_sends);
+        } else {
+            self.rumors.note_known(&rumor);
+        }
+    }
+
+    fn hear_suspicion(&mut self, now: TimePoint, member: &MemberId, version: u64) -> bool {
+        let is_open =
+            self.get(member).is_some_and(|it| !it.state.is_over() && it.version <= version);
+        is_open && self.probes.suspect(now, member, version)
+    }
+
+    fn hear_death(&mut self, now: TimePoint, member: &MemberId, version: u64) -> bool {
+        let known = self.get(member).filter(|it| !it.state.is_over() && it.version <= version);
+        let Some(record) = known else { return false };
+        let record = MemberRecord { state: MemberState::Dead, version, ..record.clone() };
+        self.take_record(now, &record)
+    }
+
+    pub(super) fn handle_body(
+        &mut self,
+        now: TimePoint,
+        from: &MemberId,
+        body: GossipBody,
+        out: &mut Vec<(MemberId, GossipMessage)>,
+    ) {
+        match body {
+            GossipBody::Ping { sender, .. } | GossipBody::Lookup { sender, .. }
+                if sender.member != *from => {}
+            GossipBody::Ping { serial, sender, digest } => {
+                self.take_record(now, &sender);
+                self.answer_ping(from, serial, out);
+                self.start_repair(now, from, digest, out);
+            }
+            GossipBody::Ack { serial, target, digest } => {
+                self.take_ack(now, from, serial, &target, out);
+                self.start_repair(now, from, digest, out);
+            }
+            GossipBody::PingFor { serial, target } => {
+                if self.get(&target).is_some() && self.get(from).is_some() {
+                    self.probe(now, &target, Some((from.clone(), serial)), out);
+                }
+            }
+            GossipBody::Lookup { sender, service, offset } => {
+                self.take_record(now, &sender);
+                self.answer_lookup(from, service, offset, out);
+            }
+            GossipBody::Found { service, records, next_offset } => {
+                self.lookups.note_found(&service, records.len(), next_offset);
+                self.take_records(now, &records);
+            }
+            GossipBody::Groups { digests } => self.answer_groups(from, &digests, out),
+            GossipBody::Buckets { group, digests } => {
+                self.answer_buckets(from, group, &digests, out);
+            }
+            GossipBody::Records { buckets, records, wants_answer } => {
+                let answer = self.newer_records(&buckets, &records);
+                self.take_records(now, &records);
+                if wants_answer {
+                    self.send_records(from, buckets, answer, false, out);
+                }
+            }
+            GossipBody::News => {}
+        }
+        self.book.hear(now, from);
+        self.probes.close_all(from);
+    }
+
+    fn take_records(&mut self, now: TimePoint, records: &[MemberRecord]) {
+        for record in records {
+            self.take_record(now, record);
+        }
+    }
+
+    fn answer_ping(
+        &mut self,
+        from: &MemberId,
+        serial: u64,
+        out: &mut Vec<(MemberId, GossipMessage)>,
+    ) {
+        if self.get(from).is_none() {
+            return self.correct_older(from, out);
+        }
+        let body =
+            GossipBody::Ack { serial, target: self.me.member.clone(), digest: self.book.digest() };
+        let message = self.with_rumors(from, body);
+        out.push((from.clone(), message));
+    }
+
+    /// Tells an older incarnation, which runs on after a pause, that a newer one has begun. It is reached only when it
+    /// kept its address, so the message goes to the newer one's record and is lost otherwise.
+    fn correct_older(&mut self, from: &MemberId, out: &mut Vec<(MemberId, GossipMessage)>) {
+        let newer = self.book.of_instance(&from.instance).map(|it| it.record.clone());
+        if let Some(record) = newer {
+            let receiver = record.member.clone();
+            let rumors = vec![MemberRumor::Record(record)];
+            out.push((receiver, GossipMessage { body: GossipBody::News, rumors }));
+        }
+    }
+
+    fn take_ack(
+        &mut self,
+        now: TimePoint,
+        from: &MemberId,
+        serial: u64,
+        target: &MemberId,
+        out: &mut Vec<(MemberId, GossipMessage)>,
+    ) {
+        self.book.hear(now, target);
+        // A helper's answer carries this member's own number; the target's direct answer may come late.
+        if from != target {
+            self.probes.close_all(target);
+            return;
+        }
+        let Some(probe) = self.probes.close(serial, target) else { return };
+        if let Some((origin, serial)) = probe.origin {
+            let body =
+                GossipBody::Ack { serial, target: target.clone(), digest: self.book.digest() };
+            let message = GossipMessage { body, rumors: Vec::new() };
+            out.push((origin, message));
+        }
+    }
+
+    fn answer_lookup(
+        &mut self,
+        from: &MemberId,
+        service: ServiceName,
+        offset: u32,
+        out: &mut Vec<(MemberId, GossipMessage)>,
+    ) {
+        if self.get(from).is_none() {
+            return;
+        }
+        let mut records = Vec::new();
+        let mut bytes_left = self.options.message_bytes.min(self.budget.bytes_left());
+        let mut next_offset = None;
+        for record in self.book.of_service(&service, offset as usize) {
+            let Some(left) = bytes_left.checked_sub(record.encoded_len()) else {
+                next_offset = Some(offset + records.len() as u32);
+                break;
+            };
+            bytes_left = left;
+            records.push(record.clone());
+        }
+        self.budget.spend(records.iter().map(MemberRecord::encoded_len).sum());
+        let body = GossipBody::Found { service, records, next_offset };
+        out.push((from.clone(), GossipMessage { body, rumors: Vec::new() }));
+    }
+
+    /// Begins to mend the lists when they differ and a repair is due.
+    fn start_repair(
+        &mut self,
+        now: TimePoint,
+        from: &MemberId,
+        digest: u64,
+        out: &mut Vec<(MemberId, GossipMessage)>,
+    ) {
+        if digest == self.book.digest() || now < self.next_repair_at || self.get(from).is_none() {
+            return;
+        }
+        self.next_repair_at = now.plus(self.options.repair_period);
+        let body = GossipBody::Groups { digests: self.book.group_digests() };
+        out.push((from.clone(), GossipMessage { body, rumors: Vec::new() }));
+    }
+
+    /// Answers with the bucket digests of one group that differs. The one with the fewest members at the other end is
+    /// not known here, so the choice is left to chance.
+    fn answer_groups(
+        &mut self,
+        from: &MemberId,
+        digests: &[u64],
+        out: &mut Vec<(MemberId, GossipMessage)>,
+    ) {
+        let own = self.book.group_digests();
+        if digests.len() != own.len() || self.get(from).is_none() {
+            return;
+        }
+        let differing: Vec<usize> = (0..own.len()).filter(|it| own[*it] != digests[*it]).collect();
+        let Some(group) = self.pick(&differing) else { return };
+        let body = GossipBody::Buckets {
+            group: group as u16,
+            digests: self.book.bucket_digests(group).to_vec(),
+        };
+        out.push((from.clone(), GossipMessage { body, rumors: Vec::new() }));
+    }
+
+    /// Sends the own records of buckets that differ, and asks for what the other has newer or more.
+    fn answer_buckets(
+        &mut self,
+        from: &MemberId,
+        group: u16,
+        digests: &[u64],
+        out: &mut Vec<(MemberId, GossipMessage)>,
+    ) {
+        let group = usize::from(group);
+        let own = self.book.bucket_digests(group);
+        if digests.len() != own.len() || self.get(from).is_none() {
+            return;
+        }
+        let n_buckets = if own.iter().all(|it| *it == 0) { GROUP_BUCKETS } else { REPAIR_BUCKETS };
+        let differing = (0..own.len()).filter(|it| own[*it] != digests[*it]);
+        let buckets: Vec<u16> =
+            differing.take(n_buckets).map(|it| (group * GROUP_BUCKETS + it) as u16).collect();
+        let records = self.newer_records(&buckets, &[]);
+        self.send_records(from, buckets, records, true, out);
+    }
+
+    /// Returns the own records of `buckets` that are absent from `theirs` or older there.
+    fn newer_records(&self, buckets: &[u16], theirs: &[MemberRecord]) -> Vec<MemberRecord> {
+        let own = buckets.iter().flat_map(|it| self.book.bucket_records(usize::from(*it)));
+        let is_newer = |record: &MemberRecord| {
+            let other = theirs.iter().find(|it| it.member.instance == record.member.instance);
+            other.is_none_or(|it| record.supersedes(it))
+        };
+        own.filter(|it| is_newer(it)).cloned().collect()
+    }
+
+    fn send_records(
+        &mut self,
+        to: &MemberId,
+        buckets: Vec<u16>,
+        mut records: Vec<MemberRecord>,
+        wants_answer: bool,
+        out: &mut Vec<(MemberId, GossipMessage)>,
+    ) {
+        if self.get(to).is_none() || (records.is_empty() && !wants_answer) {
+            return;
+        }
+        debug_assert!(
+            records.iter().all(|it| buckets.contains(&(bucket_of(&it.member.instance) as u16)))
+        );
+        let mut bytes_left = self.options.message_bytes.min(self.budget.bytes_left());
+        let mut n_sent = 0;
+        for record in &records {
+            let Some(left) = bytes_left.checked_sub(record.encoded_len()) else { break };
+            bytes_left = left;
+            n_sent += 1;
+        }
+        records.truncate(n_sent);
+        self.budget.spend(records.iter().map(MemberRecord::encoded_len).sum());
+        let body = GossipBody::Records { buckets, records, wants_answer };
+        out.push((to.clone(), GossipMessage { body, rumors: Vec::new() }));
+    }
+
+    fn pick(&mut self, choices: &[usize]) -> Option<usize> {
+        choices.choose(&mut self.rng).copied()
+    }
+}
