Run the thin whole path as separate processes

Cause: nothing served a request yet. A caller's request now goes entry daemon -> guard daemon -> backend server, with nested calls under the same root through the backend server's own daemon. Change: reducer with call, run and control flows; shell with caller, peer and local interfaces; membership by gossip; settings read from the change rows. Quotas and claims are still open: every request inside a key is granted, and a claimed request goes to the rendezvous owner without a lease. Not measured: load, failures.

--- a/crates/ivytrail-daemon/src/caller_desk.rs
+++ b/crates/ivytrail-daemon/src/caller_desk.rs
@@ -1,12 +1,13 @@
 //! The callers' interface, and the same for nested calls of this daemon's own backend server.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use ivytrail::{
     id::{CallId, CallToken, ContentDigest},
     message::{CallOutcome, RefusalReason},
     reducer::{CallAnswer, CallRequest, CallSource, DaemonEvent},
+    settings::credential::secret_digest,
 };
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, async_trait,
@@ -15,7 +16,7 @@
 
 use crate::{
     executor::EffectExecutor,
-    run_client::{TOKEN_HEADER, is_connection_header},
+    run_client::{TOKEN_HEADER, is_connection_header, is_own_header},
 };
 
 /// Header that tells a caller what became of its request.
@@ -50,8 +51,8 @@
 
 impl CallerDesk {
     /// Returns a handler for `side` that takes bodies up to `max_body_bytes`.
-    pub fn new(executor: EffectExecutor, side: DeskSide, max_body_bytes: usize) -> Arc<CallerDesk> {
-        Arc::new(CallerDesk { executor, side, max_body_bytes })
+    pub fn new(executor: EffectExecutor, side: DeskSide, max_body_bytes: usize) -> CallerDesk {
+        CallerDesk { executor, side, max_body_bytes }
     }
 
     async fn answer(&self, req: &mut Request) -> CallAnswer {
@@ -87,7 +88,7 @@
     fn source_of(&self, req: &Request) -> Option<CallSource> {
         match self.side {
             DeskSide::Callers => {
-                let digest = key_of(req).map(|it| ContentDigest::of_parts(&[it.as_bytes()]));
+                let digest = key_of(req).map(|it| secret_digest(&it));
                 Some(CallSource::Caller(digest))
             }
             DeskSide::Nested => {
@@ -116,7 +117,13 @@
 
 #[async_trait]
 impl Handler for CallerDesk {
-    async fn handle(&self, req: &mut Request, _depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
         let answer = self.answer(req).await;
         write_answer(res, answer);
         // No later handler, and no error page in place of the backend server's own body.
@@ -142,7 +149,7 @@
         .iter()
         .filter(|(name, _)| {
             let name = name.as_str();
-            !is_connection_header(name) && name != "authorization" && !name.starts_with("ivytrail-")
+            !is_connection_header(name) && name != "authorization" && !is_own_header(name)
         })
         .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_string())))
         .collect()
--- a/crates/ivytrail-daemon/src/executor.rs
+++ b/crates/ivytrail-daemon/src/executor.rs
@@ -24,18 +24,12 @@
     shell: DaemonShell,
     peers: PeerClient,
     runs: RunClient,
-    proposals: tokio::sync::mpsc::UnboundedSender<ivytrail::lease::RingDefinition>,
 }
 
 impl EffectExecutor {
-    /// Returns an executor for the shell; proposed ring definitions go to `proposals`.
-    pub fn new(
-        shell: DaemonShell,
-        peers: PeerClient,
-        runs: RunClient,
-        proposals: tokio::sync::mpsc::UnboundedSender<ivytrail::lease::RingDefinition>,
-    ) -> EffectExecutor {
-        EffectExecutor(Arc::new(ExecutorParts { shell, peers, runs, proposals }))
+    /// Returns an executor for the shell.
+    pub fn new(shell: DaemonShell, peers: PeerClient, runs: RunClient) -> EffectExecutor {
+        EffectExecutor(Arc::new(ExecutorParts { shell, peers, runs }))
     }
 
     /// Returns the shell.
@@ -78,10 +72,6 @@
                 DaemonEffect::SendControl { address, message, .. } => {
                     control.entry(address).or_default().push(message);
                 }
-                DaemonEffect::ProposeRing(definition) => {
-                    // The control loop ends only with the process.
-                    let _ = self.0.proposals.send(definition);
-                }
                 DaemonEffect::LogLine(line) => log::info!("{line}"),
             }
         }
@@ -97,29 +87,36 @@
         }
     }
 
-    fn send_attempt(&self, call: CallId, to: MemberId, address: String, header: Box<AttemptHeader>) {
+    fn send_attempt(
+        &self,
+        call: CallId,
+        to: MemberId,
+        address: String,
+        header: Box<AttemptHeader>,
+    ) {
         let Some(body) = self.shell().call_body(call) else { return };
         let executor = self.clone();
         tokio::spawn(async move {
             let serial = header.attempt.serial;
             let patience = header.time_left;
-            let event = match executor.0.peers.send_attempt(&address, &header, &body, patience).await {
-                Ok((reply, body)) if reply.attempt == header.attempt => {
-                    DaemonEvent::AttemptAnswered { reply, body }
-                }
-                Ok(_) => {
-                    log::warn!("event=crossed_answer guard={to} attempt={}", header.attempt);
-                    DaemonEvent::AttemptBroken { serial, cause: BreakCause::Lost }
-                }
-                Err(SendError::NotSent(cause)) => {
-                    log::info!("event=attempt_not_sent guard={to} cause={cause:?}");
-                    DaemonEvent::AttemptBroken { serial, cause: BreakCause::NotSent }
-                }
-                Err(SendError::Lost(cause)) => {
-                    log::info!("event=attempt_lost guard={to} cause={cause:?}");
-                    DaemonEvent::AttemptBroken { serial, cause: BreakCause::Lost }
-                }
-            };
+            let event =
+                match executor.0.peers.send_attempt(&address, &header, &body, patience).await {
+                    Ok((reply, body)) if reply.attempt == header.attempt => {
+                        DaemonEvent::AttemptAnswered { reply, body }
+                    }
+                    Ok(_) => {
+                        log::warn!("event=crossed_answer guard={to} attempt={}", header.attempt);
+                        DaemonEvent::AttemptBroken { serial, cause: BreakCause::Lost }
+                    }
+                    Err(SendError::NotSent(cause)) => {
+                        log::info!("event=attempt_not_sent guard={to} cause={cause:?}");
+                        DaemonEvent::AttemptBroken { serial, cause: BreakCause::NotSent }
+                    }
+                    Err(SendError::Lost(cause)) => {
+                        log::info!("event=attempt_lost guard={to} cause={cause:?}");
+                        DaemonEvent::AttemptBroken { serial, cause: BreakCause::Lost }
+                    }
+                };
             executor.apply(event);
         });
     }
@@ -128,7 +125,9 @@
         let executor = self.clone();
         tokio::spawn(async move {
             let event = match executor.0.peers.send_inquiry(&address, &attempt, patience).await {
-                Ok((reply, body)) if reply.attempt == attempt => DaemonEvent::AttemptAnswered { reply, body },
+                Ok((reply, body)) if reply.attempt == attempt => {
+                    DaemonEvent::AttemptAnswered { reply, body }
+                }
                 Ok(_) | Err(_) => DaemonEvent::InquiryBroken { serial: attempt.serial },
             };
             executor.apply(event);
@@ -152,7 +151,13 @@
         });
     }
 
-    fn start_run(&self, attempt: AttemptId, header: Box<AttemptHeader>, token: CallToken, time_left: Duration) {
+    fn start_run(
+        &self,
+        attempt: AttemptId,
+        header: Box<AttemptHeader>,
+        token: CallToken,
+        time_left: Duration,
+    ) {
         let body = self.shell().take_attempt_body(&attempt);
         let executor = self.clone();
         let key = attempt.clone();
--- a/crates/ivytrail-daemon/src/local_desk.rs
+++ b/crates/ivytrail-daemon/src/local_desk.rs
@@ -1,7 +1,5 @@
 //! The backend server's interface: announcements, and everything else as nested calls.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 use ivytrail::{
     id::ServiceName,
@@ -40,8 +38,8 @@
 
 impl AnnounceDesk {
     /// Returns a handler.
-    pub fn new(executor: EffectExecutor) -> Arc<AnnounceDesk> {
-        Arc::new(AnnounceDesk { executor })
+    pub fn new(executor: EffectExecutor) -> AnnounceDesk {
+        AnnounceDesk { executor }
     }
 
     async fn answer(&self, req: &mut Request) -> Result<(), String> {
@@ -49,15 +47,16 @@
             .payload_with_max_size(MAX_ANNOUNCEMENT_BYTES)
             .await
             .map_err(|cause| format!("the announcement can't be read: {cause}"))?;
-        let announcement: AnnouncementBody =
-            serde_json::from_slice(body).map_err(|cause| format!("the announcement is not as expected: {cause}"))?;
+        let announcement: AnnouncementBody = serde_json::from_slice(body)
+            .map_err(|cause| format!("the announcement is not as expected: {cause}"))?;
         self.executor.runs().set_address(&announcement.address);
         let state = match announcement.state {
             AnnouncedState::Starting => BackendState::Starting,
             AnnouncedState::Serving => BackendState::Serving,
             AnnouncedState::Draining => BackendState::Draining,
         };
-        let notice = BackendNotice { service: announcement.service, slots: announcement.slots, state };
+        let notice =
+            BackendNotice { service: announcement.service, slots: announcement.slots, state };
         self.executor.apply(DaemonEvent::BackendAnnounced(notice));
         Ok(())
     }
@@ -65,7 +64,13 @@
 
 #[async_trait]
 impl Handler for AnnounceDesk {
-    async fn handle(&self, req: &mut Request, _depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
         match self.answer(req).await {
             Ok(()) => {
                 res.status_code(StatusCode::OK);
@@ -73,7 +78,9 @@
             }
             Err(message) => {
                 res.status_code(StatusCode::BAD_REQUEST);
-                res.body(Bytes::from(serde_json::json!({ "ok": false, "error": message }).to_string()));
+                res.body(Bytes::from(
+                    serde_json::json!({ "ok": false, "error": message }).to_string(),
+                ));
             }
         }
         ctrl.skip_rest();
--- a/crates/ivytrail-daemon/src/log_setup.rs
+++ b/crates/ivytrail-daemon/src/log_setup.rs
@@ -4,7 +4,10 @@
 
 /// Starts logging. `IVYTRAIL_LOG` sets the level: `error`, `warn`, `info` (default), `debug`.
 pub fn start() {
-    let level = std::env::var("IVYTRAIL_LOG").ok().and_then(|it| it.parse().ok()).unwrap_or(LevelFilter::Info);
+    let level = std::env::var("IVYTRAIL_LOG")
+        .ok()
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(LevelFilter::Info);
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .add_filter_allow_str("ivytraild")
--- a/crates/ivytrail-daemon/src/main.rs
+++ b/crates/ivytrail-daemon/src/main.rs
@@ -21,8 +21,11 @@
         StartMode::Exit { code } => ExitCode::from(code),
         StartMode::Run(settings) => {
             log_setup::start();
-            let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().worker_threads(2).build();
-            let result = runtime.map_err(anyhow::Error::from).and_then(|it| it.block_on(server::run(*settings)));
+            let runtime =
+                tokio::runtime::Builder::new_multi_thread().enable_all().worker_threads(2).build();
+            let result = runtime
+                .map_err(anyhow::Error::from)
+                .and_then(|it| it.block_on(server::run(*settings)));
             match result {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(cause) => {
--- a/crates/ivytrail-daemon/src/options.rs
+++ b/crates/ivytrail-daemon/src/options.rs
@@ -47,8 +47,13 @@
     fn start_mode(&self) -> StartMode {
         match (&self.check, &self.settings) {
             _ if self.help => {
-                println!("Usage: ivytraild --settings FILE\n\nThe ivytrail daemon, one beside each backend server.\n");
-                println!("{}\n\nIVYTRAIL_LOG=error|warn|info|debug sets the log level.", DaemonOptions::usage());
+                println!(
+                    "Usage: ivytraild --settings FILE\n\nThe ivytrail daemon, one beside each backend server.\n"
+                );
+                println!(
+                    "{}\n\nIVYTRAIL_LOG=error|warn|info|debug sets the log level.",
+                    DaemonOptions::usage()
+                );
                 StartMode::Exit { code: 0 }
             }
             _ if self.version => {
--- a/crates/ivytrail-daemon/src/peer_client.rs
+++ b/crates/ivytrail-daemon/src/peer_client.rs
@@ -99,7 +99,8 @@
     /// Tells a guard that an attempt is given up. A lost message costs the guard some wasted work, no more.
     pub async fn send_cancel(&self, address: &str, attempt: &AttemptId) {
         let frame = encode_frame(attempt, &[]);
-        if let Err(cause) = self.post(&self.pooled, address, "cancel", frame, CONTROL_TIMEOUT).await {
+        if let Err(cause) = self.post(&self.pooled, address, "cancel", frame, CONTROL_TIMEOUT).await
+        {
             log::debug!("event=cancel_lost address={address} cause={:?}", cause.to_string());
         }
     }
@@ -146,11 +147,16 @@
             .timeout(patience)
             .body(frame);
         let response = request.send().await.map_err(classify)?;
-        let response = response.error_for_status().map_err(|cause| SendError::Lost(cause.to_string()))?;
+        let response =
+            response.error_for_status().map_err(|cause| SendError::Lost(cause.to_string()))?;
         response.bytes().await.map_err(|cause| SendError::Lost(cause.to_string()))
     }
 }
 
 fn classify(cause: reqwest::Error) -> SendError {
-    if cause.is_connect() { SendError::NotSent(cause.to_string()) } else { SendError::Lost(cause.to_string()) }
+    if cause.is_connect() {
+        SendError::NotSent(cause.to_string())
+    } else {
+        SendError::Lost(cause.to_string())
+    }
 }
--- a/crates/ivytrail-daemon/src/peer_desk.rs
+++ b/crates/ivytrail-daemon/src/peer_desk.rs
@@ -1,7 +1,5 @@
 //! The interface for other daemons: attempts, inquiries, cancellations and control messages.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 use ivytrail::{
     id::{AttemptId, MemberId},
@@ -30,10 +28,15 @@
 
 impl PeerDesk {
     /// Returns a handler that takes requests from daemons that show `secret`.
-    pub fn new(executor: EffectExecutor, me: MemberId, secret: &str, max_body_bytes: usize) -> Arc<PeerDesk> {
+    pub fn new(
+        executor: EffectExecutor,
+        me: MemberId,
+        secret: &str,
+        max_body_bytes: usize,
+    ) -> PeerDesk {
         let authorization = format!("Bearer {secret}");
         let max_frame_bytes = max_body_bytes + HEAD_ALLOWANCE_BYTES;
-        Arc::new(PeerDesk { executor, me, authorization, max_frame_bytes })
+        PeerDesk { executor, me, authorization, max_frame_bytes }
     }
 
     async fn answer(&self, req: &mut Request) -> Result<Bytes, StatusCode> {
@@ -65,7 +68,8 @@
     }
 
     async fn take_attempt(&self, frame: Bytes) -> Result<Bytes, StatusCode> {
-        let (header, body): (AttemptHeader, Bytes) = decode_frame(frame).map_err(|_| StatusCode::BAD_REQUEST)?;
+        let (header, body): (AttemptHeader, Bytes) =
+            decode_frame(frame).map_err(|_| StatusCode::BAD_REQUEST)?;
         let receiver = self.executor.shell().add_attempt(header.attempt.clone(), Some(body));
         self.executor.apply(DaemonEvent::AttemptReceived(Box::new(header)));
         let (reply, body) = receiver.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
@@ -73,7 +77,8 @@
     }
 
     async fn take_inquiry(&self, frame: Bytes) -> Result<Bytes, StatusCode> {
-        let (attempt, _): (AttemptId, Bytes) = decode_frame(frame).map_err(|_| StatusCode::BAD_REQUEST)?;
+        let (attempt, _): (AttemptId, Bytes) =
+            decode_frame(frame).map_err(|_| StatusCode::BAD_REQUEST)?;
         let receiver = self.executor.shell().add_attempt(attempt.clone(), None);
         self.executor.apply(DaemonEvent::InquiryReceived { attempt });
         let (reply, body) = receiver.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
@@ -93,7 +98,13 @@
 
 #[async_trait]
 impl Handler for PeerDesk {
-    async fn handle(&self, req: &mut Request, _depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
         match self.answer(req).await {
             Ok(frame) => {
                 res.status_code(StatusCode::OK);
--- a/crates/ivytrail-daemon/src/run_client.rs
+++ b/crates/ivytrail-daemon/src/run_client.rs
@@ -53,9 +53,17 @@
     }
 
     /// Runs one request and returns how it ended.
-    pub async fn run(&self, header: &AttemptHeader, token: CallToken, time_left: Duration, body: Bytes) -> RunEnd {
+    pub async fn run(
+        &self,
+        header: &AttemptHeader,
+        token: CallToken,
+        time_left: Duration,
+        body: Bytes,
+    ) -> RunEnd {
         let Some(address) = self.address.read().clone() else { return RunEnd::NotSent };
-        let Ok(method) = Method::from_bytes(header.method.as_bytes()) else { return RunEnd::NotSent };
+        let Ok(method) = Method::from_bytes(header.method.as_bytes()) else {
+            return RunEnd::NotSent;
+        };
         let request_id = header.attempt.to_string();
         let mut request = self
             .client
@@ -85,12 +93,14 @@
         return RunEnd::Broken;
     }
     if status == StatusCode::SERVICE_UNAVAILABLE && text_of(SHED_HEADER).is_some() {
-        let retry_after = text_of("retry-after").and_then(|it| it.parse().ok()).map(Duration::from_secs_f64);
+        let retry_after =
+            text_of("retry-after").and_then(|it| it.parse().ok()).map(Duration::from_secs_f64);
         return RunEnd::Shed { retry_after };
     }
     let kept = headers
         .iter()
-        .filter(|(name, _)| !is_connection_header(name.as_str()))
+        // A backend server can't speak for the daemon to its callers.
+        .filter(|(name, _)| !is_connection_header(name.as_str()) && !is_own_header(name.as_str()))
         .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_string())))
         .collect();
     match response.bytes().await {
@@ -100,6 +110,11 @@
     }
 }
 
+/// Returns whether a header is one of the system's own.
+pub fn is_own_header(name: &str) -> bool {
+    name.starts_with("ivytrail-")
+}
+
 /// Returns whether a header belongs to one connection and is not passed on.
 pub fn is_connection_header(name: &str) -> bool {
     matches!(
--- /dev/null
+++ b/crates/ivytrail-daemon/src/server.rs
@@ -0,0 +1,144 @@
+//! Starts the daemon's interfaces, runs its loops and shuts it down.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::Context;
+use ivytrail::{
+    id::MemberId,
+    reducer::{DaemonEvent, DaemonIdentity, DaemonReducer},
+    settings::file::DaemonSettings,
+};
+use salvo::{
+    Listener, Router, Server, Service,
+    catcher::Catcher,
+    conn::{TcpListener, tcp::TcpAcceptor},
+    fuse::FuseConfig,
+    server::ServerHandle,
+};
+
+use crate::{
+    caller_desk::{CallerDesk, DeskSide},
+    control_loop,
+    executor::EffectExecutor,
+    local_desk::AnnounceDesk,
+    peer_client::PeerClient,
+    peer_desk::PeerDesk,
+    run_client::RunClient,
+    shell::{DaemonShell, wall_clock},
+};
+
+/// Time between two ticks of the reducer.
+const TICK_INTERVAL: Duration = Duration::from_millis(5);
+/// Time between two looks at whether a leaving daemon is idle.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which a leaving daemon still answers, so that its leave has spread before its interfaces close.
+const LEAVE_SPREAD_TIME: Duration = Duration::from_millis(600);
+
+/// Runs the daemon until a signal asks it to leave.
+///
+/// # Errors
+///
+/// Returns an error when an address can't be bound or a client can't be set up.
+pub async fn run(settings: DaemonSettings) -> anyhow::Result<()> {
+    let incarnation = wall_clock().as_millis();
+    let member = MemberId { instance: settings.name.clone(), incarnation };
+    log::info!("event=starting member={member} domain={}", settings.failure_domain);
+    let identity = DaemonIdentity {
+        member: member.clone(),
+        domain: settings.failure_domain.clone(),
+        peer_address: settings.peer_address.to_string(),
+    };
+    let secret = settings.peer_secret.expose().to_string();
+    let shell = DaemonShell::new(DaemonReducer::new(identity, rand::random()));
+    let peers = PeerClient::new(member.clone(), secret.clone())?;
+    let executor = EffectExecutor::new(shell, peers, RunClient::new()?);
+
+    let max_body = settings.limits.max_body_bytes;
+    let callers = Router::with_path("{**rest}").goal(CallerDesk::new(
+        executor.clone(),
+        DeskSide::Callers,
+        max_body,
+    ));
+    let nested = CallerDesk::new(executor.clone(), DeskSide::Nested, max_body);
+    let local = Router::new()
+        .push(Router::with_path("announce").post(AnnounceDesk::new(executor.clone())))
+        .push(Router::with_path("{**rest}").goal(nested));
+    let peer_desk = PeerDesk::new(executor.clone(), member, &secret, max_body);
+    let peer = Router::with_path("{**rest}").goal(peer_desk);
+    let handles = [
+        serve(settings.caller_address, callers, &settings).await.context("caller_address")?,
+        serve(settings.local_address, local, &settings).await.context("local_address")?,
+        serve(settings.peer_address, peer, &settings).await.context("peer_address")?,
+    ];
+    let settings = Arc::new(settings);
+    control_loop::spawn(executor.clone(), &settings);
+    spawn_ticks(executor.clone());
+    log::info!("event=started");
+    wait_for_signal().await?;
+    leave(&executor, &settings).await;
+    for handle in handles {
+        handle.stop_graceful(settings.intervals.shutdown_grace);
+    }
+    log::info!("event=stopped");
+    Ok(())
+}
+
+async fn serve(
+    address: SocketAddr,
+    router: Router,
+    settings: &DaemonSettings,
+) -> anyhow::Result<ServerHandle> {
+    let acceptor: TcpAcceptor = TcpListener::new(address)
+        .try_bind()
+        .await
+        .map_err(|cause| anyhow::anyhow!("{address} can't be bound: {cause}"))?;
+    let fuse = FuseConfig::default().with_http1_header_timeout(settings.intervals.header_timeout);
+    let mut server =
+        Server::new(acceptor).fuse_config(fuse).max_connections(settings.limits.max_connections);
+    server.http1_mut().max_buf_size(settings.limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES));
+    let handle = server.handle();
+    let service = Service::new(router).catcher(Catcher::default());
+    tokio::spawn(async move {
+        if let Err(cause) = server.try_serve(service).await {
+            log::error!("event=server_failed address={address} cause={:?}", cause.to_string());
+        }
+    });
+    Ok(handle)
+}
+
+/// Least buffer for a request's head that the HTTP library allows, in bytes.
+const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
+
+fn spawn_ticks(executor: EffectExecutor) {
+    tokio::spawn(async move {
+        let mut interval = tokio::time::interval(TICK_INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+        loop {
+            interval.tick().await;
+            executor.apply(DaemonEvent::Tick);
+        }
+    });
+}
+
+async fn wait_for_signal() -> anyhow::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Leaves without cutting a request: takes nothing new, waits until all that runs here has its answer.
+async fn leave(executor: &EffectExecutor, settings: &DaemonSettings) {
+    executor.apply(DaemonEvent::DrainRequested);
+    let started = tokio::time::Instant::now();
+    let grace = settings.intervals.shutdown_grace;
+    tokio::time::sleep(LEAVE_SPREAD_TIME).await;
+    while !executor.shell().inspect(DaemonReducer::is_idle) && started.elapsed() < grace {
+        tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+    }
+    control_loop::leave(executor, settings).await;
+}
--- a/crates/ivytrail-daemon/src/shell.rs
+++ b/crates/ivytrail-daemon/src/shell.rs
@@ -102,7 +102,11 @@
     }
 
     /// Registers a connection that waits for an attempt's answer, with the attempt's body where it has come.
-    pub fn add_attempt(&self, attempt: AttemptId, body: Option<Bytes>) -> oneshot::Receiver<(AttemptReply, Bytes)> {
+    pub fn add_attempt(
+        &self,
+        attempt: AttemptId,
+        body: Option<Bytes>,
+    ) -> oneshot::Receiver<(AttemptReply, Bytes)> {
         let (sender, receiver) = oneshot::channel();
         let mut attempts = self.attempts.lock();
         let waiting = attempts.entry(attempt).or_default();
@@ -115,7 +119,11 @@
 
     /// Returns the body of an attempt, which is needed only once.
     pub fn take_attempt_body(&self, attempt: &AttemptId) -> Bytes {
-        self.attempts.lock().get_mut(attempt).map(|it| std::mem::take(&mut it.body)).unwrap_or_default()
+        self.attempts
+            .lock()
+            .get_mut(attempt)
+            .map(|it| std::mem::take(&mut it.body))
+            .unwrap_or_default()
     }
 
     /// Removes an attempt's waiting connections, to answer them.
--- a/crates/ivytrail/src/admission.rs
+++ b/crates/ivytrail/src/admission.rs
@@ -285,6 +285,7 @@
             limit: self.limit.get(),
             queued: self.waiting.len() as u32,
             level_cut: if self.options.consistent { self.cut.get() } else { u16::MAX },
+            chain_cut: LoadReport::OPEN_CUT,
         }
     }
 
--- a/crates/ivytrail/src/lib.rs
+++ b/crates/ivytrail/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod platform;
 pub mod quarantine;
 pub mod quota;
+pub mod reducer;
 pub mod retry;
 pub mod routing;
 pub mod settings;
--- a/crates/ivytrail/src/message.rs
+++ b/crates/ivytrail/src/message.rs
@@ -9,13 +9,10 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
 
 use crate::{
     id::{AccountName, AttemptId, ContentDigest, RootId, RouteName, ServiceName},
-    lease::LeaseMessage,
     membership::GossipMessage,
-    quota::{QuotaAsk, QuotaGrant},
     settings::{PriorityClass, Revision},
 };
 
@@ -182,15 +179,4 @@
 pub enum ControlMessage {
     /// Membership.
     Gossip(GossipMessage),
-    /// Leases of a ring.
-    Lease {
-        /// Name of the ring.
-        ring: SmolStr,
-        /// The message.
-        message: LeaseMessage,
-    },
-    /// Asks for quota tokens.
-    QuotaAsk(QuotaAsk),
-    /// Hands over quota tokens.
-    QuotaGrant(QuotaGrant),
 }
--- a/crates/ivytrail/src/message/frame.rs
+++ b/crates/ivytrail/src/message/frame.rs
@@ -42,10 +42,15 @@
     let prefix = frame.split_to(LENGTH_BYTES);
     let length = prefix.iter().fold(0_usize, |acc, byte| (acc << 8) | usize::from(*byte));
     if MAX_HEAD_BYTES < length {
-        return Err(Error::new(format!("a head of {length} bytes is over the limit of {MAX_HEAD_BYTES}")));
+        return Err(Error::new(format!(
+            "a head of {length} bytes is over the limit of {MAX_HEAD_BYTES}"
+        )));
     }
     if frame.len() < length {
-        return Err(Error::new(format!("a frame was cut: {} of {length} bytes of its head came", frame.len())));
+        return Err(Error::new(format!(
+            "a frame was cut: {} of {length} bytes of its head came",
+            frame.len()
+        )));
     }
     let head = frame.split_to(length);
     Ok((rmp_serde::from_slice(&head)?, frame))
--- a/crates/ivytrail/src/reducer.rs
+++ b/crates/ivytrail/src/reducer.rs
@@ -40,6 +40,7 @@
 
 use rand::{SeedableRng, rngs::StdRng};
 
+use self::{control_flow::ControlPlane, entry::EntryCalls, guard::GuardRuns};
 pub use self::{
     effect::{CallAnswer, DaemonEffect},
     event::{
@@ -47,15 +48,15 @@
         RunEnd, TimedEvent,
     },
 };
-use self::{control_flow::ControlPlane, entry::EntryCalls, guard::GuardRuns};
 use crate::{
     admission::{AdmissionOptions, AdmissionQueue, EntryGate},
     id::{AccountName, ContentDigest, DomainName, MemberId, RouteName},
+    membership::MemberRecord,
     message::LoadReport,
     quarantine::CrashQuarantine,
     retry::RetryRatio,
     routing::{RoutingOptions, UpstreamPicker},
-    settings::index::SettingsInForce,
+    settings::{Revision, index::SettingsInForce},
     time::{TimePoint, WallClock},
 };
 
@@ -189,6 +190,21 @@
         &self.settings
     }
 
+    /// Returns the revision of the settings in force here.
+    pub fn revision(&self) -> Revision {
+        self.settings.revision()
+    }
+
+    /// Returns this daemon's own membership record.
+    pub fn own_record(&self) -> &MemberRecord {
+        self.control.view.own_record()
+    }
+
+    /// Returns all members that this daemon knows.
+    pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.control.view.members()
+    }
+
     /// Returns this guard's load.
     pub fn load(&self) -> LoadReport {
         self.admission.load()
--- a/crates/ivytrail/src/reducer/call_flow.rs
+++ b/crates/ivytrail/src/reducer/call_flow.rs
@@ -173,8 +173,7 @@
     fn admit_root(&mut self, turn: &mut Turn, id: CallId) {
         let random = self.random_level();
         let Some(call) = self.entry.get(id) else { return };
-        let admitted =
-            self.gate.admit(turn.now, &call.template.route, call.template.level, random);
+        let admitted = self.gate.admit(turn.now, &call.template.route, call.template.level, random);
         if let Err(wait) = admitted {
             return self.refuse_call(turn, id, RefusalReason::Overloaded, Some(wait));
         }
@@ -308,7 +307,8 @@
     }
 
     fn ratio_of(&mut self, id: CallId) -> &mut crate::retry::RetryRatio {
-        let key = self.entry.get(id).map(|it| (it.template.route.clone(), it.template.account.clone()));
+        let key =
+            self.entry.get(id).map(|it| (it.template.route.clone(), it.template.account.clone()));
         self.ratios.entry(key.unwrap_or_default()).or_default()
     }
 
@@ -372,8 +372,7 @@
     match result {
         AttemptResult::Answered { status, .. } => *status < 500,
         AttemptResult::Refused { reason, local, .. } => {
-            !local
-                || !matches!(reason, RefusalReason::ConnectionLost | RefusalReason::BrokenAnswer)
+            !local || !matches!(reason, RefusalReason::ConnectionLost | RefusalReason::BrokenAnswer)
         }
     }
 }
--- a/crates/ivytrail/src/reducer/control_flow.rs
+++ b/crates/ivytrail/src/reducer/control_flow.rs
@@ -5,10 +5,13 @@
     LearnedFact, Turn,
 };
 use crate::{
-    id::{ContentDigest, MemberId, ServiceName, rendezvous_weight},
+    id::{AccountName, CallId, ContentDigest, MemberId, ServiceName, rendezvous_weight},
     membership::{MemberRecord, MemberState, MemberView, MembershipOptions},
     message::ControlMessage,
+    quota::QuotaVerdict,
     routing::UpstreamInfo,
+    settings::index::SettingsInForce,
+    time::TimePoint,
 };
 
 /// What this daemon shares with others, and the messages that wait to be sent.
@@ -33,6 +36,38 @@
         ControlPlane { view, outbox: ControlOutbox::new() }
     }
 
+    pub(super) fn install_accounts(&mut self, _now: TimePoint, _settings: &SettingsInForce) {}
+
+    pub(super) fn request_quota(
+        &mut self,
+        _now: TimePoint,
+        _account: &AccountName,
+        _call: CallId,
+    ) -> QuotaVerdict {
+        QuotaVerdict::Granted
+    }
+
+    pub(super) fn abandon_quota(&mut self, _call: CallId) {}
+
+    pub(super) fn claim_owner(
+        &self,
+        service: &ServiceName,
+        claim: &ContentDigest,
+    ) -> Option<MemberId> {
+        let serving = self.view.members().filter(|it| it.state == MemberState::Serving);
+        let upstreams = serving.filter(|it| it.service.as_ref() == Some(service));
+        let owner = upstreams.max_by_key(|it| rendezvous_weight(&it.member.instance, claim));
+        owner.map(|it| it.member.clone())
+    }
+
+    pub(super) fn note_contact(&mut self, now: TimePoint, member: &MemberId) {
+        self.view.note_contact(now, member);
+    }
+
+    pub(super) fn note_unreachable(&mut self, now: TimePoint, member: &MemberId) {
+        self.view.note_unreachable(now, member);
+    }
+
     pub(super) fn address_of(&self, member: &MemberId) -> Option<String> {
         self.view.get(member).map(|it| it.peer_address.clone())
     }
@@ -56,7 +91,7 @@
 
     pub(super) fn learn(&mut self, turn: &mut Turn, fact: LearnedFact) {
         match fact {
-            LearnedFact::Member(record) => self.control.view.learn(turn.now, record),
+            LearnedFact::Member(record) => self.control.view.learn(turn.now, &record),
         }
     }
 
@@ -115,8 +150,12 @@
         match (record.state, record.service) {
             (MemberState::Serving | MemberState::Draining, Some(service)) => {
                 let draining = record.state == MemberState::Draining;
-                let info =
-                    UpstreamInfo { member: record.member, domain: record.domain, service, draining };
+                let info = UpstreamInfo {
+                    member: record.member,
+                    domain: record.domain,
+                    service,
+                    draining,
+                };
                 self.picker.upsert(turn.now, info);
             }
             _ => self.picker.remove(&record.member),
--- a/crates/ivytrail/src/reducer/effect.rs
+++ b/crates/ivytrail/src/reducer/effect.rs
@@ -6,7 +6,6 @@
 
 use crate::{
     id::{AttemptId, CallId, CallToken, MemberId},
-    lease::RingDefinition,
     message::{AttemptHeader, AttemptReply, CallOutcome, ControlMessage, RefusalReason},
 };
 
@@ -79,8 +78,6 @@
         /// The message.
         message: ControlMessage,
     },
-    /// Writes a ring's next definition to the platform's table, if the epoch before it is current there.
-    ProposeRing(RingDefinition),
     /// Writes one line to the log.
     LogLine(String),
 }
--- a/crates/ivytrail/src/reducer/entry.rs
+++ b/crates/ivytrail/src/reducer/entry.rs
@@ -105,11 +105,6 @@
         }
     }
 
-    /// Returns the number of calls without a final answer.
-    pub fn len(&self) -> usize {
-        self.calls.len()
-    }
-
     /// Returns whether every call has its final answer.
     pub fn is_empty(&self) -> bool {
         self.calls.is_empty()
@@ -159,7 +154,14 @@
     /// # Panics
     ///
     /// Panics when the call is unknown or has an attempt outstanding: a call has one attempt at a time.
-    pub fn send(&mut self, now: TimePoint, id: CallId, to: MemberId, address: String, out: &mut Vec<DaemonEffect>) {
+    pub fn send(
+        &mut self,
+        now: TimePoint,
+        id: CallId,
+        to: MemberId,
+        address: String,
+        out: &mut Vec<DaemonEffect>,
+    ) {
         let serial = self.next_serial;
         self.next_serial += 1;
         let call = self.calls.get_mut(&id).expect("only a received call is sent");
@@ -210,8 +212,11 @@
                 answer: CallAnswer::Whole { status: *status, headers: headers.clone(), body },
             },
             AttemptResult::Refused { outcome, reason, retry_after, local } => {
-                let answer =
-                    CallAnswer::Refused { outcome: *outcome, reason: *reason, retry_after: *retry_after };
+                let answer = CallAnswer::Refused {
+                    outcome: *outcome,
+                    reason: *reason,
+                    retry_after: *retry_after,
+                };
                 let may_retry = *local
                     && call.template.refuse_as.is_none()
                     && (*outcome == CallOutcome::NotRun || call.template.idempotent)
@@ -273,8 +278,11 @@
         let attempt = call.outstanding.take().expect("the caller looked it up");
         call.tried.push(attempt.to);
         self.attempts.remove(&attempt.serial);
-        let answer =
-            CallAnswer::Refused { outcome, reason: RefusalReason::ConnectionLost, retry_after: None };
+        let answer = CallAnswer::Refused {
+            outcome,
+            reason: RefusalReason::ConnectionLost,
+            retry_after: None,
+        };
         let may_retry = outcome == CallOutcome::NotRun || call.template.idempotent;
         match may_retry && call.template.refuse_as.is_none() {
             true => NextStep::Retry { call: id, otherwise: answer },
@@ -304,7 +312,11 @@
     }
 
     /// Returns the calls whose deadline has passed, with the answer that each gets; sends the inquiries that are due.
-    pub fn tick(&mut self, now: TimePoint, out: &mut Vec<DaemonEffect>) -> Vec<(CallId, CallAnswer)> {
+    pub fn tick(
+        &mut self,
+        now: TimePoint,
+        out: &mut Vec<DaemonEffect>,
+    ) -> Vec<(CallId, CallAnswer)> {
         let mut expired = Vec::new();
         while let Some(&(due, id)) = self.timers.first().filter(|(due, _)| *due <= now) {
             self.timers.remove(&(due, id));
@@ -327,11 +339,6 @@
         expired
     }
 
-    /// Returns the time at which [`EntryCalls::tick`] has something to do next.
-    pub fn next_due(&self) -> Option<TimePoint> {
-        self.timers.first().map(|(due, _)| *due)
-    }
-
     fn take_attempt(&mut self, serial: u64) -> Option<(CallId, OutstandingAttempt)> {
         let id = self.attempts.remove(&serial)?;
         let attempt = self.calls.get_mut(&id)?.outstanding.take()?;
--- a/crates/ivytrail/src/reducer/event.rs
+++ b/crates/ivytrail/src/reducer/event.rs
@@ -187,6 +187,4 @@
 pub enum LearnedFact {
     /// A daemon.
     Member(crate::membership::MemberRecord),
-    /// A ring's definition.
-    Ring(crate::lease::RingDefinition),
 }
--- a/crates/ivytrail/src/reducer/guard.rs
+++ b/crates/ivytrail/src/reducer/guard.rs
@@ -59,11 +59,6 @@
         GuardRuns { runs: HashMap::new(), tokens: BTreeMap::new(), rng: StdRng::from_seed(seed) }
     }
 
-    /// Returns the number of attempts without a reply.
-    pub fn len(&self) -> usize {
-        self.runs.len()
-    }
-
     /// Returns whether every attempt has its reply.
     pub fn is_empty(&self) -> bool {
         self.runs.is_empty()
@@ -107,8 +102,13 @@
     /// # Panics
     ///
     /// Panics when the attempt is unknown or not waiting: it would run twice.
-    pub fn start(&mut self, now: TimePoint, attempt: &AttemptId) -> (CallToken, Box<AttemptHeader>, Duration) {
-        let token = CallToken((u128::from(self.rng.next_u64()) << 64) | u128::from(self.rng.next_u64()));
+    pub fn start(
+        &mut self,
+        now: TimePoint,
+        attempt: &AttemptId,
+    ) -> (CallToken, Box<AttemptHeader>, Duration) {
+        let token =
+            CallToken((u128::from(self.rng.next_u64()) << 64) | u128::from(self.rng.next_u64()));
         let run = self.runs.get_mut(attempt).expect("only a received attempt is started");
         assert_eq!(run.state, RunState::Waiting, "{attempt} is started once");
         run.state = RunState::Running { token, started_at: now };
