Add lease rings: promises, fences and epochs

Cause: daemons must agree who owns a key while the platform is down, without a consensus group. Ruled out: a lease row per owner (ends with the platform), a blocking set of votes as a fence inside an epoch (it need not meet the next epoch's majority for even sizes). Change: LeaseRing with promises counted from sending, sticky votes, single-member changes of the epoch.

--- a/crates/ivytrail/src/id.rs
+++ b/crates/ivytrail/src/id.rs
@@ -51,6 +51,10 @@
     /// Name of a failure domain, e.g. `kolkata`.
     DomainName
 );
+name_type!(
+    /// Name of a lease ring, e.g. `claims/booking`.
+    RingName
+);
 name_type!(
     /// Public identifier of a key: shown in lists and in the audit trail, worth nothing by itself.
     KeyName
--- /dev/null
+++ b/crates/ivytrail/src/lease/fence.rs
@@ -0,0 +1,111 @@
+//! Suspicion, votes and fences.
+//!
+//! A member becomes a suspect of each member that has not heard from it for longer than its promise. When as many
+//! members suspect it as would block its lease, they vote. A vote lasts for as long as the voter: it never promises to
+//! that member again, in any epoch. A majority of votes is a fence.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{MemberStanding, RingDefinition};
+use crate::{id::MemberId, time::TimePoint};
+
+/// The suspects that one member has reported.
+#[derive(Debug)]
+struct SuspectReport {
+    at: TimePoint,
+    suspects: Vec<MemberId>,
+}
+
+/// What this daemon knows of votes and fences.
+#[derive(Debug, Default)]
+pub(super) struct FenceBook {
+    /// Votes of this daemon; they survive changes of the epoch.
+    mine: BTreeSet<MemberId>,
+    /// Votes of others in this epoch, by the member that they are against.
+    votes: BTreeMap<MemberId, BTreeSet<MemberId>>,
+    /// Latest report of each other member in this epoch.
+    reports: BTreeMap<MemberId, SuspectReport>,
+    /// Members that this daemon suspects.
+    suspects: BTreeSet<MemberId>,
+    /// Members that can never hold the lease again, and when this daemon learned it.
+    fences: BTreeMap<MemberId, TimePoint>,
+}
+
+impl FenceBook {
+    /// Starts an epoch: votes and reports of others count only in the epoch in which they were sent.
+    pub(super) fn start_epoch(&mut self, definition: &RingDefinition) {
+        self.votes.clear();
+        self.reports.clear();
+        self.suspects.clear();
+        self.mine.retain(|member| definition.contains(member));
+    }
+
+    /// Takes in what `from` has said in this epoch.
+    pub(super) fn absorb(&mut self, now: TimePoint, from: &MemberId, standing: &MemberStanding) {
+        for target in &standing.votes {
+            self.votes.entry(target.clone()).or_default().insert(from.clone());
+        }
+        for target in &standing.fenced {
+            self.fence(now, target);
+        }
+        let report = SuspectReport { at: now, suspects: standing.suspects.clone() };
+        self.reports.insert(from.clone(), report);
+    }
+
+    /// Replaces this daemon's own suspects.
+    pub(super) fn suspect(&mut self, suspects: BTreeSet<MemberId>) {
+        self.suspects = suspects;
+    }
+
+    /// Returns how many members suspect `target`, counting reports since `oldest`.
+    pub(super) fn suspicion(&self, target: &MemberId, oldest: TimePoint) -> usize {
+        let others = self
+            .reports
+            .values()
+            .filter(|report| oldest <= report.at && report.suspects.contains(target))
+            .count();
+        others + usize::from(self.suspects.contains(target))
+    }
+
+    /// Returns whether any vote against `target` is known.
+    pub(super) fn is_doubted(&self, target: &MemberId) -> bool {
+        self.mine.contains(target) || self.votes.contains_key(target)
+    }
+
+    /// Votes to fence `target`.
+    pub(super) fn vote(&mut self, target: &MemberId) {
+        self.mine.insert(target.clone());
+    }
+
+    /// Returns the number of known votes against `target` in this epoch.
+    pub(super) fn tally(&self, target: &MemberId) -> usize {
+        self.votes.get(target).map_or(0, BTreeSet::len) + usize::from(self.mine.contains(target))
+    }
+
+    /// Records that `target` can never hold the lease again.
+    pub(super) fn fence(&mut self, now: TimePoint, target: &MemberId) {
+        self.fences.entry(target.clone()).or_insert(now);
+    }
+
+    /// Returns when this daemon learned that `target` is fenced.
+    pub(super) fn fenced_at(&self, target: &MemberId) -> Option<TimePoint> {
+        self.fences.get(target).copied()
+    }
+
+    /// Forgets fences of members that `is_needed` no longer names.
+    pub(super) fn prune<F>(&mut self, is_needed: F)
+    where
+        F: Fn(&MemberId) -> bool,
+    {
+        self.fences.retain(|member, _| is_needed(member));
+    }
+
+    /// Returns the view to send; `definition` limits it to current members.
+    pub(super) fn standing(&self, definition: &RingDefinition) -> MemberStanding {
+        MemberStanding {
+            suspects: self.suspects.iter().cloned().collect(),
+            votes: self.mine.iter().cloned().collect(),
+            fenced: self.fences.keys().filter(|it| definition.contains(it)).cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ivytrail/src/lease/history.rs
@@ -0,0 +1,121 @@
+//! Earlier epochs, and who may have owned a key before.
+
+use std::time::Duration;
+
+use super::RingDefinition;
+use crate::{
+    id::{ContentDigest, MemberId, rendezvous_weight},
+    time::TimePoint,
+};
+
+/// A member that may have owned a key before this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PriorOwner {
+    /// The member, or `None` when this daemon knows only that there were earlier owners.
+    pub member: Option<MemberId>,
+    /// A point by which it had stopped owning the key, on this daemon's clock.
+    pub until: TimePoint,
+    /// Whether it can still be asked what became of the key.
+    pub living: bool,
+}
+
+/// A replaced epoch.
+#[derive(Debug)]
+struct PastEpoch {
+    definition: RingDefinition,
+    /// When this daemon first held its lease in a later epoch.
+    replaced_at: Option<TimePoint>,
+}
+
+/// The epochs that this daemon has seen replaced.
+#[derive(Debug, Default)]
+pub(super) struct EpochHistory {
+    past: Vec<PastEpoch>,
+    /// End of the time of which this daemon knows nothing, unless it has been there since the first epoch.
+    unknown_until: Option<TimePoint>,
+}
+
+impl EpochHistory {
+    /// Appends a replaced epoch.
+    pub(super) fn push(&mut self, definition: RingDefinition) {
+        self.past.push(PastEpoch { definition, replaced_at: None });
+    }
+
+    /// Records that this daemon joined a ring which others had before.
+    pub(super) fn join(&mut self, before: RingDefinition) {
+        self.push(before);
+        self.unknown_until = Some(TimePoint::from_micros(u64::MAX));
+    }
+
+    /// Records the first lease in the current epoch: from now on no lease of an earlier epoch can stand.
+    pub(super) fn close(&mut self, now: TimePoint) {
+        for epoch in self.past.iter_mut().filter(|epoch| epoch.replaced_at.is_none()) {
+            epoch.replaced_at = Some(now);
+        }
+        self.unknown_until = self.unknown_until.map(|until| until.min(now));
+    }
+
+    /// Returns the members of all epochs that are not closed yet.
+    pub(super) fn unclosed(&self) -> impl Iterator<Item = &MemberId> {
+        self.past
+            .iter()
+            .filter(|epoch| epoch.replaced_at.is_none())
+            .flat_map(|epoch| epoch.definition.members.iter().map(|it| &it.member))
+    }
+
+    /// Forgets epochs that were replaced more than `span` ago.
+    pub(super) fn prune(&mut self, now: TimePoint, span: Duration) {
+        let is_recent = |at: TimePoint| now.since(at) <= span;
+        self.past.retain(|epoch| epoch.replaced_at.is_none_or(is_recent));
+        self.unknown_until = self.unknown_until.filter(|until| is_recent(*until));
+    }
+
+    /// Returns whether a remembered epoch has `member`.
+    pub(super) fn names(&self, member: &MemberId) -> bool {
+        self.past.iter().any(|epoch| epoch.definition.contains(member))
+    }
+
+    /// Appends to `priors` who may have owned the key before the current epoch, the latest first.
+    ///
+    /// The walk ends at a living member: that one answers for all before it.
+    pub(super) fn walk<F>(
+        &self,
+        digest: &ContentDigest,
+        me: &MemberId,
+        fenced_at: F,
+        priors: &mut Vec<PriorOwner>,
+    ) where
+        F: Fn(&MemberId) -> Option<TimePoint>,
+    {
+        for epoch in self.past.iter().rev() {
+            let end = epoch.replaced_at.unwrap_or(TimePoint::from_micros(u64::MAX));
+            for member in owners_in_order(&epoch.definition, digest) {
+                if member == me {
+                    break;
+                }
+                let fence = fenced_at(member);
+                priors.push(PriorOwner {
+                    member: Some(member.clone()),
+                    until: fence.unwrap_or(end),
+                    living: fence.is_none(),
+                });
+                if fence.is_none() {
+                    return;
+                }
+            }
+        }
+        if let Some(until) = self.unknown_until {
+            priors.push(PriorOwner { member: None, until, living: false });
+        }
+    }
+}
+
+/// Returns the members in rendezvous order, the first owner first.
+pub(super) fn owners_in_order<'a>(
+    definition: &'a RingDefinition,
+    digest: &ContentDigest,
+) -> Vec<&'a MemberId> {
+    let mut members: Vec<&MemberId> = definition.members.iter().map(|it| &it.member).collect();
+    members.sort_by_key(|it| (std::cmp::Reverse(rendezvous_weight(&it.instance, digest)), *it));
+    members
+}
--- /dev/null
+++ b/crates/ivytrail/src/lease/ring.rs
@@ -0,0 +1,493 @@
+//! The state of one member of one ring.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{
+    LeaseBody, LeaseMessage, LeaseOptions, PriorOwner, RingDefinition, RingMember,
+    fence::FenceBook,
+    grant::GrantBook,
+    history::{EpochHistory, owners_in_order},
+};
+use crate::{
+    id::{ContentDigest, DomainName, MemberId, RingName},
+    time::TimePoint,
+};
+
+/// A lease without end: that of the only member of a ring.
+const NO_END: TimePoint = TimePoint::from_micros(u64::MAX);
+
+/// One member's part in a ring: asker, voter and judge of who owns a key.
+///
+/// It is driven by [`LeaseRing::receive`] and, at least every [`LeaseOptions::renew_every`], by [`LeaseRing::tick`].
+/// A daemon that is no member may install definitions too; it never holds the lease then, but can tell the owner.
+///
+/// # Limits
+///
+/// A ring that has lost its majority has no owner until members return as newer incarnations or a change of the epoch
+/// is written. A ring of two has no owner when one is lost until the platform takes such a change.
+#[derive(Debug)]
+pub struct LeaseRing {
+    me: MemberId,
+    options: LeaseOptions,
+    definition: Option<RingDefinition>,
+    installed_at: TimePoint,
+    next_ask: TimePoint,
+    /// Ends of the promises held in this epoch, on this daemon's clock.
+    promises: BTreeMap<MemberId, TimePoint>,
+    /// Whether this daemon has promised to itself in this epoch.
+    self_granted: bool,
+    /// Whether this daemon has held its lease in this epoch.
+    was_active: bool,
+    has_left: bool,
+    is_expelled: bool,
+    grants: GrantBook,
+    fences: FenceBook,
+    history: EpochHistory,
+}
+
+impl LeaseRing {
+    /// Returns a ring without a definition, in which nobody owns anything.
+    pub fn new(me: MemberId, options: LeaseOptions) -> LeaseRing {
+        LeaseRing {
+            me,
+            options,
+            definition: None,
+            installed_at: TimePoint::ORIGIN,
+            next_ask: TimePoint::ORIGIN,
+            promises: BTreeMap::new(),
+            self_granted: false,
+            was_active: false,
+            has_left: false,
+            is_expelled: false,
+            grants: GrantBook::default(),
+            fences: FenceBook::default(),
+            history: EpochHistory::default(),
+        }
+    }
+
+    /// Returns the daemon whose part this is.
+    pub fn me(&self) -> &MemberId {
+        &self.me
+    }
+
+    /// Returns the definition in force here.
+    pub fn definition(&self) -> Option<&RingDefinition> {
+        self.definition.as_ref()
+    }
+
+    /// Installs a definition read from the table or heard from a member; an epoch that is not newer is ignored.
+    pub fn install(&mut self, now: TimePoint, definition: RingDefinition) {
+        if definition.epoch <= self.epoch() {
+            return;
+        }
+        let is_member = definition.contains(&self.me);
+        match self.definition.take() {
+            Some(past) => {
+                self.is_expelled |= past.contains(&self.me) && !is_member;
+                if past.contains(&self.me) {
+                    self.history.push(past);
+                }
+            }
+            None => {}
+        }
+        if is_member && !self.was_member() {
+            self.join(&definition);
+        }
+        self.fences.start_epoch(&definition);
+        self.definition = Some(definition);
+        self.installed_at = now;
+        self.next_ask = now;
+        self.promises.clear();
+        self.self_granted = false;
+        self.was_active = false;
+        self.refresh(now);
+    }
+
+    /// Takes in a message and appends the answers to `out`.
+    pub fn receive(
+        &mut self,
+        now: TimePoint,
+        from: &MemberId,
+        message: LeaseMessage,
+        out: &mut Vec<(MemberId, LeaseMessage)>,
+    ) {
+        if self.definition.as_ref().is_some_and(|it| it.name != message.ring) {
+            return;
+        }
+        self.grants.hear(now, from, message.epoch);
+        self.end_older_incarnations(now, from);
+        match message.body {
+            LeaseBody::Definition(definition) => self.install(now, definition),
+            LeaseBody::Leave => self.fences.fence(now, from),
+            _ if message.epoch < self.epoch() => self.send_definition(from, out),
+            _ if self.epoch() < message.epoch => {
+                out.push((from.clone(), self.message_in(&message.ring, LeaseBody::Behind)));
+            }
+            LeaseBody::Ask { sent, standing } => {
+                self.fences.absorb(now, from, &standing);
+                self.answer(now, from, sent, out);
+            }
+            LeaseBody::Reply { sent, granted, standing } => {
+                self.fences.absorb(now, from, &standing);
+                self.count_promise(from, sent, granted);
+            }
+            LeaseBody::Behind => {}
+        }
+        self.refresh(now);
+    }
+
+    /// Asks for promises when they are due, votes, and appends the messages to `out`.
+    pub fn tick(&mut self, now: TimePoint, out: &mut Vec<(MemberId, LeaseMessage)>) {
+        self.refresh(now);
+        if now < self.next_ask || !self.is_member() {
+            return;
+        }
+        self.next_ask = now.plus(self.options.renew_every);
+        self.prune(now);
+        self.send_round(now, out);
+    }
+
+    /// Returns whether this daemon holds its lease at `now`.
+    ///
+    /// It must be checked at the moment of each start of a run, which must follow within
+    /// [`LeaseOptions::run_window`].
+    pub fn holds_lease(&self, now: TimePoint) -> bool {
+        now < self.lease_end()
+    }
+
+    /// Returns the end of the lease on this daemon's clock; the origin when there is none.
+    pub fn lease_end(&self) -> TimePoint {
+        let Some(definition) = self.acting_definition() else { return TimePoint::ORIGIN };
+        let needed = definition.majority() - usize::from(self.self_granted);
+        if needed == 0 {
+            return NO_END;
+        }
+        let mut ends: Vec<TimePoint> = self.promises.values().copied().collect();
+        ends.sort_unstable_by(|left, right| right.cmp(left));
+        ends.get(needed - 1).copied().unwrap_or(TimePoint::ORIGIN)
+    }
+
+    /// Returns the first member in the key's order that is not known to be fenced.
+    pub fn owner_of(&self, digest: &ContentDigest) -> Option<MemberId> {
+        let definition = self.definition.as_ref()?;
+        owners_in_order(definition, digest)
+            .into_iter()
+            .find(|member| self.fences.fenced_at(member).is_none())
+            .cloned()
+    }
+
+    /// Returns whether this daemon is the owner of the key at `now`: it is the first unfenced and holds its lease.
+    pub fn owns(&self, now: TimePoint, digest: &ContentDigest) -> bool {
+        self.holds_lease(now) && self.owner_of(digest).as_ref() == Some(&self.me)
+    }
+
+    /// Returns when this daemon learned that `member` can never hold the lease again.
+    pub fn fence_of(&self, member: &MemberId) -> Option<TimePoint> {
+        self.fences.fenced_at(member)
+    }
+
+    /// Returns whether this incarnation can never hold the lease again, so that the daemon has to start anew.
+    pub fn is_expelled(&self) -> bool {
+        self.is_expelled || self.fences.fenced_at(&self.me).is_some()
+    }
+
+    /// Returns who may have owned the key before this daemon, the latest first.
+    ///
+    /// A member that asks is left out by `asker`: it is the one that wants to know.
+    pub fn priors_of(&self, digest: &ContentDigest, asker: Option<&MemberId>) -> Vec<PriorOwner> {
+        let mut priors = Vec::new();
+        let Some(definition) = self.definition.as_ref() else { return priors };
+        for member in owners_in_order(definition, digest) {
+            if *member == self.me {
+                break;
+            }
+            let fence = self.fences.fenced_at(member);
+            priors.push(PriorOwner {
+                member: Some(member.clone()),
+                until: fence.unwrap_or(NO_END),
+                living: fence.is_none(),
+            });
+        }
+        self.history.walk(digest, &self.me, |it| self.fences.fenced_at(it), &mut priors);
+        priors.retain(|prior| asker.is_none() || prior.member.as_ref() != asker);
+        priors
+    }
+
+    /// Returns the next definition to write by compare-and-set, if a change is wanted.
+    ///
+    /// `alive` are the daemons that could be members, as the membership view has them. Fenced members are dropped
+    /// before others are added, one at a time.
+    pub fn wanted_change(&self, now: TimePoint, alive: &[RingMember]) -> Option<RingDefinition> {
+        let definition = self.definition.as_ref()?;
+        if !self.is_member() {
+            return self.refound(definition, alive);
+        }
+        if !self.was_active || self.acting_definition().is_none() {
+            return None;
+        }
+        match self.member_to_drop(definition, alive) {
+            Some(gone) => {
+                let members = definition.members.iter().filter(|it| it.member != gone);
+                Some(next_definition(definition, members.cloned().collect()))
+            }
+            None if !self.holds_lease(now) || self.has_doubts(definition) => None,
+            None => {
+                let added = self.member_to_add(definition, alive)?;
+                let mut members = definition.members.clone();
+                members.push(added);
+                Some(next_definition(definition, members))
+            }
+        }
+    }
+
+    /// Stops acting as an owner for good and tells the others. The daemon still answers as a voter.
+    pub fn leave(&mut self, now: TimePoint, out: &mut Vec<(MemberId, LeaseMessage)>) {
+        self.has_left = true;
+        self.next_ask = now.plus(self.options.renew_every);
+        self.send_round(now, out);
+    }
+
+    fn epoch(&self) -> u64 {
+        self.definition.as_ref().map_or(0, |definition| definition.epoch)
+    }
+
+    fn is_member(&self) -> bool {
+        self.definition.as_ref().is_some_and(|definition| definition.contains(&self.me))
+    }
+
+    fn was_member(&self) -> bool {
+        self.history.names(&self.me)
+    }
+
+    /// Returns the definition while this daemon may act under it.
+    fn acting_definition(&self) -> Option<&RingDefinition> {
+        self.definition
+            .as_ref()
+            .filter(|it| it.contains(&self.me) && !self.has_left && !self.is_expelled())
+    }
+
+    /// Starts the history of a daemon that comes into a ring.
+    fn join(&mut self, definition: &RingDefinition) {
+        if definition.epoch == 1 {
+            return;
+        }
+        let mut before = definition.clone();
+        before.epoch -= 1;
+        before.members.retain(|it| it.member != self.me);
+        self.history.join(before);
+    }
+
+    /// Fences older incarnations of the instance of `from`, which its newer one proves to have ended.
+    fn end_older_incarnations(&mut self, now: TimePoint, from: &MemberId) {
+        let Some(definition) = self.definition.as_ref() else { return };
+        for member in definition.members.iter().map(|it| &it.member) {
+            if is_newer(from, member) {
+                self.fences.fence(now, member);
+            }
+        }
+    }
+
+    /// Answers a request for a promise.
+    fn answer(
+        &mut self,
+        now: TimePoint,
+        from: &MemberId,
+        sent: TimePoint,
+        out: &mut Vec<(MemberId, LeaseMessage)>,
+    ) {
+        self.refresh(now);
+        let Some(definition) = self.definition.as_ref() else { return };
+        let granted = self.is_member()
+            && definition.contains(from)
+            && self.self_granted
+            && !self.fences.is_doubted(from)
+            && self.fences.fenced_at(from).is_none();
+        if granted {
+            self.grants.grant(from, definition.epoch, now.plus(self.options.promise));
+        }
+        let standing = self.fences.standing(definition);
+        out.push((from.clone(), self.message(LeaseBody::Reply { sent, granted, standing })));
+    }
+
+    /// Counts a promise from the sending of the request, which lies before the voter's answer.
+    fn count_promise(&mut self, from: &MemberId, sent: TimePoint, granted: bool) {
+        if !granted || !self.definition.as_ref().is_some_and(|it| it.contains(from)) {
+            return;
+        }
+        let end = sent.plus(self.options.reliance());
+        let promise = self.promises.entry(from.clone()).or_insert(end);
+        *promise = (*promise).max(end);
+    }
+
+    /// Brings suspicion, votes, fences and the state of the own lease up to `now`.
+    fn refresh(&mut self, now: TimePoint) {
+        if !self.is_member() {
+            return;
+        }
+        let Some(definition) = self.definition.take() else { return };
+        self.self_granted = self.self_granted
+            || self
+                .grants
+                .is_clear(now, definition.epoch, |it| self.fences.fenced_at(it).is_some());
+        self.judge(now, &definition);
+        self.definition = Some(definition);
+        if !self.was_active && self.holds_lease(now) {
+            self.activate(now);
+        }
+    }
+
+    /// Suspects, votes and fences.
+    fn judge(&mut self, now: TimePoint, definition: &RingDefinition) {
+        let others = || definition.members.iter().map(|it| &it.member).filter(|it| **it != self.me);
+        let silent: BTreeSet<MemberId> =
+            others().filter(|it| self.is_silent(now, it)).cloned().collect();
+        let targets: Vec<MemberId> = others().cloned().collect();
+        self.fences.suspect(silent);
+        let oldest = now.minus(self.options.promise);
+        for target in targets {
+            let is_suspect = definition.blocking() <= self.fences.suspicion(&target, oldest)
+                && self.is_silent(now, &target);
+            let may_vote = self.is_released(now, &target);
+            if may_vote && (is_suspect || self.fences.is_doubted(&target)) {
+                self.fences.vote(&target);
+            }
+            if definition.majority() <= self.fences.tally(&target) {
+                self.fences.fence(now, &target);
+            }
+        }
+    }
+
+    /// Returns whether the promise to `member` and the margin after it have ended.
+    fn is_released(&self, now: TimePoint, member: &MemberId) -> bool {
+        self.grants
+            .granted_until(member)
+            .is_none_or(|until| until.plus(self.options.fence_margin) <= now)
+    }
+
+    /// Returns whether `member` has not been heard from for longer than a promise and its margin.
+    fn is_silent(&self, now: TimePoint, member: &MemberId) -> bool {
+        let heard = self.grants.heard_at(member).unwrap_or(TimePoint::ORIGIN);
+        let patience = self.options.promise + self.options.fence_margin;
+        heard.max(self.installed_at).plus(patience) <= now && self.is_released(now, member)
+    }
+
+    /// Records the first lease of this epoch: from now on no lease of an earlier epoch stands, so that members that
+    /// are no longer in the definition can't hold one again.
+    fn activate(&mut self, now: TimePoint) {
+        self.was_active = true;
+        let gone: Vec<MemberId> = self
+            .history
+            .unclosed()
+            .filter(|it| !self.definition.as_ref().is_some_and(|now_in| now_in.contains(it)))
+            .cloned()
+            .collect();
+        for member in gone {
+            self.fences.fence(now, &member);
+        }
+        self.history.close(now);
+    }
+
+    fn prune(&mut self, now: TimePoint) {
+        self.history.prune(now, self.options.history);
+        let definition = self.definition.as_ref();
+        let history = &self.history;
+        let is_needed = |it: &MemberId| {
+            history.names(it) || definition.is_some_and(|now_in| now_in.contains(it))
+        };
+        self.grants.prune(now, is_needed);
+        self.fences.prune(is_needed);
+    }
+
+    /// Sends one round of requests, or of farewells after [`LeaseRing::leave`].
+    fn send_round(&self, now: TimePoint, out: &mut Vec<(MemberId, LeaseMessage)>) {
+        let Some(definition) = self.definition.as_ref() else { return };
+        let standing = self.fences.standing(definition);
+        let body = match self.has_left {
+            true => LeaseBody::Leave,
+            false => LeaseBody::Ask { sent: now, standing },
+        };
+        let others = definition.members.iter().filter(|it| it.member != self.me);
+        out.extend(others.map(|it| (it.member.clone(), self.message(body.clone()))));
+    }
+
+    fn send_definition(&self, to: &MemberId, out: &mut Vec<(MemberId, LeaseMessage)>) {
+        if let Some(definition) = &self.definition {
+            out.push((to.clone(), self.message(LeaseBody::Definition(definition.clone()))));
+        }
+    }
+
+    fn message(&self, body: LeaseBody) -> LeaseMessage {
+        let name = self.definition.as_ref().map(|it| it.name.clone()).unwrap_or_default();
+        self.message_in(&name, body)
+    }
+
+    fn message_in(&self, name: &RingName, body: LeaseBody) -> LeaseMessage {
+        LeaseMessage { ring: name.clone(), epoch: self.epoch(), body }
+    }
+
+    /// Returns whether any vote against a member of this epoch is known.
+    fn has_doubts(&self, definition: &RingDefinition) -> bool {
+        definition.members.iter().any(|it| self.fences.is_doubted(&it.member))
+    }
+
+    fn member_to_drop(
+        &self,
+        definition: &RingDefinition,
+        alive: &[RingMember],
+    ) -> Option<MemberId> {
+        let mut others =
+            definition.members.iter().map(|it| &it.member).filter(|it| **it != self.me);
+        others
+            .find(|it| {
+                self.fences.fenced_at(it).is_some()
+                    || definition.blocking() <= self.fences.tally(it)
+                    || alive.iter().any(|other| is_newer(&other.member, it))
+            })
+            .cloned()
+    }
+
+    /// Returns the daemon to add: one of the failure domain that has the fewest members.
+    fn member_to_add(
+        &self,
+        definition: &RingDefinition,
+        alive: &[RingMember],
+    ) -> Option<RingMember> {
+        if self.options.max_members <= definition.members.len() {
+            return None;
+        }
+        let in_domain = |domain: &DomainName| {
+            definition.members.iter().filter(|it| it.domain == *domain).count()
+        };
+        alive
+            .iter()
+            .filter(|it| {
+                !definition.members.iter().any(|old| old.member.instance == it.member.instance)
+            })
+            .filter(|it| self.fences.fenced_at(&it.member).is_none())
+            .filter(|it| !alive.iter().any(|other| is_newer(&other.member, &it.member)))
+            .min_by_key(|it| (in_domain(&it.domain), &it.member))
+            .cloned()
+    }
+
+    /// Returns a definition of new members when newer incarnations prove that every member has ended.
+    fn refound(&self, definition: &RingDefinition, alive: &[RingMember]) -> Option<RingDefinition> {
+        let has_ended = |old: &RingMember| alive.iter().any(|it| is_newer(&it.member, &old.member));
+        if self.is_expelled || !definition.members.iter().all(has_ended) {
+            return None;
+        }
+        let mut members = alive.to_vec();
+        members.retain(|it| !alive.iter().any(|other| is_newer(&other.member, &it.member)));
+        members.sort();
+        members.truncate(self.options.max_members);
+        members.iter().any(|it| it.member == self.me).then(|| next_definition(definition, members))
+    }
+}
+
+/// Returns whether `newer` is a later incarnation of the instance of `older`.
+fn is_newer(newer: &MemberId, older: &MemberId) -> bool {
+    newer.instance == older.instance && older.incarnation < newer.incarnation
+}
+
+fn next_definition(definition: &RingDefinition, members: Vec<RingMember>) -> RingDefinition {
+    RingDefinition { name: definition.name.clone(), epoch: definition.epoch + 1, members }
+}
--- /dev/null
+++ b/crates/ivytrail/src/lease/tests.rs
@@ -0,0 +1,158 @@
+use std::time::Duration;
+
+use super::*;
+use crate::id::ContentDigest;
+
+fn member(name: &str, incarnation: u64) -> MemberId {
+    MemberId { instance: name.into(), incarnation }
+}
+
+fn definition(epoch: u64, names: &[&str]) -> RingDefinition {
+    let members = names
+        .iter()
+        .map(|name| RingMember { member: member(name, 1), domain: "kolkata".into() })
+        .collect();
+    RingDefinition { name: "claims/booking".into(), epoch, members }
+}
+
+fn rings(names: &[&str]) -> Vec<LeaseRing> {
+    names
+        .iter()
+        .map(|name| {
+            let mut ring = LeaseRing::new(member(name, 1), LeaseOptions::default());
+            ring.install(TimePoint::ORIGIN, definition(1, names));
+            ring
+        })
+        .collect()
+}
+
+/// Ticks the rings named by `up` at `now` and carries their messages at once; the others are silent.
+fn round(rings: &mut [LeaseRing], up: &[usize], now: TimePoint) {
+    let mut queue = Vec::new();
+    for &idx in up {
+        let mut out = Vec::new();
+        rings[idx].tick(now, &mut out);
+        queue.extend(out.into_iter().map(|(to, message)| (idx, to, message)));
+    }
+    while let Some((from, to, message)) = queue.pop() {
+        let sender = rings[from].me().clone();
+        let Some(idx) = up.iter().copied().find(|&idx| *rings[idx].me() == to) else { continue };
+        let mut out = Vec::new();
+        rings[idx].receive(now, &sender, message, &mut out);
+        queue.extend(out.into_iter().map(|(to, message)| (idx, to, message)));
+    }
+}
+
+fn run(rings: &mut [LeaseRing], up: &[usize], from_s: u64, to_s: u64) {
+    for tenth in from_s * 10..to_s * 10 {
+        round(rings, up, TimePoint::from_millis(tenth * 100));
+    }
+}
+
+#[test]
+fn all_hold_the_lease_in_calm_and_exactly_one_owns_a_key() {
+    let mut rings = rings(&["a", "b", "c"]);
+    let digest = ContentDigest::of_parts(&[b"key"]);
+
+    run(&mut rings, &[0, 1, 2], 0, 10);
+
+    let now = TimePoint::from_millis(10_000);
+    assert!(rings.iter().all(|ring| ring.holds_lease(now)));
+    assert_eq!(rings.iter().filter(|ring| ring.owns(now, &digest)).count(), 1);
+}
+
+#[test]
+fn a_silent_member_loses_its_lease_before_it_is_fenced() {
+    let mut rings = rings(&["a", "b", "c"]);
+    run(&mut rings, &[0, 1, 2], 0, 10);
+
+    run(&mut rings, &[1, 2], 10, 20);
+
+    let fence = rings[1].fence_of(&member("a", 1)).unwrap();
+    assert!(rings[0].lease_end() < fence);
+    assert!(fence < TimePoint::from_millis(16_000));
+    assert!(!rings[0].holds_lease(fence));
+}
+
+#[test]
+fn a_fenced_member_that_wakes_never_holds_the_lease_again() {
+    let mut rings = rings(&["a", "b", "c"]);
+    run(&mut rings, &[0, 1, 2], 0, 10);
+    run(&mut rings, &[1, 2], 10, 20);
+
+    run(&mut rings, &[0, 1, 2], 20, 40);
+
+    assert!(!rings[0].holds_lease(TimePoint::from_millis(40_000)));
+    assert!(rings[0].is_expelled());
+}
+
+#[test]
+fn a_ring_of_two_has_no_owner_without_its_other_member_until_a_change_is_written() {
+    let mut rings = rings(&["a", "b"]);
+    run(&mut rings, &[0, 1], 0, 10);
+    run(&mut rings, &[1], 10, 20);
+    let now = TimePoint::from_millis(20_000);
+    assert!(!rings[1].holds_lease(now));
+
+    let change = rings[1].wanted_change(now, &[]).unwrap();
+    rings[1].install(now, change.clone());
+
+    assert_eq!(change, definition(2, &["b"]));
+    assert!(rings[1].holds_lease(now));
+    assert!(!rings[0].holds_lease(now));
+}
+
+#[test]
+fn a_member_is_added_only_after_a_fenced_one_is_dropped() {
+    let mut rings = rings(&["a", "b", "c"]);
+    run(&mut rings, &[0, 1, 2], 0, 10);
+    run(&mut rings, &[1, 2], 10, 20);
+    let now = TimePoint::from_millis(20_000);
+    let alive = [RingMember { member: member("d", 1), domain: "durgapur".into() }];
+
+    let first = rings[1].wanted_change(now, &alive).unwrap();
+    for ring in &mut rings[1..] {
+        ring.install(now, first.clone());
+    }
+    run(&mut rings, &[1, 2], 20, 22);
+    let second = rings[1].wanted_change(TimePoint::from_millis(22_000), &alive).unwrap();
+
+    assert_eq!(first, definition(2, &["b", "c"]));
+    assert!(second.contains(&member("d", 1)));
+    assert_eq!(second.members.len(), 3);
+}
+
+#[test]
+fn a_clean_leave_passes_ownership_on_at_once() {
+    let mut rings = rings(&["a", "b", "c"]);
+    run(&mut rings, &[0, 1, 2], 0, 10);
+    let now = TimePoint::from_millis(10_000);
+    let mut out = Vec::new();
+
+    rings[0].leave(now, &mut out);
+    for (to, message) in out {
+        let idx = rings.iter().position(|ring| *ring.me() == to).unwrap();
+        rings[idx].receive(now, &member("a", 1), message, &mut Vec::new());
+    }
+
+    assert!(!rings[0].holds_lease(now));
+    assert_eq!(rings[1].fence_of(&member("a", 1)), Some(now));
+    assert!(rings[1].holds_lease(now) && rings[2].holds_lease(now));
+}
+
+#[test]
+fn a_promise_counts_from_the_sending_of_its_request() {
+    let mut ring = rings(&["a", "b"]).remove(0);
+    let sent = TimePoint::from_millis(1_000);
+    let reply = LeaseMessage {
+        ring: "claims/booking".into(),
+        epoch: 1,
+        body: LeaseBody::Reply { sent, granted: true, standing: MemberStanding::default() },
+    };
+
+    ring.receive(TimePoint::from_millis(3_000), &member("b", 1), reply, &mut Vec::new());
+
+    let reliance = LeaseOptions::default().reliance();
+    assert_eq!(ring.lease_end(), sent.plus(reliance));
+    assert_eq!(reliance, Duration::from_millis(3_992));
+}
