Add meshes, a cluster of processes and the demo

Cause: a new user has to see the whole path work during overload, with one command. Ruled out: effects read from running backend servers only (a killed one takes its counts along); ports from the range of outgoing connections, which the load itself would take. Change: both firms' meshes at a tenth of their slots, processes that end with their holders, the demo with a surge, a greedy client account, a killed node and a frozen daemon.

--- a/crates/ivytrail-fakes/src/lib.rs
+++ b/crates/ivytrail-fakes/src/lib.rs
@@ -6,5 +6,11 @@
 pub mod answer;
 pub mod backend;
 pub mod caller;
+pub mod cluster;
+pub mod demo;
+pub mod direct;
+pub mod mesh;
+pub mod operator;
 pub mod platform;
+pub mod process;
 pub mod server;
