Add the claim table and the attempt ledger

Cause: a non-idempotent request must run at most once, also for resends through another daemon. Ruled out: a claim row per request (several hundred table writes a second for the fleet, nothing runs in an outage). Change: ClaimTable with takeover doubt, questions to living earlier owners and handover; AttemptLedger with tombstones; a change of the epoch keeps every fence in force by requiring known votes that still block.

--- /dev/null
+++ b/crates/ivytrail/src/claim/tests.rs
@@ -0,0 +1,173 @@
+use super::*;
+use crate::{
+    id::InstanceName,
+    message::CallOutcome,
+    time::{TimePoint, WallClock},
+};
+
+const START_MS: u64 = 1_800_000_000_000;
+
+fn member(name: &str) -> MemberId {
+    MemberId { instance: InstanceName::from(name), incarnation: 1 }
+}
+
+fn attempt(serial: u64) -> AttemptId {
+    AttemptId { entry: member("entry"), serial }
+}
+
+fn key(name: &str) -> ContentDigest {
+    ContentDigest::of_parts(&[name.as_bytes()])
+}
+
+fn offer(serial: u64, made_ms: Option<u64>, priors: &[PriorOwner]) -> ClaimOffer {
+    ClaimOffer {
+        claim: key("key"),
+        fingerprint: key("body"),
+        made_ms,
+        attempt: attempt(serial),
+        priors: priors.to_vec(),
+    }
+}
+
+fn answer(size: usize) -> StoredAnswer {
+    StoredAnswer { status: 201, headers: Vec::new(), body: Bytes::from(vec![7; size]) }
+}
+
+fn at(seconds: u64) -> TimePoint {
+    TimePoint::from_millis(seconds * 1_000)
+}
+
+fn wall(seconds: u64) -> WallClock {
+    WallClock::from_millis(START_MS + seconds * 1_000)
+}
+
+fn table() -> ClaimTable {
+    ClaimTable::new(ClaimOptions::default())
+}
+
+fn prior(seconds: u64, living: bool) -> PriorOwner {
+    PriorOwner { member: Some(member("prior")), until: at(seconds), living }
+}
+
+#[test]
+fn a_resend_joins_the_run_and_gets_its_answer() {
+    let mut table = table();
+
+    let first = table.offer(at(1), wall(1), &offer(1, None, &[]));
+    let second = table.offer(at(2), wall(2), &offer(2, None, &[]));
+    let joined = table.settle(at(3), &key("key"), ClaimEnd::Answered(answer(10)));
+    let third = table.offer(at(4), wall(4), &offer(3, None, &[]));
+
+    assert_eq!(first, ClaimVerdict::Run);
+    assert_eq!(second, ClaimVerdict::Join);
+    assert_eq!(joined, [attempt(2)]);
+    assert_eq!(third, ClaimVerdict::Replay(answer(10)));
+}
+
+#[test]
+fn a_key_used_with_another_request_is_refused() {
+    let mut table = table();
+    table.offer(at(1), wall(1), &offer(1, None, &[]));
+    let other = ClaimOffer { fingerprint: key("other body"), ..offer(2, None, &[]) };
+
+    let verdict = table.offer(at(2), wall(2), &other);
+
+    assert_eq!(verdict, ClaimVerdict::KeyReused);
+}
+
+#[test]
+fn an_answer_too_big_to_store_is_marked() {
+    let mut table = table();
+    table.offer(at(1), wall(1), &offer(1, None, &[]));
+    table.settle(at(2), &key("key"), ClaimEnd::Answered(answer(100_000)));
+
+    let verdict = table.offer(at(3), wall(3), &offer(2, None, &[]));
+
+    assert_eq!(verdict, ClaimVerdict::AnswerGone);
+    assert_eq!(table.stored_bytes(), 0);
+}
+
+#[test]
+fn after_a_takeover_only_keys_made_later_run() {
+    let fenced = [prior(100, false)];
+    let check = |seconds, made: Option<u64>, expected: ClaimVerdict| {
+        let made_ms = made.map(|it| START_MS + it * 1_000);
+        let verdict = table().offer(at(seconds), wall(seconds), &offer(1, made_ms, &fenced));
+        assert_eq!(verdict, expected, "at {seconds} s, made {made:?}");
+    };
+
+    check(101, Some(90), ClaimVerdict::InDoubt);
+    check(108, Some(107), ClaimVerdict::InDoubt);
+    check(109, Some(108), ClaimVerdict::Run);
+    check(650, Some(99), ClaimVerdict::InDoubt);
+    check(699, None, ClaimVerdict::InDoubt);
+    check(701, None, ClaimVerdict::Run);
+    check(10_000, Some(5_000), ClaimVerdict::TooOld);
+    check(200, Some(210), ClaimVerdict::TooNew);
+}
+
+#[test]
+fn a_living_earlier_owner_is_asked_and_never_runs_the_key_later() {
+    let (mut old, mut new) = (table(), table());
+    let living = [prior(100, true)];
+    let question = ClaimQuestion { claim: key("key"), fingerprint: key("body"), made_ms: None };
+
+    let verdict = new.offer(at(101), wall(101), &offer(1, None, &living));
+    let reply = old.answer(at(101), wall(101), &question, &[]);
+    let verdicts = new.learn(at(102), &member("prior"), reply.clone());
+
+    assert_eq!(verdict, ClaimVerdict::Ask(member("prior")));
+    assert_eq!(reply.fate, ClaimFate::NotRun);
+    assert_eq!(verdicts, [(attempt(1), ClaimVerdict::Run)]);
+    assert_eq!(old.offer(at(103), wall(103), &offer(9, None, &[])), ClaimVerdict::InDoubt);
+}
+
+#[test]
+fn a_clean_leave_hands_over_answers_and_leaves_no_doubt() {
+    let (mut old, mut new) = (table(), table());
+    old.offer(at(1), wall(1), &offer(1, None, &[]));
+    old.settle(at(2), &key("key"), ClaimEnd::Answered(answer(10)));
+    let unseen = ClaimOffer { claim: key("unseen"), ..offer(3, None, &[prior(3, false)]) };
+
+    for (_, handover) in old.hand_over(at(3), &[member("new")], 100, |_| Some(member("new"))) {
+        assert!(new.take_over(at(3), &member("prior"), handover));
+    }
+
+    let verdict = new.offer(at(4), wall(4), &offer(2, None, &[prior(3, false)]));
+    assert_eq!(verdict, ClaimVerdict::Replay(answer(10)));
+    assert_eq!(new.offer(at(4), wall(4), &unseen), ClaimVerdict::Run);
+}
+
+#[test]
+fn an_attempt_said_not_to_have_run_can_not_run() {
+    let mut ledger = AttemptLedger::new(LedgerOptions::default());
+    ledger.begin(at(1), &attempt(1));
+
+    assert_eq!(ledger.ask(at(2), &attempt(1)), AttemptFate::Pending);
+    assert_eq!(ledger.ask(at(2), &attempt(2)), AttemptFate::NotRun);
+    assert_eq!(ledger.begin(at(3), &attempt(2)), AttemptOutcome::Buried);
+    assert_eq!(ledger.begin(at(3), &attempt(1)), AttemptOutcome::Duplicate);
+    ledger.end(at(4), &attempt(1), CallOutcome::Ran);
+    assert_eq!(ledger.ask(at(5), &attempt(1)), AttemptFate::Ended(CallOutcome::Ran));
+}
+
+#[test]
+fn a_forgotten_attempt_is_neither_run_nor_said_not_to_have_run() {
+    let mut ledger = AttemptLedger::new(LedgerOptions { max_attempts: 1, ..Default::default() });
+    ledger.begin(at(1), &attempt(1));
+    ledger.end(at(1), &attempt(1), CallOutcome::Ran);
+    ledger.begin(at(2), &attempt(2));
+
+    assert_eq!(ledger.ask(at(3), &attempt(1)), AttemptFate::Forgotten);
+    assert_eq!(ledger.begin(at(3), &attempt(1)), AttemptOutcome::Stale);
+    assert_eq!(ledger.begin(at(3), &attempt(3)), AttemptOutcome::Full);
+}
+
+#[test]
+fn only_version_7_keys_carry_their_time() {
+    let check = |key: &str, expected: Option<u64>| assert_eq!(made_ms_of(key), expected, "{key}");
+
+    check("017f22e2-79b0-7cc3-98c4-dc0c0c07398f", Some(1_645_557_742_000));
+    check("5df41881-3aed-4515-88a7-2f4a814cf09e", None);
+    check("booking-17", None);
+}
--- a/crates/ivytrail/src/lease.rs
+++ b/crates/ivytrail/src/lease.rs
@@ -18,6 +18,7 @@
     time::TimePoint,
 };
 
+mod change;
 mod fence;
 mod grant;
 mod history;
--- /dev/null
+++ b/crates/ivytrail/src/lease/change.rs
@@ -0,0 +1,113 @@
+//! Changes of a ring's epoch, as this daemon wants them.
+
+use super::{LeaseRing, RingDefinition, RingMember};
+use crate::{
+    id::{DomainName, MemberId},
+    time::TimePoint,
+};
+
+impl LeaseRing {
+    /// Returns the next definition to write by compare-and-set, if a change is wanted.
+    ///
+    /// `alive` are the daemons that could be members, as the membership view has them. One member is added or dropped
+    /// at a time, and only by a member that has held its lease in the current epoch: then no lease of an earlier epoch
+    /// stands, and the writer knows of every member that was fenced in one.
+    pub fn wanted_change(&self, now: TimePoint, alive: &[RingMember]) -> Option<RingDefinition> {
+        let definition = self.definition.as_ref()?;
+        if !self.is_member() {
+            return self.refound(definition, alive);
+        }
+        if !self.was_active || self.acting_definition().is_none() {
+            return None;
+        }
+        let smaller = self
+            .members_to_drop(definition, alive)
+            .map(|gone| without(definition, gone))
+            .find(|next| self.keeps_fences(next));
+        if smaller.is_some() || !self.holds_lease(now) {
+            return smaller;
+        }
+        let added = self.member_to_add(definition, alive)?;
+        let mut members = definition.members.clone();
+        members.push(added);
+        Some(next_definition(definition, members)).filter(|next| self.keeps_fences(next))
+    }
+
+    /// Returns whether every member that anyone has voted to fence stays without a lease in the epoch `next`.
+    ///
+    /// Votes last, but the voters needed to block a lease change with the members. A member that was fenced must never
+    /// hold the lease again, so the known voters have to suffice in the next epoch too.
+    fn keeps_fences(&self, next: &RingDefinition) -> bool {
+        next.members.iter().map(|it| &it.member).all(|member| {
+            let is_safe =
+                !self.fences.is_doubted(member) && self.fences.fenced_at(member).is_none();
+            is_safe || next.blocking() <= self.fences.tally(member, next, &self.me)
+        })
+    }
+
+    /// Returns the members that can never hold the lease again, or are kept from it by the votes known.
+    fn members_to_drop<'a>(
+        &'a self,
+        definition: &'a RingDefinition,
+        alive: &'a [RingMember],
+    ) -> impl Iterator<Item = &'a MemberId> {
+        let others = definition.members.iter().map(|it| &it.member).filter(|it| **it != self.me);
+        others.filter(|it| {
+            self.fences.fenced_at(it).is_some()
+                || definition.blocking() <= self.fences.tally(it, definition, &self.me)
+                || alive.iter().any(|other| is_newer(&other.member, it))
+        })
+    }
+
+    /// Returns the daemon to add: one of the failure domain that has the fewest members.
+    fn member_to_add(
+        &self,
+        definition: &RingDefinition,
+        alive: &[RingMember],
+    ) -> Option<RingMember> {
+        if self.options.max_members <= definition.members.len() {
+            return None;
+        }
+        let in_domain = |domain: &DomainName| {
+            definition.members.iter().filter(|it| it.domain == *domain).count()
+        };
+        let has_instance = |new: &MemberId| {
+            definition.members.iter().any(|old| old.member.instance == new.instance)
+        };
+        alive
+            .iter()
+            .filter(|it| !has_instance(&it.member))
+            .filter(|it| self.fences.fenced_at(&it.member).is_none())
+            .filter(|it| !alive.iter().any(|other| is_newer(&other.member, &it.member)))
+            .min_by_key(|it| (in_domain(&it.domain), &it.member))
+            .cloned()
+    }
+
+    /// Returns a definition of new members when newer incarnations prove that every member has ended.
+    fn refound(&self, definition: &RingDefinition, alive: &[RingMember]) -> Option<RingDefinition> {
+        let has_ended = |old: &RingMember| alive.iter().any(|it| is_newer(&it.member, &old.member));
+        if self.is_expelled || !definition.members.iter().all(has_ended) {
+            return None;
+        }
+        let mut members = alive.to_vec();
+        members.retain(|it| !alive.iter().any(|other| is_newer(&other.member, &it.member)));
+        members.sort();
+        members.truncate(self.options.max_members);
+        let includes_me = members.iter().any(|it| it.member == self.me);
+        includes_me.then(|| next_definition(definition, members))
+    }
+}
+
+/// Returns whether `newer` is a later incarnation of the instance of `older`.
+pub(super) fn is_newer(newer: &MemberId, older: &MemberId) -> bool {
+    newer.instance == older.instance && older.incarnation < newer.incarnation
+}
+
+fn without(definition: &RingDefinition, gone: &MemberId) -> RingDefinition {
+    let members = definition.members.iter().filter(|it| it.member != *gone);
+    next_definition(definition, members.cloned().collect())
+}
+
+fn next_definition(definition: &RingDefinition, members: Vec<RingMember>) -> RingDefinition {
+    RingDefinition { name: definition.name.clone(), epoch: definition.epoch + 1, members }
+}
--- a/crates/ivytrail/src/lease/fence.rs
+++ b/crates/ivytrail/src/lease/fence.rs
@@ -77,9 +77,18 @@
         self.mine.insert(target.clone());
     }
 
-    /// Returns the number of known votes against `target` in this epoch.
-    pub(super) fn tally(&self, target: &MemberId) -> usize {
-        self.votes.get(target).map_or(0, BTreeSet::len) + usize::from(self.mine.contains(target))
+    /// Returns the number of known votes against `target` of members of `definition`; `me` is this daemon.
+    pub(super) fn tally(
+        &self,
+        target: &MemberId,
+        definition: &RingDefinition,
+        me: &MemberId,
+    ) -> usize {
+        let others = self
+            .votes
+            .get(target)
+            .map_or(0, |voters| voters.iter().filter(|it| definition.contains(it)).count());
+        others + usize::from(self.mine.contains(target) && definition.contains(me))
     }
 
     /// Records that `target` can never hold the lease again.
--- a/crates/ivytrail/src/lease/ring.rs
+++ b/crates/ivytrail/src/lease/ring.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    LeaseBody, LeaseMessage, LeaseOptions, PriorOwner, RingDefinition, RingMember,
+    LeaseBody, LeaseMessage, LeaseOptions, PriorOwner, RingDefinition,
+    change::is_newer,
     fence::FenceBook,
     grant::GrantBook,
     history::{EpochHistory, owners_in_order},
 };
 use crate::{
-    id::{ContentDigest, DomainName, MemberId, RingName},
+    id::{ContentDigest, MemberId, RingName},
     time::TimePoint,
 };
 
@@ -27,9 +28,9 @@
 /// is written. A ring of two has no owner when one is lost until the platform takes such a change.
 #[derive(Debug)]
 pub struct LeaseRing {
-    me: MemberId,
-    options: LeaseOptions,
-    definition: Option<RingDefinition>,
+    pub(super) me: MemberId,
+    pub(super) options: LeaseOptions,
+    pub(super) definition: Option<RingDefinition>,
     installed_at: TimePoint,
     next_ask: TimePoint,
     /// Ends of the promises held in this epoch, on this daemon's clock.
@@ -37,11 +38,11 @@
     /// Whether this daemon has promised to itself in this epoch.
     self_granted: bool,
     /// Whether this daemon has held its lease in this epoch.
-    was_active: bool,
+    pub(super) was_active: bool,
     has_left: bool,
-    is_expelled: bool,
+    pub(super) is_expelled: bool,
     grants: GrantBook,
-    fences: FenceBook,
+    pub(super) fences: FenceBook,
     history: EpochHistory,
 }
 
@@ -81,14 +82,10 @@
             return;
         }
         let is_member = definition.contains(&self.me);
-        match self.definition.take() {
-            Some(past) => {
-                self.is_expelled |= past.contains(&self.me) && !is_member;
-                if past.contains(&self.me) {
-                    self.history.push(past);
-                }
-            }
-            None => {}
+        let past = self.definition.take().filter(|past| past.contains(&self.me));
+        if let Some(past) = past {
+            self.is_expelled |= !is_member;
+            self.history.push(past);
         }
         if is_member && !self.was_member() {
             self.join(&definition);
@@ -176,6 +173,15 @@
             .cloned()
     }
 
+    /// Returns the owner of the key once this daemon has left.
+    pub fn heir_of(&self, digest: &ContentDigest) -> Option<MemberId> {
+        let definition = self.definition.as_ref()?;
+        owners_in_order(definition, digest)
+            .into_iter()
+            .find(|member| **member != self.me && self.fences.fenced_at(member).is_none())
+            .cloned()
+    }
+
     /// Returns whether this daemon is the owner of the key at `now`: it is the first unfenced and holds its lease.
     pub fn owns(&self, now: TimePoint, digest: &ContentDigest) -> bool {
         self.holds_lease(now) && self.owner_of(digest).as_ref() == Some(&self.me)
@@ -213,33 +219,6 @@
         priors
     }
 
-    /// Returns the next definition to write by compare-and-set, if a change is wanted.
-    ///
-    /// `alive` are the daemons that could be members, as the membership view has them. Fenced members are dropped
-    /// before others are added, one at a time.
-    pub fn wanted_change(&self, now: TimePoint, alive: &[RingMember]) -> Option<RingDefinition> {
-        let definition = self.definition.as_ref()?;
-        if !self.is_member() {
-            return self.refound(definition, alive);
-        }
-        if !self.was_active || self.acting_definition().is_none() {
-            return None;
-        }
-        match self.member_to_drop(definition, alive) {
-            Some(gone) => {
-                let members = definition.members.iter().filter(|it| it.member != gone);
-                Some(next_definition(definition, members.cloned().collect()))
-            }
-            None if !self.holds_lease(now) || self.has_doubts(definition) => None,
-            None => {
-                let added = self.member_to_add(definition, alive)?;
-                let mut members = definition.members.clone();
-                members.push(added);
-                Some(next_definition(definition, members))
-            }
-        }
-    }
-
     /// Stops acting as an owner for good and tells the others. The daemon still answers as a voter.
     pub fn leave(&mut self, now: TimePoint, out: &mut Vec<(MemberId, LeaseMessage)>) {
         self.has_left = true;
@@ -251,7 +230,7 @@
         self.definition.as_ref().map_or(0, |definition| definition.epoch)
     }
 
-    fn is_member(&self) -> bool {
+    pub(super) fn is_member(&self) -> bool {
         self.definition.as_ref().is_some_and(|definition| definition.contains(&self.me))
     }
 
@@ -260,7 +239,7 @@
     }
 
     /// Returns the definition while this daemon may act under it.
-    fn acting_definition(&self) -> Option<&RingDefinition> {
+    pub(super) fn acting_definition(&self) -> Option<&RingDefinition> {
         self.definition
             .as_ref()
             .filter(|it| it.contains(&self.me) && !self.has_left && !self.is_expelled())
@@ -348,10 +327,11 @@
             let is_suspect = definition.blocking() <= self.fences.suspicion(&target, oldest)
                 && self.is_silent(now, &target);
             let may_vote = self.is_released(now, &target);
-            if may_vote && (is_suspect || self.fences.is_doubted(&target)) {
+            let is_fenced = self.fences.fenced_at(&target).is_some();
+            if is_fenced || may_vote && (is_suspect || self.fences.is_doubted(&target)) {
                 self.fences.vote(&target);
             }
-            if definition.majority() <= self.fences.tally(&target) {
+            if definition.majority() <= self.fences.tally(&target, definition, &self.me) {
                 self.fences.fence(now, &target);
             }
         }
@@ -424,70 +404,4 @@
     fn message_in(&self, name: &RingName, body: LeaseBody) -> LeaseMessage {
         LeaseMessage { ring: name.clone(), epoch: self.epoch(), body }
     }
-
-    /// Returns whether any vote against a member of this epoch is known.
-    fn has_doubts(&self, definition: &RingDefinition) -> bool {
-        definition.members.iter().any(|it| self.fences.is_doubted(&it.member))
-    }
-
-    fn member_to_drop(
-        &self,
-        definition: &RingDefinition,
-        alive: &[RingMember],
-    ) -> Option<MemberId> {
-        let mut others =
-            definition.members.iter().map(|it| &it.member).filter(|it| **it != self.me);
-        others
-            .find(|it| {
-                self.fences.fenced_at(it).is_some()
-                    || definition.blocking() <= self.fences.tally(it)
-                    || alive.iter().any(|other| is_newer(&other.member, it))
-            })
-            .cloned()
-    }
-
-    /// Returns the daemon to add: one of the failure domain that has the fewest members.
-    fn member_to_add(
-        &self,
-        definition: &RingDefinition,
-        alive: &[RingMember],
-    ) -> Option<RingMember> {
-        if self.options.max_members <= definition.members.len() {
-            return None;
-        }
-        let in_domain = |domain: &DomainName| {
-            definition.members.iter().filter(|it| it.domain == *domain).count()
-        };
-        alive
-            .iter()
-            .filter(|it| {
-                !definition.members.iter().any(|old| old.member.instance == it.member.instance)
-            })
-            .filter(|it| self.fences.fenced_at(&it.member).is_none())
-            .filter(|it| !alive.iter().any(|other| is_newer(&other.member, &it.member)))
-            .min_by_key(|it| (in_domain(&it.domain), &it.member))
-            .cloned()
-    }
-
-    /// Returns a definition of new members when newer incarnations prove that every member has ended.
-    fn refound(&self, definition: &RingDefinition, alive: &[RingMember]) -> Option<RingDefinition> {
-        let has_ended = |old: &RingMember| alive.iter().any(|it| is_newer(&it.member, &old.member));
-        if self.is_expelled || !definition.members.iter().all(has_ended) {
-            return None;
-        }
-        let mut members = alive.to_vec();
-        members.retain(|it| !alive.iter().any(|other| is_newer(&other.member, &it.member)));
-        members.sort();
-        members.truncate(self.options.max_members);
-        members.iter().any(|it| it.member == self.me).then(|| next_definition(definition, members))
-    }
-}
-
-/// Returns whether `newer` is a later incarnation of the instance of `older`.
-fn is_newer(newer: &MemberId, older: &MemberId) -> bool {
-    newer.instance == older.instance && older.incarnation < newer.incarnation
-}
-
-fn next_definition(definition: &RingDefinition, members: Vec<RingMember>) -> RingDefinition {
-    RingDefinition { name: definition.name.clone(), epoch: definition.epoch + 1, members }
 }
