Store settings changes so that every outcome told is true

Cause: the platform's answer can be lost after a write took effect, and two operators may edit at once. Ruled out: judging a lost answer by the head's revision alone; taking an edit without a base revision, since a resent key issue could then come after the key's withdrawal and put it back in force. Change: EditSession, a state machine: one change is one transaction that checks head, subtree and inputs; the change id is searched after the operator's base; "not stored" is said only while no copy with the id can still take effect. SnapshotReading pages through the tree while changes are accepted.

--- a/crates/ivytrail/src/settings.rs
+++ b/crates/ivytrail/src/settings.rs
@@ -11,6 +11,9 @@
 pub mod file;
 pub mod lookup;
 mod reader;
+pub mod rows;
+pub mod snapshot;
+pub mod store;
 pub mod tree;
 
 pub use tree::{
--- /dev/null
+++ b/crates/ivytrail/src/settings/rows.rs
@@ -0,0 +1,109 @@
+//! Rows of the platform's table that hold the settings.
+//!
+//! | key | value |
+//! |---|---|
+//! | `head` | [`HeadRow`]: the revision of the last accepted change |
+//! | `change/<revision>` | [`SettingsChange`]: the audit trail's entry and the delta, in one; 20 digits |
+//! | `team/<name>` | [`TeamSubtree`](super::TeamSubtree) |
+//! | `key/<name>` | [`KeyRecord`](super::KeyRecord) |
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::{
+    error::Error,
+    platform::{KeyRange, TableRead, TableRow, TableRows},
+};
+
+use super::tree::{Revision, SettingsChange, TreeEdit};
+
+/// Key of the head row.
+pub const HEAD_KEY: &str = "head";
+
+/// Prefix of the change rows.
+pub const CHANGE_PREFIX: &str = "change/";
+
+/// Prefix of the subtree rows.
+pub const TEAM_PREFIX: &str = "team/";
+
+/// Prefix of the key rows.
+pub const KEY_PREFIX: &str = "key/";
+
+/// Greatest number of changes in one read.
+pub const CHANGES_PER_READ: usize = 200;
+
+/// The head row: the revision of the last accepted change.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeadRow {
+    /// The revision.
+    pub revision: Revision,
+}
+
+/// Returns the key of the row with the change that made `revision`.
+pub fn change_key(revision: Revision) -> String {
+    format!("{CHANGE_PREFIX}{:020}", revision.0)
+}
+
+/// Returns the key of the row that `edit` writes or deletes, e.g. `team/launch-desk`.
+pub fn subject_key(edit: &TreeEdit) -> String {
+    match edit {
+        TreeEdit::ReplaceSubtree { team, .. } => format!("{TEAM_PREFIX}{team}"),
+        TreeEdit::IssueKey { name, .. } | TreeEdit::WithdrawKey { name } => {
+            format!("{KEY_PREFIX}{name}")
+        }
+    }
+}
+
+/// Returns the read of the head row alone, as the settings' pollers do it.
+pub fn head_read() -> TableRead {
+    TableRead { keys: vec![HEAD_KEY.to_string()], ranges: Vec::new() }
+}
+
+/// Returns the read of the head row and the changes after `revision`, at most `limit` of them.
+pub fn changes_read(revision: Revision, limit: usize) -> TableRead {
+    let from = change_key(revision.next());
+    let to = KeyRange::with_prefix(CHANGE_PREFIX, limit).to;
+    TableRead { keys: vec![HEAD_KEY.to_string()], ranges: vec![KeyRange { from, to, limit }] }
+}
+
+/// Returns the row with `key` among the rows of an answer.
+pub fn find_row<'r>(rows: &'r TableRows, key: &str) -> Option<&'r TableRow> {
+    rows.rows.iter().find(|row| row.key == key)
+}
+
+/// Returns the version of the row with `key`; 0 when it is absent.
+pub fn row_version(rows: &TableRows, key: &str) -> u64 {
+    find_row(rows, key).map_or(0, |row| row.version)
+}
+
+/// Returns the revision in the head row; zero when nothing was ever accepted.
+///
+/// # Errors
+///
+/// Returns an error when the row can't be read.
+pub fn head_in(rows: &TableRows) -> Result<Revision, Error> {
+    let head = find_row(rows, HEAD_KEY).map(decode_row::<HeadRow>).transpose()?;
+    Ok(head.unwrap_or_default().revision)
+}
+
+/// Returns the changes among the rows of an answer, in the order of their revisions.
+///
+/// # Errors
+///
+/// Returns an error when a row can't be read.
+pub fn changes_in(rows: &TableRows) -> Result<Vec<SettingsChange>, Error> {
+    let changes = rows.rows.iter().filter(|row| row.key.starts_with(CHANGE_PREFIX));
+    changes.map(decode_row).collect()
+}
+
+/// Reads the value of a row.
+///
+/// # Errors
+///
+/// Returns an error that names the row when its value is not of the expected type.
+pub fn decode_row<T>(row: &TableRow) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+{
+    let value = T::deserialize(&row.value);
+    value.map_err(|cause| Error::from(cause).context(format!("row {} can't be read", row.key)))
+}
--- /dev/null
+++ b/crates/ivytrail/tests/settings_store.rs
@@ -0,0 +1,289 @@
+//! Tests of storing changes: races, lost answers, late copies, and reading the tree while it changes.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use ivytrail::{
+    platform::TableTransaction,
+    settings::{
+        KeyRecord, Revision, SettingsTree, TreeEdit,
+        credential::secret_digest,
+        snapshot::{SnapshotReading, SnapshotStep},
+        store::{ChangeDraft, EditMode, EditOutcome, EditSession, EditStep},
+    },
+    time::WallClock,
+};
+use proptest::prelude::*;
+use support::{MemoryTable, draft, replacement};
+
+fn run(table: &mut MemoryTable, draft: ChangeDraft) -> EditOutcome {
+    run_in(table, draft, EditMode::Commit, &SettingsTree::default())
+}
+
+fn run_in(
+    table: &mut MemoryTable,
+    draft: ChangeDraft,
+    mode: EditMode,
+    tree: &SettingsTree,
+) -> EditOutcome {
+    let (mut session, mut step) = EditSession::start(draft, mode, tree.clone());
+    loop {
+        step = match step {
+            EditStep::Read(read) => session.on_rows(&table.read(&read)),
+            EditStep::Transact(transaction) => {
+                let result = table.transact(&transaction);
+                session.on_result(&result)
+            }
+            EditStep::Done(outcome) => return outcome,
+        };
+    }
+}
+
+fn read_tree(table: &MemoryTable) -> SettingsTree {
+    let (mut reading, mut read) = SnapshotReading::start();
+    loop {
+        match reading.on_rows(&table.read(&read)).expect("rows are well formed") {
+            SnapshotStep::Read(next) => read = next,
+            SnapshotStep::Done(tree) => return *tree,
+        }
+    }
+}
+
+fn issue(name: &str, account: &str) -> TreeEdit {
+    let digest = secret_digest(name);
+    let record =
+        KeyRecord { account: account.into(), digest, issued_at: WallClock::from_millis(1) };
+    TreeEdit::IssueKey { name: name.into(), record }
+}
+
+fn stored(revision: u64) -> EditOutcome {
+    EditOutcome::Stored { revision: Revision(revision) }
+}
+
+#[test]
+fn change_is_stored_with_its_audit_entry() {
+    let mut table = MemoryTable::default();
+    assert_eq!(run(&mut table, draft("a", 0, replacement("launch", "meteo", 1))), stored(1));
+    assert_eq!(run(&mut table, draft("b", 1, replacement("launch", "meteo", 2))), stored(2));
+    let changes = table.changes();
+    assert_eq!(changes[1].before["accounts"]["meteo"]["burst"], 1.0);
+    assert_eq!(changes[1].operator, "operator-of-b");
+}
+
+#[test]
+fn second_of_two_operators_is_told_who_was_first() {
+    let mut table = MemoryTable::default();
+    run(&mut table, draft("a", 0, replacement("launch", "meteo", 1)));
+    let outcome = run(&mut table, draft("b", 0, replacement("launch", "meteo", 2)));
+    let EditOutcome::Overtaken { changes } = outcome else { panic!("{outcome:?}") };
+    assert_eq!(changes[0].operator, "operator-of-a");
+    assert_eq!((changes[0].revision, changes[0].subject.as_str()), (Revision(1), "team/launch"));
+}
+
+#[test]
+fn other_teams_changes_do_not_overtake_but_are_checked() {
+    let mut table = MemoryTable::default();
+    run(&mut table, draft("a", 0, replacement("launch", "meteo", 1)));
+    assert_eq!(run(&mut table, draft("b", 0, replacement("charter", "travel", 1))), stored(2));
+    let outcome = run(&mut table, draft("c", 0, replacement("quotes", "meteo", 1)));
+    assert!(matches!(outcome, EditOutcome::Refused { .. }), "{outcome:?}");
+}
+
+#[test]
+fn applying_twice_changes_nothing() {
+    let mut table = MemoryTable::default();
+    run(&mut table, draft("a", 0, replacement("launch", "meteo", 1)));
+    let outcome = run(&mut table, draft("b", 1, replacement("launch", "meteo", 1)));
+    assert_eq!(outcome, EditOutcome::Unchanged { revision: Revision(1) });
+}
+
+#[test]
+fn dry_run_shows_the_difference_and_stores_nothing() {
+    let mut table = MemoryTable::default();
+    let edit = replacement("launch", "meteo", 1);
+    let outcome =
+        run_in(&mut table, draft("a", 0, edit), EditMode::DryRun, &SettingsTree::default());
+    let EditOutcome::WouldChange { diff, .. } = outcome else { panic!("{outcome:?}") };
+    assert!(diff.contains("+    \"meteo\""));
+    assert_eq!(table.changes().len(), 0);
+}
+
+#[test]
+fn issued_key_is_not_issued_again_after_its_withdrawal() {
+    let mut table = MemoryTable::default();
+    run(&mut table, draft("a", 0, replacement("launch", "meteo", 1)));
+    assert_eq!(run(&mut table, draft("b", 1, issue("k", "meteo"))), stored(2));
+    let withdrawal = TreeEdit::WithdrawKey { name: "k".into() };
+    assert_eq!(run(&mut table, draft("c", 2, withdrawal.clone())), stored(3));
+    assert_eq!(run(&mut table, draft("b", 1, issue("k", "meteo"))), stored(2));
+    assert_eq!(run(&mut table, draft("c", 2, withdrawal)), stored(3));
+    assert!(read_tree(&table).keys.is_empty());
+}
+
+#[test]
+fn change_id_of_another_change_is_refused() {
+    let mut table = MemoryTable::default();
+    run(&mut table, draft("a", 0, replacement("launch", "meteo", 1)));
+    let outcome = run(&mut table, draft("a", 0, replacement("charter", "travel", 1)));
+    assert!(matches!(outcome, EditOutcome::Refused { .. }), "{outcome:?}");
+}
+
+#[test]
+fn platform_that_lost_revisions_is_not_written_to() {
+    let tree = SettingsTree { revision: Revision(9), ..SettingsTree::default() };
+    let change = draft("a", 9, replacement("launch", "meteo", 1));
+    let outcome = run_in(&mut MemoryTable::default(), change, EditMode::Commit, &tree);
+    assert!(matches!(outcome, EditOutcome::NotStored { .. }), "{outcome:?}");
+}
+
+#[test]
+fn snapshot_is_exact_while_changes_are_accepted() {
+    let mut table = MemoryTable::default();
+    run(&mut table, draft("first", 0, replacement("team-0", "account-0", 1)));
+    let mut tree = read_tree(&table);
+    for idx in 0..1_100 {
+        let name = format!("key-{idx}");
+        let change = draft(&name, idx + 1, issue(&name, "account-0"));
+        run_in(&mut table, change, EditMode::Commit, &tree);
+        tree.apply(&support::change(idx + 2, issue(&name, "account-0"))).unwrap();
+    }
+    let (mut reading, mut read) = SnapshotReading::start();
+    let mut n_pages = 0;
+    let tree = loop {
+        let rows = table.read(&read);
+        let removed = TreeEdit::WithdrawKey { name: format!("key-{n_pages}").into() };
+        run(&mut table, draft(&format!("w-{n_pages}"), 1_101, removed));
+        n_pages += 1;
+        match reading.on_rows(&rows).unwrap() {
+            SnapshotStep::Read(next) => read = next,
+            SnapshotStep::Done(tree) => break *tree,
+        }
+    };
+    let mut expected = SettingsTree::default();
+    for change in table.changes().iter().take_while(|it| it.revision <= tree.revision) {
+        expected.apply(change).unwrap();
+    }
+    assert!(4 < n_pages && Revision(1_101) < tree.revision);
+    assert_eq!(tree, expected);
+}
+
+/// What the network does to one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    LostBefore,
+    LostAfter,
+    Late,
+}
+
+fn faults() -> impl Strategy<Value = Vec<Fault>> {
+    let fault = prop_oneof![
+        6 => Just(Fault::None),
+        1 => Just(Fault::LostBefore),
+        2 => Just(Fault::LostAfter),
+        2 => Just(Fault::Late),
+    ];
+    proptest::collection::vec(fault, 1..60)
+}
+
+/// One operator's edit, run by any number of sessions one after the other until it is resolved or given up.
+struct OperatorRun {
+    draft: ChangeDraft,
+    session: EditSession,
+    step: EditStep,
+}
+
+impl OperatorRun {
+    fn start(idx: usize, tree: &SettingsTree) -> OperatorRun {
+        let team = format!("team-{}", idx % 2);
+        let account = format!("account-{}", idx % 3);
+        let edit = replacement(&team, &account, 1 + idx as u32);
+        let draft = draft(&format!("id-{idx}"), 0, edit);
+        let (session, step) = EditSession::start(draft.clone(), EditMode::Commit, tree.clone());
+        OperatorRun { draft, session, step }
+    }
+
+    /// Ends the session as the daemon does at the operator's timeout, after its last request was sent.
+    fn abandon(&mut self, late: &mut Vec<TableTransaction>) {
+        if let EditStep::Transact(transaction) = &self.step {
+            late.push(transaction.clone());
+        }
+        self.step = EditStep::Done(self.session.abandon(&self.step));
+    }
+
+    fn advance(&mut self, table: &mut MemoryTable, fault: Fault, late: &mut Vec<TableTransaction>) {
+        self.step = match (&self.step, fault) {
+            (EditStep::Read(read), Fault::None) => self.session.on_rows(&table.read(read)),
+            (EditStep::Read(_), _) => self.session.on_read_lost(),
+            (EditStep::Transact(transaction), Fault::None) => {
+                self.session.on_result(&table.transact(transaction))
+            }
+            (EditStep::Transact(transaction), fault) => {
+                match fault {
+                    Fault::LostAfter => drop(table.transact(transaction)),
+                    Fault::Late => late.push(transaction.clone()),
+                    Fault::LostBefore | Fault::None => {}
+                }
+                self.session.on_transaction_lost()
+            }
+            (EditStep::Done(EditOutcome::Unknown { .. }), _) => {
+                let draft = ChangeDraft { resent: true, ..self.draft.clone() };
+                let tree = SettingsTree::default();
+                let (session, step) = EditSession::start(draft, EditMode::Commit, tree);
+                self.session = session;
+                step
+            }
+            (EditStep::Done(outcome), _) => EditStep::Done(outcome.clone()),
+        };
+    }
+}
+
+/// Asserts that what each operator was told is what the table holds, once for each change.
+fn check_outcomes(runs: &[OperatorRun], table: &MemoryTable) {
+    let changes = table.changes();
+    let ids = changes.iter().map(|it| it.change_id.as_str()).collect::<Vec<_>>();
+    assert_eq!(ids.iter().collect::<BTreeSet<_>>().len(), ids.len(), "a change was applied twice");
+    for run in runs {
+        let is_stored = ids.contains(&run.draft.change_id.as_str());
+        match &run.step {
+            EditStep::Done(EditOutcome::Stored { .. }) => assert!(is_stored, "{:?}", run.draft),
+            EditStep::Done(EditOutcome::Unknown { .. }) => {}
+            EditStep::Done(outcome) => assert!(!is_stored, "{outcome:?} {:?}", run.draft),
+            EditStep::Read(_) | EditStep::Transact(_) => {}
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1_000))]
+
+    #[test]
+    fn outcomes_are_true_under_lost_answers_and_late_copies(
+        faults in faults(),
+        order in proptest::collection::vec((0_usize..4, any::<bool>(), 0_u8..20), 40..120),
+    ) {
+        let mut table = MemoryTable::default();
+        let mut late = Vec::new();
+        let mut runs = (0..4).map(|idx| OperatorRun::start(idx, &SettingsTree::default())).collect::<Vec<_>>();
+        for (idx, (turn, delivers, abandons)) in order.iter().enumerate() {
+            match abandons {
+                0 => runs[*turn].abandon(&mut late),
+                _ => runs[*turn].advance(&mut table, faults[idx % faults.len()], &mut late),
+            }
+            if *delivers && !late.is_empty() {
+                table.transact(&late.remove(0));
+            }
+            check_outcomes(&runs, &table);
+        }
+        for transaction in &late {
+            table.transact(transaction);
+        }
+        check_outcomes(&runs, &table);
+        let mut replayed = SettingsTree::default();
+        for change in table.changes() {
+            replayed.apply(&change).expect("revisions have no gap");
+        }
+        prop_assert_eq!(replayed, read_tree(&table));
+    }
+}
