--- a/crates/ivytrail/src/settings.rs
+++ b/crates/ivytrail/src/settings.rs
@@ -12,6 +12,9 @@
 pub mod index;
 pub mod lookup;
 mod reader;
+pub mod rows;
+pub mod snapshot;
+pub mod store;
 pub mod tree;
 
 pub use tree::{
