Join leases, claims and quotas to the daemon

Cause: a claimed request went to a rendezvous guess without a lease, and every request inside a key was granted. Ruled out: an entry that knows the owner for sure; it would need every ring's definition. The entry guesses, a guard that does not own the claim says so, and the next is asked; only the owner under its lease runs the request. Change: rings for the service's claims and one control ring, founded and changed by compare-and-set; claim table and attempt ledger at the guard; quota stash and homes; answers to control messages travel back in the same exchange; a fenced daemon starts anew with a new incarnation; a crash of the backend server counts once. Not measured: load, kills, freezes.

--- a/crates/ivytrail-daemon/src/caller_desk.rs
+++ b/crates/ivytrail-daemon/src/caller_desk.rs
@@ -211,7 +211,9 @@
         RefusalReason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::BadRequest => StatusCode::BAD_REQUEST,
         RefusalReason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-        RefusalReason::ConnectionLost | RefusalReason::BrokenAnswer => StatusCode::BAD_GATEWAY,
+        RefusalReason::ConnectionLost | RefusalReason::BrokenAnswer | RefusalReason::AnswerGone => {
+            StatusCode::BAD_GATEWAY
+        }
         RefusalReason::ClaimInDoubt | RefusalReason::KeyReused => StatusCode::CONFLICT,
         RefusalReason::Overloaded
         | RefusalReason::NoUpstream
--- a/crates/ivytrail-daemon/src/executor.rs
+++ b/crates/ivytrail-daemon/src/executor.rs
@@ -5,9 +5,11 @@
 use bytes::Bytes;
 use ivytrail::{
     id::{AttemptId, CallId, CallToken, MemberId},
+    lease::RingDefinition,
     message::{AttemptHeader, AttemptReply, ControlMessage},
-    reducer::{BreakCause, CallAnswer, DaemonEffect, DaemonEvent},
+    reducer::{BreakCause, CallAnswer, DaemonEffect, DaemonEvent, RunEnd},
 };
+use tokio::sync::{Notify, mpsc::UnboundedSender};
 
 use crate::{
     peer_client::{PeerClient, SendError},
@@ -24,12 +26,20 @@
     shell: DaemonShell,
     peers: PeerClient,
     runs: RunClient,
+    proposals: UnboundedSender<RingDefinition>,
+    restart: Notify,
 }
 
 impl EffectExecutor {
-    /// Returns an executor for the shell.
-    pub fn new(shell: DaemonShell, peers: PeerClient, runs: RunClient) -> EffectExecutor {
-        EffectExecutor(Arc::new(ExecutorParts { shell, peers, runs }))
+    /// Returns an executor for the shell; proposed ring definitions go to `proposals`.
+    pub fn new(
+        shell: DaemonShell,
+        peers: PeerClient,
+        runs: RunClient,
+        proposals: UnboundedSender<RingDefinition>,
+    ) -> EffectExecutor {
+        let restart = Notify::new();
+        EffectExecutor(Arc::new(ExecutorParts { shell, peers, runs, proposals, restart }))
     }
 
     /// Returns the shell.
@@ -37,6 +47,11 @@
         &self.0.shell
     }
 
+    /// Waits until this run of the daemon has to end because the others have fenced it.
+    pub async fn wait_for_restart(&self) {
+        self.0.restart.notified().await;
+    }
+
     /// Returns the client for the backend server.
     pub fn runs(&self) -> &RunClient {
         &self.0.runs
@@ -48,6 +63,29 @@
         self.execute(effects);
     }
 
+    /// Takes control messages and returns the answers to their sender.
+    pub fn take_control(
+        &self,
+        from: &MemberId,
+        messages: Vec<ControlMessage>,
+    ) -> Vec<ControlMessage> {
+        let mut answers = Vec::new();
+        for message in messages {
+            let event = DaemonEvent::ControlReceived { from: from.clone(), message };
+            let mut others = Vec::new();
+            for effect in self.0.shell.reduce(event) {
+                match effect {
+                    DaemonEffect::SendControl { to, message, .. } if to == *from => {
+                        answers.push(message);
+                    }
+                    effect => others.push(effect),
+                }
+            }
+            self.execute(others);
+        }
+        answers
+    }
+
     fn execute(&self, effects: Vec<DaemonEffect>) {
         let mut control: BTreeMap<String, Vec<ControlMessage>> = BTreeMap::new();
         for effect in effects {
@@ -60,8 +98,14 @@
                     self.send_inquiry(address, attempt, patience);
                 }
                 DaemonEffect::SendCancel { address, attempt } => self.send_cancel(address, attempt),
-                DaemonEffect::StartRun { attempt, header, token, time_left } => {
-                    self.start_run(attempt, header, token, time_left);
+                DaemonEffect::StartRun { attempt, header, token, start_by, time_left } => {
+                    match self.shell().now() <= start_by {
+                        true => self.start_run(attempt, header, token, time_left),
+                        // The process was paused since the check of the claim's lease.
+                        false => {
+                            self.apply(DaemonEvent::RunEnded { attempt, end: RunEnd::NotSent });
+                        }
+                    }
                 }
                 DaemonEffect::CancelRun { attempt } => {
                     if let Some(handle) = self.shell().take_run(&attempt) {
@@ -72,6 +116,10 @@
                 DaemonEffect::SendControl { address, message, .. } => {
                     control.entry(address).or_default().push(message);
                 }
+                DaemonEffect::ProbeBackend => self.probe_backend(),
+                // The control loop ends only with the process.
+                DaemonEffect::ProposeRing(definition) => drop(self.0.proposals.send(definition)),
+                DaemonEffect::StartAnew => self.0.restart.notify_one(),
                 DaemonEffect::LogLine(line) => log::info!("{line}"),
             }
         }
@@ -142,10 +190,21 @@
     fn send_control(&self, address: String, messages: Vec<ControlMessage>) {
         let executor = self.clone();
         tokio::spawn(async move {
-            let replies = executor.0.peers.send_control(&address, &messages).await;
-            if let Ok((from, replies)) = replies {
-                for message in replies {
-                    executor.apply(DaemonEvent::ControlReceived { from: from.clone(), message });
+            match executor.0.peers.send_control(&address, &messages).await {
+                Ok((from, replies)) => {
+                    for message in replies {
+                        let from = from.clone();
+                        executor.apply(DaemonEvent::ControlReceived { from, message });
+                    }
+                }
+                Err(cause) => {
+                    log::debug!(
+                        "event=control_lost address={address} cause={:?}",
+                        cause.to_string()
+                    );
+                    for message in messages {
+                        executor.apply(DaemonEvent::ControlLost { message });
+                    }
                 }
             }
         });
@@ -154,7 +213,7 @@
     fn start_run(
         &self,
         attempt: AttemptId,
-        header: Box<AttemptHeader>,
+        header: Arc<AttemptHeader>,
         token: CallToken,
         time_left: Duration,
     ) {
@@ -172,6 +231,14 @@
         }
     }
 
+    fn probe_backend(&self) {
+        let executor = self.clone();
+        tokio::spawn(async move {
+            let is_alive = executor.0.runs.probe().await;
+            executor.apply(DaemonEvent::BackendProbed { is_alive });
+        });
+    }
+
     fn reply_attempt(&self, reply: &AttemptReply, body: &Bytes) {
         for sender in self.shell().take_attempt(&reply.attempt) {
             // A connection that closed meanwhile asks again if it needs the answer.
--- a/crates/ivytrail-daemon/src/main.rs
+++ b/crates/ivytrail-daemon/src/main.rs
@@ -12,9 +12,14 @@
 mod server;
 mod shell;
 
-use std::process::ExitCode;
+use std::{process::ExitCode, sync::Arc};
 
-use options::{DaemonOptions, StartMode};
+use ivytrail::settings::file::DaemonSettings;
+
+use crate::{
+    options::{DaemonOptions, StartMode},
+    server::RunOutcome,
+};
 
 fn main() -> ExitCode {
     match DaemonOptions::from_arguments() {
@@ -23,9 +28,8 @@
             log_setup::start();
             let runtime =
                 tokio::runtime::Builder::new_multi_thread().enable_all().worker_threads(2).build();
-            let result = runtime
-                .map_err(anyhow::Error::from)
-                .and_then(|it| it.block_on(server::run(*settings)));
+            let result =
+                runtime.map_err(anyhow::Error::from).and_then(|it| it.block_on(run(*settings)));
             match result {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(cause) => {
@@ -36,3 +40,12 @@
         }
     }
 }
+
+/// Runs the daemon, and runs it again with a new incarnation when the other members have fenced it.
+async fn run(settings: DaemonSettings) -> anyhow::Result<()> {
+    let settings = Arc::new(settings);
+    while server::run(settings.clone()).await? == RunOutcome::Fenced {
+        log::warn!("event=starting_anew");
+    }
+    Ok(())
+}
--- a/crates/ivytrail-daemon/src/peer_client.rs
+++ b/crates/ivytrail-daemon/src/peer_client.rs
@@ -146,14 +146,14 @@
             .bearer_auth(&self.secret)
             .timeout(patience)
             .body(frame);
-        let response = request.send().await.map_err(classify)?;
+        let response = request.send().await.map_err(|cause| classify(&cause))?;
         let response =
             response.error_for_status().map_err(|cause| SendError::Lost(cause.to_string()))?;
         response.bytes().await.map_err(|cause| SendError::Lost(cause.to_string()))
     }
 }
 
-fn classify(cause: reqwest::Error) -> SendError {
+fn classify(cause: &reqwest::Error) -> SendError {
     if cause.is_connect() {
         SendError::NotSent(cause.to_string())
     } else {
--- a/crates/ivytrail-daemon/src/peer_desk.rs
+++ b/crates/ivytrail-daemon/src/peer_desk.rs
@@ -88,11 +88,8 @@
     fn take_control(&self, frame: Bytes) -> Result<Bytes, StatusCode> {
         let ((from, messages), _): ((MemberId, Vec<ControlMessage>), Bytes) =
             decode_frame(frame).map_err(|_| StatusCode::BAD_REQUEST)?;
-        for message in messages {
-            self.executor.apply(DaemonEvent::ControlReceived { from: from.clone(), message });
-        }
-        let replies: (&MemberId, &[ControlMessage]) = (&self.me, &[]);
-        Ok(encode_frame(&replies, &[]))
+        let answers = self.executor.take_control(&from, messages);
+        Ok(encode_frame(&(&self.me, answers), &[]))
     }
 }
 
--- a/crates/ivytrail-daemon/src/run_client.rs
+++ b/crates/ivytrail-daemon/src/run_client.rs
@@ -52,6 +52,13 @@
         }
     }
 
+    /// Returns whether the backend server takes a connection.
+    pub async fn probe(&self) -> bool {
+        let Some(address) = self.address.read().clone() else { return false };
+        let connecting = tokio::net::TcpStream::connect(address);
+        matches!(tokio::time::timeout(CONNECT_TIMEOUT, connecting).await, Ok(Ok(_)))
+    }
+
     /// Runs one request and returns how it ended.
     pub async fn run(
         &self,
--- a/crates/ivytrail-daemon/src/server.rs
+++ b/crates/ivytrail-daemon/src/server.rs
@@ -15,6 +15,7 @@
     fuse::FuseConfig,
     server::ServerHandle,
 };
+use tokio::task::JoinHandle;
 
 use crate::{
     caller_desk::{CallerDesk, DeskSide},
@@ -34,12 +35,24 @@
 /// Time for which a leaving daemon still answers, so that its leave has spread before its interfaces close.
 const LEAVE_SPREAD_TIME: Duration = Duration::from_millis(600);
 
-/// Runs the daemon until a signal asks it to leave.
+/// Time for which a leaving daemon waits until its claims have reached their next owners.
+const HAND_OVER_TIME: Duration = Duration::from_millis(300);
+
+/// How a run of the daemon ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunOutcome {
+    /// A signal asked it to leave.
+    Stopped,
+    /// The other members have fenced it, e.g. after a pause; the next run takes a new incarnation.
+    Fenced,
+}
+
+/// Runs the daemon until a signal asks it to leave, or the other members have fenced it.
 ///
 /// # Errors
 ///
 /// Returns an error when an address can't be bound or a client can't be set up.
-pub async fn run(settings: DaemonSettings) -> anyhow::Result<()> {
+pub async fn run(settings: Arc<DaemonSettings>) -> anyhow::Result<RunOutcome> {
     let incarnation = wall_clock().as_millis();
     let member = MemberId { instance: settings.name.clone(), incarnation };
     log::info!("event=starting member={member} domain={}", settings.failure_domain);
@@ -51,7 +64,8 @@
     let secret = settings.peer_secret.expose().to_string();
     let shell = DaemonShell::new(DaemonReducer::new(identity, rand::random()));
     let peers = PeerClient::new(member.clone(), secret.clone())?;
-    let executor = EffectExecutor::new(shell, peers, RunClient::new()?);
+    let (proposer, proposals) = tokio::sync::mpsc::unbounded_channel();
+    let executor = EffectExecutor::new(shell, peers, RunClient::new()?, proposer);
 
     let max_body = settings.limits.max_body_bytes;
     let callers = Router::with_path("{**rest}").goal(CallerDesk::new(
@@ -70,24 +84,33 @@
         serve(settings.local_address, local, &settings).await.context("local_address")?,
         serve(settings.peer_address, peer, &settings).await.context("peer_address")?,
     ];
-    let settings = Arc::new(settings);
-    control_loop::spawn(executor.clone(), &settings);
-    spawn_ticks(executor.clone());
+    let mut loops = control_loop::spawn(&executor, &settings, proposals);
+    loops.push(spawn_ticks(executor.clone()));
     log::info!("event=started");
-    wait_for_signal().await?;
+    let outcome = tokio::select! {
+        signal = wait_for_signal() => signal.map(|()| RunOutcome::Stopped)?,
+        () = executor.wait_for_restart() => RunOutcome::Fenced,
+    };
     leave(&executor, &settings).await;
-    for handle in handles {
+    for (handle, _) in &handles {
         handle.stop_graceful(settings.intervals.shutdown_grace);
     }
-    log::info!("event=stopped");
-    Ok(())
+    for (_, task) in handles {
+        // The next run needs the addresses.
+        let _ = task.await;
+    }
+    for task in loops {
+        task.abort();
+    }
+    log::info!("event=stopped outcome={outcome:?}");
+    Ok(outcome)
 }
 
 async fn serve(
     address: SocketAddr,
     router: Router,
     settings: &DaemonSettings,
-) -> anyhow::Result<ServerHandle> {
+) -> anyhow::Result<(ServerHandle, JoinHandle<()>)> {
     let acceptor: TcpAcceptor = TcpListener::new(address)
         .try_bind()
         .await
@@ -98,18 +121,18 @@
     server.http1_mut().max_buf_size(settings.limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES));
     let handle = server.handle();
     let service = Service::new(router).catcher(Catcher::default());
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         if let Err(cause) = server.try_serve(service).await {
             log::error!("event=server_failed address={address} cause={:?}", cause.to_string());
         }
     });
-    Ok(handle)
+    Ok((handle, task))
 }
 
 /// Least buffer for a request's head that the HTTP library allows, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
 
-fn spawn_ticks(executor: EffectExecutor) {
+fn spawn_ticks(executor: EffectExecutor) -> JoinHandle<()> {
     tokio::spawn(async move {
         let mut interval = tokio::time::interval(TICK_INTERVAL);
         interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
@@ -117,7 +140,7 @@
             interval.tick().await;
             executor.apply(DaemonEvent::Tick);
         }
-    });
+    })
 }
 
 async fn wait_for_signal() -> anyhow::Result<()> {
@@ -140,5 +163,7 @@
     while !executor.shell().inspect(DaemonReducer::is_idle) && started.elapsed() < grace {
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
     }
+    executor.apply(DaemonEvent::HandOverRequested);
+    tokio::time::sleep(HAND_OVER_TIME).await;
     control_loop::leave(executor, settings).await;
 }
--- a/crates/ivytrail/src/message.rs
+++ b/crates/ivytrail/src/message.rs
@@ -11,8 +11,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    claim::{ClaimAnswer, ClaimHandover, ClaimQuestion},
     id::{AccountName, AttemptId, ContentDigest, RootId, RouteName, ServiceName},
+    lease::LeaseMessage,
     membership::GossipMessage,
+    quarantine::Suspicion,
+    quota::{QuotaAsk, QuotaGrant},
     settings::{PriorityClass, Revision},
 };
 
@@ -62,6 +66,8 @@
     NotOwner,
     /// The request's idempotency key was used before, and what became of that use is not known.
     ClaimInDoubt,
+    /// The request ran before, and its answer is no longer stored.
+    AnswerGone,
     /// The idempotency key was used with another request.
     KeyReused,
     /// The caller went away.
@@ -179,4 +185,18 @@
 pub enum ControlMessage {
     /// Membership.
     Gossip(GossipMessage),
+    /// Leases of a ring.
+    Lease(LeaseMessage),
+    /// Asks for quota tokens.
+    QuotaAsk(QuotaAsk),
+    /// Hands over quota tokens.
+    QuotaGrant(QuotaGrant),
+    /// Asks an earlier owner about a claim.
+    ClaimQuestion(ClaimQuestion),
+    /// Answers a question about a claim.
+    ClaimAnswer(ClaimAnswer),
+    /// Hands claims over to their next owner.
+    ClaimHandover(ClaimHandover),
+    /// Tells of a request that may crash backend servers.
+    Suspicion(Suspicion),
 }
--- a/crates/ivytrail/src/reducer.rs
+++ b/crates/ivytrail/src/reducer.rs
@@ -6,31 +6,54 @@
 //!
 //! # Example
 //!
+//! A request that no route takes is refused at once, and the refusal says that it has not run:
+//!
 //! ```
 //! use ivytrail::{
-//!     id::MemberId,
-//!     reducer::{DaemonEvent, DaemonIdentity, DaemonReducer, TimedEvent},
+//!     id::{CallId, ContentDigest, MemberId},
+//!     message::{CallOutcome, RefusalReason},
+//!     reducer::{
+//!         CallAnswer, CallRequest, CallSource, DaemonEffect, DaemonEvent, DaemonIdentity,
+//!         DaemonReducer, TimedEvent,
+//!     },
 //!     time::{TimePoint, WallClock},
 //! };
 //!
 //! let member = MemberId { instance: "booking-1".into(), incarnation: 1 };
 //! let identity = DaemonIdentity::new(member, "kolkata", "127.0.0.1:7101");
 //! let mut reducer = DaemonReducer::new(identity, [7; 32]);
-//! let event = TimedEvent {
+//! let request = CallRequest {
+//!     call: CallId(1),
+//!     source: CallSource::Caller(None),
+//!     method: "GET".to_string(),
+//!     path: "/tracker/7".to_string(),
+//!     headers: Vec::new(),
+//!     idempotency_key: None,
+//!     body_digest: ContentDigest::of_parts(&[]),
+//!     time_limit: None,
+//! };
+//! let effects = reducer.apply(TimedEvent {
 //!     now: TimePoint::from_millis(5),
 //!     wall: WallClock::from_millis(1_700_000_000_000),
-//!     event: DaemonEvent::Tick,
+//!     event: DaemonEvent::CallReceived(request),
+//! });
+//! let answer = CallAnswer::Refused {
+//!     outcome: CallOutcome::NotRun,
+//!     reason: RefusalReason::NoRoute,
+//!     retry_after: None,
 //! };
-//! let effects = reducer.apply(event);
-//! assert!(effects.is_empty());
+//! assert_eq!(effects, [DaemonEffect::AnswerCall { call: CallId(1), answer }]);
 //! ```
 
 mod call_flow;
+mod claim_flow;
 mod control_flow;
 mod effect;
 mod entry;
 mod event;
 mod guard;
+mod quota_flow;
+mod rings;
 mod run_flow;
 
 use std::{
@@ -40,7 +63,11 @@
 
 use rand::{SeedableRng, rngs::StdRng};
 
-use self::{control_flow::ControlPlane, entry::EntryCalls, guard::GuardRuns};
+use self::{
+    control_flow::ControlPlane,
+    entry::EntryCalls,
+    guard::{GuardRuns, RecentReplies},
+};
 pub use self::{
     effect::{CallAnswer, DaemonEffect},
     event::{
@@ -50,7 +77,9 @@
 };
 use crate::{
     admission::{AdmissionOptions, AdmissionQueue, EntryGate},
-    id::{AccountName, ContentDigest, DomainName, MemberId, RouteName},
+    claim::{AttemptLedger, ClaimOptions, ClaimTable, LedgerOptions},
+    id::{AccountName, ContentDigest, DomainName, MemberId, RingName, RouteName, ServiceName},
+    lease::LeaseOptions,
     membership::MemberRecord,
     message::LoadReport,
     quarantine::CrashQuarantine,
@@ -90,8 +119,14 @@
     /// End of the time for which the settings are known to be in force.
     authority_until: TimePoint,
     is_leaving: bool,
+    is_starting_anew: bool,
     entry: EntryCalls,
     guard: GuardRuns,
+    ledger: AttemptLedger,
+    recent: RecentReplies,
+    claims: ClaimTable,
+    /// Longest time between the check of a claim's lease and the start of its run.
+    run_window: Duration,
     admission: AdmissionQueue,
     gate: EntryGate,
     picker: UpstreamPicker,
@@ -103,10 +138,19 @@
 }
 
 /// What is known of the backend server beside this daemon.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct BackendWatch {
     notice: Option<BackendNotice>,
     heard_at: TimePoint,
+    /// What ran when a run broke, until a probe has told whether the backend server crashed.
+    in_flight_at_break: Option<Vec<ContentDigest>>,
+}
+
+impl BackendWatch {
+    /// Returns the service that the backend server has announced.
+    fn service(&self) -> Option<&ServiceName> {
+        self.notice.as_ref().map(|it| &it.service)
+    }
 }
 
 /// One step of the reducer: the clocks, and the effects so far.
@@ -133,14 +177,19 @@
             settings: SettingsInForce::default(),
             authority_until: TimePoint::ORIGIN,
             is_leaving: false,
+            is_starting_anew: false,
             entry: EntryCalls::new(identity.member.clone()),
             guard: GuardRuns::new(seed),
+            ledger: AttemptLedger::new(LedgerOptions::default()),
+            recent: RecentReplies::default(),
+            claims: ClaimTable::new(ClaimOptions::default()),
+            run_window: LeaseOptions::default().run_window(),
             admission: AdmissionQueue::new(admission),
             gate: EntryGate::new(),
             picker: UpstreamPicker::new(routing),
             ratios: HashMap::new(),
             quarantine: CrashQuarantine::new(identity.member.clone()),
-            backend: BackendWatch { notice: None, heard_at: TimePoint::ORIGIN },
+            backend: BackendWatch::default(),
             control: ControlPlane::new(&identity, number),
             rng: StdRng::seed_from_u64(number.rotate_left(17)),
             identity,
@@ -164,16 +213,19 @@
             DaemonEvent::InquiryReceived { attempt } => self.receive_inquiry(&mut turn, &attempt),
             DaemonEvent::CancelReceived { attempt } => self.cancel_attempt(&mut turn, &attempt),
             DaemonEvent::RunEnded { attempt, end } => self.end_run(&mut turn, &attempt, end),
+            DaemonEvent::BackendProbed { is_alive } => self.take_probe(&mut turn, is_alive),
             DaemonEvent::BackendAnnounced(notice) => self.hear_backend(&mut turn, notice),
             DaemonEvent::ControlReceived { from, message } => {
                 self.receive_control(&mut turn, &from, message);
             }
+            DaemonEvent::ControlLost { message } => self.lose_control(&mut turn, &message),
             DaemonEvent::ControlLearned(fact) => self.learn(&mut turn, fact),
             DaemonEvent::SettingsInstalled(settings) => self.install_settings(&mut turn, settings),
             DaemonEvent::AuthorityConfirmed { until } => {
                 self.authority_until = self.authority_until.max(until);
             }
             DaemonEvent::DrainRequested => self.start_leaving(&mut turn),
+            DaemonEvent::HandOverRequested => self.hand_over(&mut turn),
             DaemonEvent::Tick => self.tick(&mut turn),
         }
         self.settle_control(&mut turn);
@@ -205,6 +257,11 @@
         self.control.view.members()
     }
 
+    /// Returns the names of the rings whose definitions this daemon needs.
+    pub fn ring_names(&self) -> impl Iterator<Item = &RingName> {
+        self.control.rings.names()
+    }
+
     /// Returns this guard's load.
     pub fn load(&self) -> LoadReport {
         self.admission.load()
@@ -222,8 +279,8 @@
             turn.log(format!("event=settings_ignored revision={after} in_force={before}"));
             return;
         }
+        self.control.install_accounts(turn.now, &self.settings, &settings);
         self.settings = settings;
-        self.control.install_accounts(turn.now, &self.settings);
         turn.log(format!("event=settings_in_force revision={after}"));
     }
 }
--- a/crates/ivytrail/src/reducer/call_flow.rs
+++ b/crates/ivytrail/src/reducer/call_flow.rs
@@ -11,7 +11,7 @@
     event::BreakCause,
 };
 use crate::{
-    claim::key_made_ms,
+    claim::made_ms_of,
     id::{AccountName, AttemptId, CallId, CallToken, ContentDigest, MemberId, RootId},
     message::{AttemptHeader, AttemptReply, AttemptResult, CallOutcome, RefusalReason},
     quota::QuotaVerdict,
@@ -58,7 +58,7 @@
         let deadline = turn.now.plus(lineage.time_left);
         let parent = lineage.parent.clone();
         let call = request.call;
-        let template = self.template(turn, request, route.clone(), policy, lineage);
+        let template = self.template(request, route.clone(), policy, lineage);
         self.entry.insert(call, template, deadline, parent);
         if let Some(wait) = self.quarantined(turn, call) {
             return self.refuse_call(turn, call, RefusalReason::Quarantined, Some(wait));
@@ -127,7 +127,6 @@
 
     fn template(
         &self,
-        turn: &Turn,
         request: CallRequest,
         route: crate::id::RouteName,
         policy: &RoutePolicy,
@@ -154,7 +153,7 @@
             depth: lineage.depth,
             idempotent: policy.idempotent,
             claim: claim_key.map(|it| claim_digest(lineage.account.as_ref(), it)),
-            claim_made_ms: claim_key.and_then(|it| key_made_ms(it, turn.wall)),
+            claim_made_ms: claim_key.and_then(made_ms_of),
             account: lineage.account,
             refuse_as: None,
             fingerprint,
@@ -180,7 +179,7 @@
         let Some(account) = call.template.account.clone() else {
             return self.dispatch(turn, id, None);
         };
-        match self.control.request_quota(turn.now, &account, id) {
+        match self.request_quota(turn, &account, id) {
             QuotaVerdict::Granted => self.dispatch(turn, id, None),
             QuotaVerdict::Waiting => {}
             QuotaVerdict::Refused { retry_after } => {
@@ -231,11 +230,8 @@
         let call = self.entry.get(id)?;
         let service = &call.template.service;
         let guard = match &call.template.claim {
-            // An owner that was tried in vain is still the owner: no other guard may run the request.
-            Some(claim) => self
-                .control
-                .claim_owner(service, claim)
-                .filter(|owner| !call.tried.contains(owner))?,
+            // Whichever guard is asked, only the claim's owner runs the request.
+            Some(claim) => self.control.claim_owner(service, claim, &call.tried)?,
             None => self.picker.pick(turn.now, service, &call.tried)?,
         };
         let address = self.control.address_of(&guard)?;
@@ -252,7 +248,7 @@
     pub(super) fn receive_answer(&mut self, turn: &mut Turn, reply: &AttemptReply, body: Bytes) {
         let (step, news) = self.entry.answered(turn.now, reply, body);
         if let Some(news) = news {
-            self.control.note_contact(turn.now, &news.guard);
+            self.control.view.note_contact(turn.now, &news.guard);
             let ok = is_server_sound(&reply.result);
             self.picker.note_reply(turn.now, &news.guard, reply.load, news.latency, ok);
             self.note_cuts(turn, &step, reply);
@@ -277,7 +273,7 @@
     pub(super) fn receive_break(&mut self, turn: &mut Turn, serial: u64, cause: BreakCause) {
         if let Some(guard) = self.entry.guard_of(serial).cloned() {
             self.picker.note_failure(turn.now, &guard);
-            self.control.note_unreachable(turn.now, &guard);
+            self.control.view.note_unreachable(turn.now, &guard);
         }
         let step = self.entry.broken(turn.now, serial, cause, &mut turn.out);
         self.take_step(turn, step);
@@ -328,7 +324,7 @@
     }
 
     pub(super) fn drop_call(&mut self, turn: &mut Turn, id: CallId) {
-        self.control.abandon_quota(id);
+        self.control.stash.abandon(id);
         let Some(call) = self.entry.remove(id, &mut turn.out) else { return };
         if let Some(run) = call.parent.as_ref().and_then(|it| self.guard.get_mut(it)) {
             run.purse.repay(call.purse.held());
@@ -337,7 +333,7 @@
 
     pub(super) fn tick_calls(&mut self, turn: &mut Turn) {
         for (call, answer) in self.entry.tick(turn.now, &mut turn.out) {
-            self.control.abandon_quota(call);
+            self.control.stash.abandon(call);
             self.finish(turn, call, answer);
         }
     }
--- a/crates/ivytrail/src/reducer/control_flow.rs
+++ b/crates/ivytrail/src/reducer/control_flow.rs
@@ -2,22 +2,27 @@
 
 use super::{
     BackendNotice, BackendState, ControlOutbox, DaemonEffect, DaemonIdentity, DaemonReducer,
-    LearnedFact, Turn,
+    LearnedFact, Turn, quota_flow::ShareStanding, rings::RingSet,
 };
 use crate::{
-    id::{AccountName, CallId, ContentDigest, MemberId, ServiceName, rendezvous_weight},
+    id::{ContentDigest, MemberId, ServiceName, rendezvous_weight},
+    lease::LeaseMessage,
     membership::{MemberRecord, MemberState, MemberView, MembershipOptions},
     message::ControlMessage,
-    quota::QuotaVerdict,
+    quarantine::Suspicion,
+    quota::{QuotaHome, QuotaOptions, QuotaStash},
     routing::UpstreamInfo,
-    settings::index::SettingsInForce,
-    time::TimePoint,
 };
 
 /// What this daemon shares with others, and the messages that wait to be sent.
 #[derive(Debug)]
 pub(super) struct ControlPlane {
     pub(super) view: MemberView,
+    pub(super) rings: RingSet,
+    pub(super) stash: QuotaStash,
+    pub(super) home: QuotaHome,
+    pub(super) standing: ShareStanding,
+    pub(super) shares_due: bool,
     pub(super) outbox: ControlOutbox,
 }
 
@@ -33,41 +38,35 @@
             slots: 0,
         };
         let view = MemberView::new(record, MembershipOptions::default(), seed);
-        ControlPlane { view, outbox: ControlOutbox::new() }
-    }
-
-    pub(super) fn install_accounts(&mut self, _now: TimePoint, _settings: &SettingsInForce) {}
-
-    pub(super) fn request_quota(
-        &mut self,
-        _now: TimePoint,
-        _account: &AccountName,
-        _call: CallId,
-    ) -> QuotaVerdict {
-        QuotaVerdict::Granted
+        ControlPlane {
+            view,
+            rings: RingSet::new(identity.member.clone()),
+            stash: QuotaStash::new(QuotaOptions::default(), seed),
+            home: QuotaHome::new(QuotaOptions::default()),
+            standing: ShareStanding::default(),
+            shares_due: true,
+            outbox: ControlOutbox::new(),
+        }
     }
 
-    pub(super) fn abandon_quota(&mut self, _call: CallId) {}
-
+    /// Returns the guard that most probably owns a claim, leaving out those in `tried`.
+    ///
+    /// The choice need not be right: a guard that does not own the claim says so, and the next one is asked.
     pub(super) fn claim_owner(
         &self,
         service: &ServiceName,
         claim: &ContentDigest,
+        tried: &[MemberId],
     ) -> Option<MemberId> {
-        let serving = self.view.members().filter(|it| it.state == MemberState::Serving);
-        let upstreams = serving.filter(|it| it.service.as_ref() == Some(service));
+        let upstreams = self.view.members().filter(|it| {
+            it.service.as_ref() == Some(service)
+                && matches!(it.state, MemberState::Serving | MemberState::Draining)
+                && !tried.contains(&it.member)
+        });
         let owner = upstreams.max_by_key(|it| rendezvous_weight(&it.member.instance, claim));
         owner.map(|it| it.member.clone())
     }
 
-    pub(super) fn note_contact(&mut self, now: TimePoint, member: &MemberId) {
-        self.view.note_contact(now, member);
-    }
-
-    pub(super) fn note_unreachable(&mut self, now: TimePoint, member: &MemberId) {
-        self.view.note_unreachable(now, member);
-    }
-
     pub(super) fn address_of(&self, member: &MemberId) -> Option<String> {
         self.view.get(member).map(|it| it.peer_address.clone())
     }
@@ -86,12 +85,36 @@
                 self.control.view.receive(turn.now, from, message, &mut out);
                 self.queue_gossip(out);
             }
+            ControlMessage::Lease(message) => {
+                let mut out = Vec::new();
+                self.control.rings.receive(turn.now, from, message, &mut out);
+                self.queue_leases(out);
+            }
+            ControlMessage::QuotaAsk(ask) => self.receive_ask(turn, from, &ask),
+            ControlMessage::QuotaGrant(grant) => self.receive_grant(turn, &grant),
+            ControlMessage::ClaimQuestion(question) => self.receive_question(turn, from, &question),
+            ControlMessage::ClaimAnswer(answer) => self.receive_claim_answer(turn, from, answer),
+            ControlMessage::ClaimHandover(handover) => self.receive_handover(turn, from, handover),
+            ControlMessage::Suspicion(suspicion) => self.quarantine.absorb(turn.now, &suspicion),
+        }
+    }
+
+    /// Takes note of a control message that could not be delivered, where somebody waits for its answer.
+    pub(super) fn lose_control(&mut self, turn: &mut Turn, message: &ControlMessage) {
+        match message {
+            ControlMessage::QuotaAsk(ask) => self.fail_ask(turn, ask),
+            ControlMessage::ClaimQuestion(question) => {
+                self.give_up_question(turn, &question.claim);
+            }
+            _ => {}
         }
     }
 
     pub(super) fn learn(&mut self, turn: &mut Turn, fact: LearnedFact) {
         match fact {
             LearnedFact::Member(record) => self.control.view.learn(turn.now, &record),
+            LearnedFact::Ring(definition) => self.control.rings.install(turn.now, definition),
+            LearnedFact::RingAbsent(name) => self.control.rings.note_absent(turn.now, name),
         }
     }
 
@@ -113,6 +136,7 @@
             BackendState::Starting | BackendState::Silent => MemberState::Starting,
         };
         let service = Some(notice.service.clone());
+        self.control.rings.join_claims(&notice.service);
         self.control.view.announce(turn.now, service, state, notice.slots);
         self.backend.notice = Some(notice);
         let mut verdicts = Vec::new();
@@ -134,6 +158,11 @@
         let mut out = Vec::new();
         self.control.view.tick(turn.now, &mut out);
         self.queue_gossip(out);
+        let mut out = Vec::new();
+        self.control.rings.tick(turn.now, &mut out);
+        self.queue_leases(out);
+        self.review_rings(turn);
+        self.tick_quota(turn);
         for record in self.control.view.take_changes() {
             self.take_member(turn, record);
         }
@@ -162,6 +191,39 @@
         }
     }
 
+    fn review_rings(&mut self, turn: &mut Turn) {
+        let control = &mut self.control;
+        let proposals = control.rings.review(turn.now, &control.view, &mut self.rng);
+        if self.is_leaving {
+            return;
+        }
+        turn.out.extend(proposals.into_iter().map(DaemonEffect::ProposeRing));
+        let is_over = self.control.rings.is_expelled() || self.control.view.is_superseded();
+        if is_over && !self.is_starting_anew {
+            self.is_starting_anew = true;
+            turn.log("event=fenced_by_others".to_string());
+            turn.out.push(DaemonEffect::StartAnew);
+        }
+    }
+
+    /// Tells the other guards of the service of requests that may crash backend servers.
+    pub(super) fn spread_suspicions(&mut self, suspicions: &[Suspicion]) {
+        let Some(service) = self.backend.service() else { return };
+        let me = &self.identity.member;
+        let peers = self.picker.upstreams(service).filter(|it| it.member != *me);
+        let peers: Vec<MemberId> = peers.map(|it| it.member.clone()).collect();
+        for suspicion in suspicions {
+            let message = ControlMessage::Suspicion(suspicion.clone());
+            let messages = peers.iter().map(|to| (to.clone(), message.clone()));
+            self.control.outbox.extend(messages);
+        }
+    }
+
+    pub(super) fn queue_leases(&mut self, messages: Vec<(MemberId, LeaseMessage)>) {
+        let messages = messages.into_iter().map(|(to, it)| (to, ControlMessage::Lease(it)));
+        self.control.outbox.extend(messages);
+    }
+
     fn queue_gossip(&mut self, messages: Vec<(MemberId, crate::membership::GossipMessage)>) {
         let messages = messages.into_iter().map(|(to, it)| (to, ControlMessage::Gossip(it)));
         self.control.outbox.extend(messages);
--- a/crates/ivytrail/src/reducer/effect.rs
+++ b/crates/ivytrail/src/reducer/effect.rs
@@ -1,12 +1,14 @@
 //! What a daemon does: the reducer's only output.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 
 use crate::{
     id::{AttemptId, CallId, CallToken, MemberId},
+    lease::RingDefinition,
     message::{AttemptHeader, AttemptReply, CallOutcome, ControlMessage, RefusalReason},
+    time::TimePoint,
 };
 
 /// Something that the shell has to do.
@@ -51,12 +53,16 @@
         /// The attempt; its body is the one that came with it.
         attempt: AttemptId,
         /// What the backend server shall see.
-        header: Box<AttemptHeader>,
+        header: Arc<AttemptHeader>,
         /// Token for nested calls.
         token: CallToken,
+        /// Latest time to start; a run that would start later, after a pause, must not start at all.
+        start_by: TimePoint,
         /// Time limit of the run.
         time_left: Duration,
     },
+    /// Finds out whether the backend server still takes connections.
+    ProbeBackend,
     /// Ends a run at the backend server whose answer nobody wants.
     CancelRun {
         /// The attempt.
@@ -78,6 +84,10 @@
         /// The message.
         message: ControlMessage,
     },
+    /// Writes a ring's next definition to the platform's table, if the epoch before it is current there.
+    ProposeRing(RingDefinition),
+    /// Ends this run of the daemon and starts the next one: the other members have fenced this incarnation.
+    StartAnew,
     /// Writes one line to the log.
     LogLine(String),
 }
--- a/crates/ivytrail/src/reducer/entry.rs
+++ b/crates/ivytrail/src/reducer/entry.rs
@@ -217,10 +217,15 @@
                     reason: *reason,
                     retry_after: *retry_after,
                 };
-                let may_retry = *local
-                    && call.template.refuse_as.is_none()
-                    && (*outcome == CallOutcome::NotRun || call.template.idempotent)
-                    && is_worth_retrying(*reason);
+                let may_retry = match call.template.claim {
+                    // Any guard may be asked: only the claim's owner runs the request.
+                    Some(_) => is_from_other_owner(*reason),
+                    None => {
+                        (*outcome == CallOutcome::NotRun || call.template.idempotent)
+                            && is_worth_retrying(*reason)
+                    }
+                };
+                let may_retry = *local && may_retry;
                 match may_retry {
                     true => NextStep::Retry { call: id, otherwise: answer },
                     false => NextStep::Finish { call: id, answer },
@@ -256,7 +261,7 @@
             }
             BreakCause::NotSent => {
                 let outcome = if claimed { CallOutcome::Unknown } else { CallOutcome::NotRun };
-                self.give_up_attempt(id, outcome)
+                self.give_up_attempt(id, outcome, false)
             }
         }
     }
@@ -270,11 +275,12 @@
             // The first connection is still open and may bring the answer.
             return NextStep::Wait;
         }
-        self.give_up_attempt(id, CallOutcome::Unknown)
+        self.give_up_attempt(id, CallOutcome::Unknown, true)
     }
 
-    fn give_up_attempt(&mut self, id: CallId, outcome: CallOutcome) -> NextStep {
+    fn give_up_attempt(&mut self, id: CallId, outcome: CallOutcome, was_sent: bool) -> NextStep {
         let call = self.calls.get_mut(&id).expect("the caller looked it up");
+        let not_sent_claim = !was_sent && call.template.claim.is_some();
         let attempt = call.outstanding.take().expect("the caller looked it up");
         call.tried.push(attempt.to);
         self.attempts.remove(&attempt.serial);
@@ -284,7 +290,7 @@
             retry_after: None,
         };
         let may_retry = outcome == CallOutcome::NotRun || call.template.idempotent;
-        match may_retry && call.template.refuse_as.is_none() {
+        match may_retry || not_sent_claim {
             true => NextStep::Retry { call: id, otherwise: answer },
             false => NextStep::Finish { call: id, answer },
         }
@@ -364,6 +370,11 @@
     )
 }
 
+/// Returns whether a refusal says that another guard may own the claim.
+fn is_from_other_owner(reason: RefusalReason) -> bool {
+    matches!(reason, RefusalReason::NotOwner | RefusalReason::Draining | RefusalReason::NoUpstream)
+}
+
 /// Returns the digest under which a non-idempotent request is claimed.
 pub fn claim_digest(account: Option<&AccountName>, idempotency_key: &str) -> ContentDigest {
     let account = account.map_or("", AccountName::as_str);
--- a/crates/ivytrail/src/reducer/event.rs
+++ b/crates/ivytrail/src/reducer/event.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 
 use crate::{
-    id::{AttemptId, CallId, CallToken, ContentDigest, MemberId, ServiceName},
+    id::{AttemptId, CallId, CallToken, ContentDigest, MemberId, RingName, ServiceName},
+    lease::RingDefinition,
+    membership::MemberRecord,
     message::{AttemptHeader, AttemptReply, ControlMessage},
     settings::index::SettingsInForce,
     time::{TimePoint, WallClock},
@@ -70,6 +72,11 @@
         /// How it ended.
         end: RunEnd,
     },
+    /// A probe of the backend server ended.
+    BackendProbed {
+        /// Whether it took the connection.
+        is_alive: bool,
+    },
     /// The backend server announced itself.
     BackendAnnounced(BackendNotice),
     /// Another daemon sent a control message.
@@ -81,6 +88,11 @@
     },
     /// The platform's table or a peer told of a member, or of a ring's definition.
     ControlLearned(LearnedFact),
+    /// A control message could not be delivered.
+    ControlLost {
+        /// The message.
+        message: ControlMessage,
+    },
     /// A newer settings tree is in force.
     SettingsInstalled(SettingsInForce),
     /// This daemon may rely on its settings and keys until the given time.
@@ -90,6 +102,8 @@
     },
     /// An operator or the end of the process asks this daemon to leave.
     DrainRequested,
+    /// Nothing runs here any more and the daemon is about to end: claims go to their next owners.
+    HandOverRequested,
     /// Time passed.
     Tick,
 }
@@ -186,5 +200,9 @@
 #[derive(Clone, Debug)]
 pub enum LearnedFact {
     /// A daemon.
-    Member(crate::membership::MemberRecord),
+    Member(MemberRecord),
+    /// A ring's definition.
+    Ring(RingDefinition),
+    /// The table has no row for a ring.
+    RingAbsent(RingName),
 }
--- a/crates/ivytrail/src/reducer/guard.rs
+++ b/crates/ivytrail/src/reducer/guard.rs
@@ -1,15 +1,17 @@
 //! Attempts at their guard: from arrival to the one reply, and the runs at the backend server.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
+    sync::Arc,
     time::Duration,
 };
 
+use bytes::Bytes;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
     id::{AttemptId, CallToken, ContentDigest},
-    message::{AttemptHeader, LoadReport},
+    message::{AttemptHeader, AttemptReply, LoadReport},
     retry::RetryPurse,
     time::TimePoint,
 };
@@ -18,7 +20,7 @@
 #[derive(Debug)]
 pub struct GuardRun {
     /// What the entry said of it.
-    pub header: Box<AttemptHeader>,
+    pub header: Arc<AttemptHeader>,
     /// Latest time at which the entry can use the reply.
     pub deadline: TimePoint,
     /// Retries left to the nested calls.
@@ -69,7 +71,7 @@
     /// # Panics
     ///
     /// Panics when the attempt is here already: the attempt ledger keeps copies out.
-    pub fn insert(&mut self, now: TimePoint, header: Box<AttemptHeader>, state: RunState) {
+    pub fn insert(&mut self, now: TimePoint, header: Arc<AttemptHeader>, state: RunState) {
         let run = GuardRun {
             deadline: now.plus(header.time_left),
             purse: RetryPurse::new(header.retry_tokens),
@@ -97,23 +99,19 @@
         self.runs.get_mut(attempt)
     }
 
-    /// Marks a waiting attempt as running and returns its token, header and time left.
+    /// Marks a waiting attempt as running and returns its token and the time left.
     ///
     /// # Panics
     ///
     /// Panics when the attempt is unknown or not waiting: it would run twice.
-    pub fn start(
-        &mut self,
-        now: TimePoint,
-        attempt: &AttemptId,
-    ) -> (CallToken, Box<AttemptHeader>, Duration) {
+    pub fn start(&mut self, now: TimePoint, attempt: &AttemptId) -> (CallToken, Duration) {
         let token =
             CallToken((u128::from(self.rng.next_u64()) << 64) | u128::from(self.rng.next_u64()));
         let run = self.runs.get_mut(attempt).expect("only a received attempt is started");
         assert_eq!(run.state, RunState::Waiting, "{attempt} is started once");
         run.state = RunState::Running { token, started_at: now };
         self.tokens.insert(token, attempt.clone());
-        (token, run.header.clone(), run.deadline.since(now))
+        (token, run.deadline.since(now))
     }
 
     /// Removes an attempt that gets its reply now; its token ends with it.
@@ -137,3 +135,40 @@
             .collect()
     }
 }
+
+/// The latest replies, for entries that lost their connection just before the reply came.
+#[derive(Debug, Default)]
+pub struct RecentReplies {
+    replies: HashMap<AttemptId, (AttemptReply, Bytes)>,
+    order: VecDeque<AttemptId>,
+    n_bytes: usize,
+}
+
+/// Greatest number of replies kept.
+const MAX_RECENT_REPLIES: usize = 4_096;
+/// Greatest sum of the bodies of the replies kept, in bytes.
+const MAX_RECENT_BYTES: usize = 8 * 1024 * 1024;
+
+impl RecentReplies {
+    /// Keeps a reply; the oldest ones make room.
+    pub fn keep(&mut self, reply: &AttemptReply, body: &Bytes) {
+        if MAX_RECENT_BYTES < body.len() {
+            return;
+        }
+        self.n_bytes += body.len();
+        self.order.push_back(reply.attempt.clone());
+        let replaced = self.replies.insert(reply.attempt.clone(), (reply.clone(), body.clone()));
+        assert!(replaced.is_none(), "an attempt was replied to twice");
+        while MAX_RECENT_REPLIES < self.order.len() || MAX_RECENT_BYTES < self.n_bytes {
+            let Some(oldest) = self.order.pop_front() else { break };
+            if let Some((_, body)) = self.replies.remove(&oldest) {
+                self.n_bytes -= body.len();
+            }
+        }
+    }
+
+    /// Returns the reply to an attempt, if it is still kept.
+    pub fn find(&self, attempt: &AttemptId) -> Option<&(AttemptReply, Bytes)> {
+        self.replies.get(attempt)
+    }
+}
--- a/crates/ivytrail/src/reducer/rings.rs
+++ b/crates/ivytrail/src/reducer/rings.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, rngs::StdRng};
 
 use crate::{
-    id::{ContentDigest, MemberId, RingName, ServiceName},
+    id::{MemberId, RingName, ServiceName},
     lease::{LeaseMessage, LeaseOptions, LeaseRing, RingDefinition, RingMember},
     membership::{MemberState, MemberView},
     time::TimePoint,
@@ -50,6 +50,17 @@
         &self.rings[&control_ring()]
     }
 
+    /// Returns how many members of the ring's epoch are fenced.
+    pub(super) fn n_fenced(&self, ring: &LeaseRing) -> usize {
+        let members = ring.definition().map_or(&[][..], |it| &it.members[..]);
+        members.iter().filter(|it| ring.fence_of(&it.member).is_some()).count()
+    }
+
+    /// Returns whether some ring's other members have fenced this incarnation.
+    pub(super) fn is_expelled(&self) -> bool {
+        self.rings.values().any(LeaseRing::is_expelled)
+    }
+
     /// Returns the ring that owns the claims of `service`, if it is followed here.
     pub(super) fn claims(&self, service: &ServiceName) -> Option<&LeaseRing> {
         self.rings.get(&claims_ring(service))
@@ -139,7 +150,7 @@
         };
         let options = LeaseOptions { max_members, ..LeaseOptions::default() };
         let me = self.me.clone();
-        self.rings.entry(name).or_insert_with_key(|name| LeaseRing::new(name.clone(), me, options));
+        self.rings.entry(name).or_insert_with(|| LeaseRing::new(me, options));
     }
 }
 
@@ -194,15 +205,3 @@
     let in_turn = (0..depth).flat_map(|idx| domains.values().filter_map(move |it| it.get(idx)));
     in_turn.take(count).map(|it| (*it).clone()).collect()
 }
-
-/// Returns the members of `definition` in the order in which they own the key with `digest`.
-pub(super) fn owners_in_order<'a>(
-    members: impl Iterator<Item = &'a MemberId>,
-    digest: &ContentDigest,
-) -> Vec<&'a MemberId> {
-    let mut owners: Vec<&MemberId> = members.collect();
-    owners.sort_by_key(|it| {
-        std::cmp::Reverse(crate::id::rendezvous_weight(&it.instance, digest))
-    });
-    owners
-}
