Serve operators: settings, keys, audit trail, drains, health

Cause: operators drive the settings over HTTP, and a lost answer of the platform must not be misreported to them. Ruled out: sending the key's secret to the daemon (a lost answer would lose it; only its digest is sent); taking unknown query parameters, since a misspelt dry_run would store the change; treating 5xx as "nothing written". Change: PlatformClient tells unsent, unanswered and refused apart; operator_router with bearer tokens compared in constant time; OperatorBackend, the handle by which the daemon joins it; wire types shared with the tool. Conclusion: handlers are ready to be joined.

--- /dev/null
+++ b/crates/ivytrail-daemon/src/operator/views.rs
@@ -0,0 +1,69 @@
+//! Answers that change nothing.
+
+use ivytrail::settings::{
+    rows::{CHANGES_PER_READ, changes_in, changes_read, head_in},
+    wire::{AuditPage, KeyList, KeyView, SubtreeView, TeamList},
+};
+use salvo::{Request, http::StatusCode};
+
+use super::{OperatorState, parameters::AuditParameters, reply::OperatorReply};
+
+/// Returns whether the daemon can serve.
+pub(super) fn show_readiness(state: &OperatorState) -> OperatorReply {
+    let view = state.backend.readiness();
+    let status = if view.ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    OperatorReply::json(status, &view)
+}
+
+/// Returns all teams.
+pub(super) fn list_teams(state: &OperatorState) -> OperatorReply {
+    let settings = state.backend.settings();
+    let tree = settings.tree();
+    let list = TeamList { revision: tree.revision, teams: tree.teams.keys().cloned().collect() };
+    OperatorReply::json(StatusCode::OK, &list)
+}
+
+/// Returns one team's subtree.
+pub(super) fn show_team(state: &OperatorState, req: &Request) -> OperatorReply {
+    let team = req.param::<String>("team").unwrap_or_default().into();
+    let settings = state.backend.settings();
+    let tree = settings.tree();
+    let subtree = tree.teams.get(&team).cloned();
+    let view = SubtreeView { team, revision: tree.revision, subtree };
+    OperatorReply::json(StatusCode::OK, &view)
+}
+
+/// Returns all keys in force, without their digests.
+pub(super) fn list_keys(state: &OperatorState) -> OperatorReply {
+    let settings = state.backend.settings();
+    let tree = settings.tree();
+    let views = tree.keys.iter().map(|(name, record)| KeyView {
+        name: name.clone(),
+        account: record.account.clone(),
+        issued_at: record.issued_at,
+    });
+    let list = KeyList { revision: tree.revision, keys: views.collect() };
+    OperatorReply::json(StatusCode::OK, &list)
+}
+
+/// Returns a page of the audit trail, read from the platform: no daemon keeps it.
+pub(super) async fn show_audit(state: &OperatorState, req: &Request) -> OperatorReply {
+    let after = match AuditParameters::of(req) {
+        Ok(parameters) => parameters.after,
+        Err(findings) => {
+            return OperatorReply::error(StatusCode::BAD_REQUEST, findings.to_string());
+        }
+    };
+    let rows = match state.platform.read(&changes_read(after, CHANGES_PER_READ)).await {
+        Ok(rows) => rows,
+        Err(cause) => {
+            return OperatorReply::error(StatusCode::SERVICE_UNAVAILABLE, cause.to_string());
+        }
+    };
+    let page = head_in(&rows)
+        .and_then(|head| changes_in(&rows).map(|changes| AuditPage { head, changes }));
+    match page {
+        Ok(page) => OperatorReply::json(StatusCode::OK, &page),
+        Err(cause) => OperatorReply::error(StatusCode::BAD_GATEWAY, cause.to_string()),
+    }
+}
--- a/crates/ivytrail/src/settings.rs
+++ b/crates/ivytrail/src/settings.rs
@@ -16,6 +16,7 @@
 pub mod snapshot;
 pub mod store;
 pub mod tree;
+pub mod wire;
 
 pub use tree::{
     ClientAccount, KeyRecord, PriorityClass, Revision, RoutePolicy, ServicePolicy, SettingsChange,
--- a/crates/ivytrail/src/settings/store.rs
+++ b/crates/ivytrail/src/settings/store.rs
@@ -36,6 +36,8 @@
 /// Reads and transactions without an answer, or conflicts, after which a session gives up.
 const MAX_SETBACKS: u32 = 12;
 
+const NO_ANSWER: &str = "the platform did not answer";
+
 /// Revision in doubt before the head was read: an earlier sending may have followed any.
 const ANY_REVISION: Revision = Revision(u64::MAX);
 
@@ -120,6 +122,21 @@
     },
 }
 
+impl EditOutcome {
+    /// Returns the outcome's name, as it stands in answers and logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            EditOutcome::Stored { .. } => "stored",
+            EditOutcome::Unchanged { .. } => "unchanged",
+            EditOutcome::WouldChange { .. } => "would-change",
+            EditOutcome::Refused { .. } => "refused",
+            EditOutcome::Overtaken { .. } => "overtaken",
+            EditOutcome::NotStored { .. } => "not-stored",
+            EditOutcome::Unknown { .. } => "unknown",
+        }
+    }
+}
+
 /// A change as it is shown to an operator who was overtaken.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangeSummary {
@@ -195,25 +212,25 @@
 
     /// Takes note that the last read got no answer.
     pub fn on_read_lost(&mut self) -> EditStep {
-        self.set_back("the platform did not answer".to_string())
+        self.set_back(NO_ANSWER.to_string())
+    }
+
+    /// Takes note that the last transaction never left: the platform could not be connected to, or refused it unread.
+    pub fn on_transaction_unsent(&mut self) -> EditStep {
+        self.set_back(NO_ANSWER.to_string())
     }
 
     /// Takes note that the last transaction got no answer: it may have taken effect, or may still.
     pub fn on_transaction_lost(&mut self) -> EditStep {
         self.in_doubt = Some(self.tree.revision.next());
-        self.set_back("the platform did not answer".to_string())
+        self.set_back(NO_ANSWER.to_string())
     }
 
     /// Ends the session from outside, e.g. at the operator's timeout, and returns what is certain by then.
     ///
-    /// `unanswered` is the step whose answer is still awaited.
-    pub fn abandon(&mut self, unanswered: &EditStep) -> EditOutcome {
-        match unanswered {
-            EditStep::Transact(_) => self.in_doubt = Some(self.tree.revision.next()),
-            EditStep::Done(outcome) => return outcome.clone(),
-            EditStep::Read(_) => {}
-        }
-        self.give_up("the platform did not answer in time".to_string())
+    /// A transaction that was sent and not answered has to be reported by [`EditSession::on_transaction_lost`] before.
+    pub fn abandon(&self) -> EditOutcome {
+        self.give_up(NO_ANSWER.to_string())
     }
 
     /// Returns the changes that the session learned of, its own included, in the order of their revisions.
--- a/crates/ivytrail/tests/settings_store.rs
+++ b/crates/ivytrail/tests/settings_store.rs
@@ -208,8 +208,11 @@
     fn abandon(&mut self, late: &mut Vec<TableTransaction>) {
         if let EditStep::Transact(transaction) = &self.step {
             late.push(transaction.clone());
+            self.session.on_transaction_lost();
+        }
+        if !matches!(self.step, EditStep::Done(_)) {
+            self.step = EditStep::Done(self.session.abandon());
         }
-        self.step = EditStep::Done(self.session.abandon(&self.step));
     }
 
     fn advance(&mut self, table: &mut MemoryTable, fault: Fault, late: &mut Vec<TableTransaction>) {
