Serve operators and count what the daemon does

Cause: nothing could be configured or seen but by writing the table by hand. Change: the operators' interface is bound to the daemon; changes that an operator makes here are in force here at once; metrics for answers, latency, control traffic, load, revision and members; drains are ordered by control message. Measured by hand with six daemons: a subtree stored through one daemon was in force at another within a second. scripts/test passes. Open: confirmation by a majority of the control ring, revisions of other daemons.

--- a/crates/ivytrail-daemon/src/control_loop.rs
+++ b/crates/ivytrail-daemon/src/control_loop.rs
@@ -1,21 +1,21 @@
 //! What the daemon does with the platform: joins, finds first peers, follows the settings and the rings.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use ivytrail::{
     id::RingName,
     lease::RingDefinition,
     membership::{MemberRecord, MemberView},
-    platform::{
-        KeyRange, RowWrite, TableRead, TableRow, TableRows, TableTransaction, TransactionResult,
-        VersionCheck,
-    },
+    platform::{RowWrite, TableRead, TableRow, TableTransaction, TransactionResult, VersionCheck},
     reducer::{DaemonEvent, DaemonReducer, LearnedFact},
-    settings::{SettingsChange, SettingsTree, file::DaemonSettings, index::SettingsInForce},
+    settings::{
+        SettingsChange,
+        rows::{CHANGES_PER_READ, changes_read},
+    },
 };
 use tokio::{sync::mpsc::UnboundedReceiver, task::JoinHandle};
 
-use crate::executor::EffectExecutor;
+use crate::{executor::EffectExecutor, platform_client::PlatformClient};
 
 /// Time between two readings of the settings.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -29,84 +29,77 @@
 /// Starts the loops.
 pub fn spawn(
     executor: &EffectExecutor,
-    settings: &Arc<DaemonSettings>,
+    platform: &PlatformClient,
     proposals: UnboundedReceiver<RingDefinition>,
 ) -> Vec<JoinHandle<()>> {
-    let (writer, writer_settings) = (executor.clone(), settings.clone());
-    let (follower, follower_settings) = (executor.clone(), settings.clone());
+    let (writer, writer_platform) = (executor.clone(), platform.clone());
+    let (follower, follower_platform) = (executor.clone(), platform.clone());
     vec![
-        tokio::spawn(async move { propose(writer, &writer_settings, proposals).await }),
-        tokio::spawn(async move { follow(follower, &follower_settings).await }),
+        tokio::spawn(async move { propose(writer, &writer_platform, proposals).await }),
+        tokio::spawn(async move { follow(follower, &follower_platform).await }),
     ]
 }
 
 /// Removes this daemon's row from the platform's table.
-pub async fn leave(executor: &EffectExecutor, settings: &DaemonSettings) {
+pub async fn leave(executor: &EffectExecutor, platform: &PlatformClient) {
     let member = executor.shell().inspect(|it| it.own_record().clone());
     let key = MemberView::row_key(&member.member.instance);
     let write = RowWrite { key, value: serde_json::Value::Null };
     let transaction = TableTransaction { checks: Vec::new(), writes: vec![write] };
-    if let Err(cause) = transact(settings, &transaction).await {
+    if let Err(cause) = platform.transact(&transaction).await {
         log::warn!("event=leave_not_recorded cause={:?}", cause.to_string());
     }
 }
 
-async fn follow(executor: EffectExecutor, settings: &DaemonSettings) {
-    let mut tree = SettingsTree::default();
+async fn follow(executor: EffectExecutor, platform: &PlatformClient) {
     let mut has_joined = false;
     loop {
         if !has_joined {
-            has_joined = join(&executor, settings).await.is_ok();
+            has_joined = join(&executor, platform).await.is_ok();
         }
-        if let Err(cause) = poll(&executor, settings, &mut tree).await {
+        if let Err(cause) = poll(&executor, platform).await {
             log::warn!("event=platform_unreachable cause={:?}", format!("{cause:#}"));
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
-async fn join(executor: &EffectExecutor, settings: &DaemonSettings) -> anyhow::Result<()> {
+async fn join(executor: &EffectExecutor, platform: &PlatformClient) -> anyhow::Result<()> {
     let record = executor.shell().inspect(|it| it.own_record().clone());
     let key = MemberView::row_key(&record.member.instance);
     let write = RowWrite { key, value: serde_json::to_value(&record)? };
     let transaction = TableTransaction { checks: Vec::new(), writes: vec![write] };
-    transact(settings, &transaction).await?;
+    platform.transact(&transaction).await?;
     Ok(())
 }
 
-async fn poll(
-    executor: &EffectExecutor,
-    settings: &DaemonSettings,
-    tree: &mut SettingsTree,
-) -> anyhow::Result<()> {
+async fn poll(executor: &EffectExecutor, platform: &PlatformClient) -> anyhow::Result<()> {
     let asked_at = executor.shell().now();
-    let after = format!("change/{:020}", tree.revision.0 + 1);
-    let changes = KeyRange { from: after, to: "change/~".to_string(), limit: 1_000 };
     let instance = executor.shell().inspect(|it| it.own_record().member.instance.clone());
     let mut ranges = MemberView::first_peer_ranges(&instance, FIRST_PEER_ROWS).to_vec();
-    ranges.push(changes);
+    let revision = executor.shell().inspect(DaemonReducer::revision);
+    ranges.extend(changes_read(revision, CHANGES_PER_READ).ranges);
     let rings = executor.shell().inspect(|it| it.ring_names().cloned().collect::<Vec<_>>());
     let keys = rings.iter().map(ring_key).collect();
-    let rows: TableRows = post(settings, "read", &TableRead { keys, ranges }).await?;
+    let rows = platform.read(&TableRead { keys, ranges }).await?;
+    let mut changes = Vec::new();
     for name in rings {
         if !rows.rows.iter().any(|row| row.key == ring_key(&name)) {
             executor.apply(DaemonEvent::ControlLearned(LearnedFact::RingAbsent(name)));
         }
     }
     for row in rows.rows {
-        take_row(executor, tree, row)?;
-    }
-    if executor.shell().inspect(DaemonReducer::revision) < tree.revision {
-        executor.apply(DaemonEvent::SettingsInstalled(SettingsInForce::new(tree.clone())));
+        take_row(executor, row, &mut changes)?;
     }
+    executor.apply(DaemonEvent::ChangesLearned(changes));
     executor.apply(DaemonEvent::AuthorityConfirmed { until: asked_at.plus(CONFIRMATION) });
     Ok(())
 }
 
 fn take_row(
     executor: &EffectExecutor,
-    tree: &mut SettingsTree,
     row: TableRow,
+    changes: &mut Vec<SettingsChange>,
 ) -> anyhow::Result<()> {
     match row.key.split_once('/') {
         Some(("member", _)) => {
@@ -118,8 +111,7 @@
             executor.apply(DaemonEvent::ControlLearned(LearnedFact::Ring(definition)));
         }
         Some(("change", _)) => {
-            let change: SettingsChange = serde_json::from_value(row.value)?;
-            tree.apply(&change)?;
+            changes.push(serde_json::from_value(row.value)?);
         }
         _ => {}
     }
@@ -129,11 +121,11 @@
 /// Writes proposed ring definitions, each only if the epoch before it is current in the table.
 async fn propose(
     executor: EffectExecutor,
-    settings: &DaemonSettings,
+    platform: &PlatformClient,
     mut proposals: UnboundedReceiver<RingDefinition>,
 ) {
     while let Some(definition) = proposals.recv().await {
-        if let Err(cause) = write_ring(&executor, settings, definition).await {
+        if let Err(cause) = write_ring(&executor, platform, definition).await {
             log::warn!("event=ring_not_written cause={:?}", format!("{cause:#}"));
         }
     }
@@ -141,12 +133,12 @@
 
 async fn write_ring(
     executor: &EffectExecutor,
-    settings: &DaemonSettings,
+    platform: &PlatformClient,
     definition: RingDefinition,
 ) -> anyhow::Result<()> {
     let key = ring_key(&definition.name);
     let read = TableRead { keys: vec![key.clone()], ranges: Vec::new() };
-    let rows: TableRows = post(settings, "read", &read).await?;
+    let rows = platform.read(&read).await?;
     let row = rows.rows.into_iter().next();
     let version = row.as_ref().map_or(0, |it| it.version);
     let current = match row {
@@ -162,7 +154,7 @@
     }
     let write = RowWrite { key: key.clone(), value: serde_json::to_value(&definition)? };
     let checks = vec![VersionCheck { key, version }];
-    let result = transact(settings, &TableTransaction { checks, writes: vec![write] }).await?;
+    let result = platform.transact(&TableTransaction { checks, writes: vec![write] }).await?;
     if result == TransactionResult::Applied {
         log::info!(
             "event=ring_changed ring={} epoch={} members={}",
@@ -178,23 +170,3 @@
 fn ring_key(name: &RingName) -> String {
     format!("{RING_PREFIX}{name}")
 }
-
-async fn transact(
-    settings: &DaemonSettings,
-    transaction: &TableTransaction,
-) -> anyhow::Result<TransactionResult> {
-    post(settings, "transact", transaction).await
-}
-
-async fn post<Q, A>(settings: &DaemonSettings, path: &str, query: &Q) -> anyhow::Result<A>
-where
-    Q: serde::Serialize,
-    A: serde::de::DeserializeOwned,
-{
-    let client = reqwest::Client::new();
-    let request = client
-        .post(format!("{}/table/{path}", settings.platform))
-        .timeout(settings.intervals.platform_timeout)
-        .json(query);
-    Ok(request.send().await?.error_for_status()?.json().await?)
-}
--- a/crates/ivytrail-daemon/src/executor.rs
+++ b/crates/ivytrail-daemon/src/executor.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, mpsc::UnboundedSender};
 
 use crate::{
+    metrics::DaemonMetrics,
     peer_client::{PeerClient, SendError},
     run_client::RunClient,
     shell::DaemonShell,
@@ -28,6 +29,7 @@
     runs: RunClient,
     proposals: UnboundedSender<RingDefinition>,
     restart: Notify,
+    metrics: Arc<DaemonMetrics>,
 }
 
 impl EffectExecutor {
@@ -39,7 +41,8 @@
         proposals: UnboundedSender<RingDefinition>,
     ) -> EffectExecutor {
         let restart = Notify::new();
-        EffectExecutor(Arc::new(ExecutorParts { shell, peers, runs, proposals, restart }))
+        let metrics = peers.metric_set().clone();
+        EffectExecutor(Arc::new(ExecutorParts { shell, peers, runs, proposals, restart, metrics }))
     }
 
     /// Returns the shell.
@@ -52,6 +55,11 @@
         self.0.restart.notified().await;
     }
 
+    /// Returns what this daemon counts.
+    pub fn metric_set(&self) -> &DaemonMetrics {
+        &self.0.metrics
+    }
+
     /// Returns the client for the backend server.
     pub fn runs(&self) -> &RunClient {
         &self.0.runs
@@ -130,6 +138,7 @@
 
     fn answer_call(&self, call: CallId, answer: CallAnswer) {
         if let Some(waiting) = self.shell().take_call(call) {
+            self.metric_set().note_answer(&answer, waiting.received_at.elapsed());
             // A caller that went away meanwhile needs no answer.
             let _ = waiting.sender.send(answer);
         }
@@ -161,6 +170,7 @@
                         DaemonEvent::AttemptBroken { serial, cause: BreakCause::NotSent }
                     }
                     Err(SendError::Lost(cause)) => {
+                        executor.metric_set().note_lost_attempt();
                         log::info!("event=attempt_lost guard={to} cause={cause:?}");
                         DaemonEvent::AttemptBroken { serial, cause: BreakCause::Lost }
                     }
--- /dev/null
+++ b/crates/ivytrail-daemon/src/operator_backend.rs
@@ -0,0 +1,116 @@
+//! What the operators' interface sees of this daemon.
+
+use ivytrail::{
+    id::InstanceName,
+    membership::MemberState,
+    reducer::{DaemonEvent, DaemonReducer},
+    settings::{
+        Revision, SettingsChange,
+        index::SettingsInForce,
+        wire::{
+            DaemonRevision, DrainReply, ReadinessView, SettingsStatus, UpstreamList, UpstreamView,
+        },
+    },
+    time::WallClock,
+};
+
+use crate::{
+    executor::EffectExecutor, metrics::GaugeReadings, operator::OperatorBackend, shell::wall_clock,
+};
+
+impl OperatorBackend for EffectExecutor {
+    fn now(&self) -> WallClock {
+        wall_clock()
+    }
+
+    fn settings(&self) -> SettingsInForce {
+        self.shell().inspect(|it| it.settings().clone())
+    }
+
+    fn learn(&self, changes: Vec<SettingsChange>) {
+        self.apply(DaemonEvent::ChangesLearned(changes));
+    }
+
+    fn is_confirmed(&self, revision: Revision) -> bool {
+        self.shell().inspect(|it| it.is_confirmed(revision))
+    }
+
+    fn status(&self) -> SettingsStatus {
+        let now = self.shell().now();
+        self.shell().inspect(|it| SettingsStatus {
+            instance: it.own_record().member.instance.clone(),
+            revision: it.revision(),
+            fresh: it.is_authoritative(now),
+            daemons: it
+                .known_revisions(now)
+                .into_iter()
+                .map(|(instance, revision, age)| DaemonRevision {
+                    instance,
+                    revision,
+                    age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+                })
+                .collect(),
+        })
+    }
+
+    fn upstreams(&self) -> UpstreamList {
+        let upstreams = self.shell().inspect(|it| {
+            let view = |record: &ivytrail::membership::MemberRecord| UpstreamView {
+                instance: record.member.instance.clone(),
+                service: record.service.clone(),
+                domain: record.domain.clone(),
+                state: record.state.to_string(),
+                load: it.load_of(&record.member),
+            };
+            it.members().filter(|record| !record.state.is_over()).map(view).collect()
+        });
+        UpstreamList { upstreams }
+    }
+
+    fn drain(&self, instance: &InstanceName) -> DrainReply {
+        let found = self.shell().inspect(|it| {
+            it.members()
+                .find(|record| record.member.instance == *instance && !record.state.is_over())
+                .cloned()
+        });
+        match found {
+            None => DrainReply::UnknownInstance,
+            Some(record) => {
+                self.apply(DaemonEvent::DrainOrdered { member: record.member });
+                DrainReply::Requested
+            }
+        }
+    }
+
+    fn metrics(&self) -> String {
+        let readings = self.shell().inspect(|it| GaugeReadings {
+            load: it.load(),
+            revision: it.revision().0,
+            n_members: it.members().filter(|record| !record.state.is_over()).count(),
+        });
+        self.metric_set().text(&readings)
+    }
+
+    fn readiness(&self) -> ReadinessView {
+        let now = self.shell().now();
+        self.shell().inspect(|it| {
+            let reason = not_ready(it, now);
+            ReadinessView {
+                ready: reason.is_none(),
+                reason: reason.unwrap_or_default().to_string(),
+            }
+        })
+    }
+}
+
+/// Returns why the daemon can't serve callers now.
+fn not_ready(reducer: &DaemonReducer, now: ivytrail::time::TimePoint) -> Option<&'static str> {
+    match reducer.own_record().state {
+        MemberState::Draining | MemberState::Left => Some("the daemon is leaving"),
+        _ if reducer.revision() == Revision::default() => Some("no settings have been read yet"),
+        _ if !reducer.is_authoritative(now) => {
+            Some("neither the platform nor other daemons confirm the settings")
+        }
+        _ => None,
+    }
+}
--- a/crates/ivytrail-daemon/src/peer_client.rs
+++ b/crates/ivytrail-daemon/src/peer_client.rs
@@ -1,6 +1,6 @@
 //! Requests from this daemon to other daemons.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -13,6 +13,8 @@
 };
 use reqwest::Client;
 
+use crate::metrics::DaemonMetrics;
+
 /// Time limit for opening a connection to another daemon.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time limit of a control exchange.
@@ -41,6 +43,7 @@
     pooled: Client,
     // An inquiry must not use a connection that may have gone silent, so it always opens a new one.
     fresh: Client,
+    metrics: Arc<DaemonMetrics>,
 }
 
 impl PeerClient {
@@ -62,7 +65,12 @@
             .tcp_nodelay(true)
             .no_proxy()
             .build()?;
-        Ok(PeerClient { me, secret, pooled, fresh })
+        Ok(PeerClient { me, secret, pooled, fresh, metrics: Arc::new(DaemonMetrics::new()) })
+    }
+
+    /// Returns what this daemon counts.
+    pub fn metric_set(&self) -> &Arc<DaemonMetrics> {
+        &self.metrics
     }
 
     /// Sends an attempt and returns the guard's answer with its body.
@@ -116,7 +124,9 @@
         messages: &[ControlMessage],
     ) -> Result<(MemberId, Vec<ControlMessage>), SendError> {
         let frame = encode_frame(&(&self.me, messages), &[]);
+        let n_sent = frame.len();
         let bytes = self.post(&self.pooled, address, "control", frame, CONTROL_TIMEOUT).await?;
+        self.metrics.note_control(n_sent, bytes.len());
         let (head, _) = decode_frame(bytes).map_err(|cause| SendError::Lost(cause.to_string()))?;
         Ok(head)
     }
--- a/crates/ivytrail-daemon/src/server.rs
+++ b/crates/ivytrail-daemon/src/server.rs
@@ -22,8 +22,10 @@
     control_loop,
     executor::EffectExecutor,
     local_desk::AnnounceDesk,
+    operator::{OperatorState, operator_router},
     peer_client::PeerClient,
     peer_desk::PeerDesk,
+    platform_client::PlatformClient,
     run_client::RunClient,
     shell::{DaemonShell, wall_clock},
 };
@@ -67,7 +69,14 @@
     let (proposer, proposals) = tokio::sync::mpsc::unbounded_channel();
     let executor = EffectExecutor::new(shell, peers, RunClient::new()?, proposer);
 
+    let platform = PlatformClient::new(&settings.platform, settings.intervals.platform_timeout)?;
     let max_body = settings.limits.max_body_bytes;
+    let operators = operator_router(OperatorState {
+        backend: Arc::new(executor.clone()),
+        platform: platform.clone(),
+        operators: settings.operators.clone(),
+        max_body_bytes: max_body,
+    });
     let callers = Router::with_path("{**rest}").goal(CallerDesk::new(
         executor.clone(),
         DeskSide::Callers,
@@ -83,15 +92,16 @@
         serve(settings.caller_address, callers, &settings).await.context("caller_address")?,
         serve(settings.local_address, local, &settings).await.context("local_address")?,
         serve(settings.peer_address, peer, &settings).await.context("peer_address")?,
+        serve(settings.operator_address, operators, &settings).await.context("operator_address")?,
     ];
-    let mut loops = control_loop::spawn(&executor, &settings, proposals);
+    let mut loops = control_loop::spawn(&executor, &platform, proposals);
     loops.push(spawn_ticks(executor.clone()));
     log::info!("event=started");
     let outcome = tokio::select! {
         signal = wait_for_signal() => signal.map(|()| RunOutcome::Stopped)?,
         () = executor.wait_for_restart() => RunOutcome::Fenced,
     };
-    leave(&executor, &settings).await;
+    leave(&executor, &settings, &platform).await;
     for (handle, _) in &handles {
         handle.stop_graceful(settings.intervals.shutdown_grace);
     }
@@ -155,7 +165,7 @@
 }
 
 /// Leaves without cutting a request: takes nothing new, waits until all that runs here has its answer.
-async fn leave(executor: &EffectExecutor, settings: &DaemonSettings) {
+async fn leave(executor: &EffectExecutor, settings: &DaemonSettings, platform: &PlatformClient) {
     executor.apply(DaemonEvent::DrainRequested);
     let started = tokio::time::Instant::now();
     let grace = settings.intervals.shutdown_grace;
@@ -165,5 +175,5 @@
     }
     executor.apply(DaemonEvent::HandOverRequested);
     tokio::time::sleep(HAND_OVER_TIME).await;
-    control_loop::leave(executor, settings).await;
+    control_loop::leave(executor, platform).await;
 }
--- a/crates/ivytrail-daemon/src/shell.rs
+++ b/crates/ivytrail-daemon/src/shell.rs
@@ -26,6 +26,8 @@
     pub body: Bytes,
     /// Where the answer goes.
     pub sender: oneshot::Sender<CallAnswer>,
+    /// When the request had come whole.
+    pub received_at: Instant,
 }
 
 /// An attempt at this guard.
@@ -87,7 +89,7 @@
     pub fn add_call(&self, body: Bytes) -> (CallId, oneshot::Receiver<CallAnswer>) {
         let call = CallId(self.next_call.fetch_add(1, Ordering::Relaxed));
         let (sender, receiver) = oneshot::channel();
-        self.calls.lock().insert(call, WaitingCall { body, sender });
+        self.calls.lock().insert(call, WaitingCall { body, sender, received_at: Instant::now() });
         (call, receiver)
     }
 
--- a/crates/ivytrail/src/message.rs
+++ b/crates/ivytrail/src/message.rs
@@ -197,6 +197,8 @@
     ClaimAnswer(ClaimAnswer),
     /// Hands claims over to their next owner.
     ClaimHandover(ClaimHandover),
+    /// Orders the receiver to take no more work.
+    Drain,
     /// Tells of a request that may crash backend servers.
     Suspicion(Suspicion),
 }
--- a/crates/ivytrail/src/reducer.rs
+++ b/crates/ivytrail/src/reducer.rs
@@ -78,14 +78,17 @@
 use crate::{
     admission::{AdmissionOptions, AdmissionQueue, EntryGate},
     claim::{AttemptLedger, ClaimOptions, ClaimTable, LedgerOptions},
-    id::{AccountName, ContentDigest, DomainName, MemberId, RingName, RouteName, ServiceName},
+    id::{
+        AccountName, ContentDigest, DomainName, InstanceName, MemberId, RingName, RouteName,
+        ServiceName,
+    },
     lease::LeaseOptions,
     membership::MemberRecord,
     message::LoadReport,
     quarantine::CrashQuarantine,
     retry::RetryRatio,
     routing::{RoutingOptions, UpstreamPicker},
-    settings::{Revision, index::SettingsInForce},
+    settings::{Revision, SettingsChange, index::SettingsInForce},
     time::{TimePoint, WallClock},
 };
 
@@ -131,6 +134,8 @@
     gate: EntryGate,
     picker: UpstreamPicker,
     ratios: HashMap<(RouteName, Option<AccountName>), RetryRatio>,
+    /// Last load that each other guard reported.
+    loads: HashMap<MemberId, LoadReport>,
     quarantine: CrashQuarantine,
     backend: BackendWatch,
     control: ControlPlane,
@@ -188,6 +193,7 @@
             gate: EntryGate::new(),
             picker: UpstreamPicker::new(routing),
             ratios: HashMap::new(),
+            loads: HashMap::new(),
             quarantine: CrashQuarantine::new(identity.member.clone()),
             backend: BackendWatch::default(),
             control: ControlPlane::new(&identity, number),
@@ -220,10 +226,12 @@
             }
             DaemonEvent::ControlLost { message } => self.lose_control(&mut turn, &message),
             DaemonEvent::ControlLearned(fact) => self.learn(&mut turn, fact),
+            DaemonEvent::ChangesLearned(changes) => self.learn_changes(&mut turn, &changes),
             DaemonEvent::SettingsInstalled(settings) => self.install_settings(&mut turn, settings),
             DaemonEvent::AuthorityConfirmed { until } => {
                 self.authority_until = self.authority_until.max(until);
             }
+            DaemonEvent::DrainOrdered { member } => self.order_drain(&mut turn, member),
             DaemonEvent::DrainRequested => self.start_leaving(&mut turn),
             DaemonEvent::HandOverRequested => self.hand_over(&mut turn),
             DaemonEvent::Tick => self.tick(&mut turn),
@@ -262,6 +270,32 @@
         self.control.rings.names()
     }
 
+    /// Returns whether this daemon may rely on its settings and keys at `now`.
+    pub fn is_authoritative(&self, now: TimePoint) -> bool {
+        now <= self.authority_until
+    }
+
+    /// Returns whether a change is known to be in force wherever callers are served by attestation.
+    pub fn is_confirmed(&self, revision: Revision) -> bool {
+        revision <= self.settings.revision()
+    }
+
+    /// Returns the revisions in force at other daemons, as far as they are known, with the age of the knowledge.
+    pub fn known_revisions(
+        &self,
+        _now: TimePoint,
+    ) -> Vec<(InstanceName, Option<Revision>, Duration)> {
+        Vec::new()
+    }
+
+    /// Returns the last known load of a guard.
+    pub fn load_of(&self, member: &MemberId) -> Option<LoadReport> {
+        match *member == self.identity.member {
+            true => Some(self.admission.load()),
+            false => self.loads.get(member).copied(),
+        }
+    }
+
     /// Returns this guard's load.
     pub fn load(&self) -> LoadReport {
         self.admission.load()
@@ -273,6 +307,20 @@
         self.tick_control(turn);
     }
 
+    /// Applies accepted changes; those that are known already are passed over.
+    fn learn_changes(&mut self, turn: &mut Turn, changes: &[SettingsChange]) {
+        let mut tree = self.settings.tree().clone();
+        for change in changes.iter().filter(|it| self.settings.revision() < it.revision) {
+            if let Err(cause) = tree.apply(change) {
+                turn.log(format!("event=change_out_of_order cause={:?}", cause.to_string()));
+                break;
+            }
+        }
+        if self.settings.revision() < tree.revision {
+            self.install_settings(turn, SettingsInForce::new(tree));
+        }
+    }
+
     fn install_settings(&mut self, turn: &mut Turn, settings: SettingsInForce) {
         let (before, after) = (self.settings.revision(), settings.revision());
         if after < before {
--- a/crates/ivytrail/src/reducer/call_flow.rs
+++ b/crates/ivytrail/src/reducer/call_flow.rs
@@ -250,6 +250,7 @@
         if let Some(news) = news {
             self.control.view.note_contact(turn.now, &news.guard);
             let ok = is_server_sound(&reply.result);
+            self.loads.insert(news.guard.clone(), reply.load);
             self.picker.note_reply(turn.now, &news.guard, reply.load, news.latency, ok);
             self.note_cuts(turn, &step, reply);
         }
--- a/crates/ivytrail/src/reducer/control_flow.rs
+++ b/crates/ivytrail/src/reducer/control_flow.rs
@@ -95,6 +95,7 @@
             ControlMessage::ClaimQuestion(question) => self.receive_question(turn, from, &question),
             ControlMessage::ClaimAnswer(answer) => self.receive_claim_answer(turn, from, answer),
             ControlMessage::ClaimHandover(handover) => self.receive_handover(turn, from, handover),
+            ControlMessage::Drain => self.start_leaving(turn),
             ControlMessage::Suspicion(suspicion) => self.quarantine.absorb(turn.now, &suspicion),
         }
     }
@@ -144,6 +145,11 @@
         self.carry_out(turn, verdicts);
     }
 
+    pub(super) fn order_drain(&mut self, turn: &mut Turn, member: MemberId) {
+        turn.log(format!("event=drain_ordered member={member}"));
+        self.control.outbox.push_back((member, ControlMessage::Drain));
+    }
+
     pub(super) fn start_leaving(&mut self, turn: &mut Turn) {
         if self.is_leaving {
             return;
@@ -187,7 +193,10 @@
                 };
                 self.picker.upsert(turn.now, info);
             }
-            _ => self.picker.remove(&record.member),
+            _ => {
+                self.picker.remove(&record.member);
+                self.loads.remove(&record.member);
+            }
         }
     }
 
--- a/crates/ivytrail/src/reducer/event.rs
+++ b/crates/ivytrail/src/reducer/event.rs
@@ -9,7 +9,7 @@
     lease::RingDefinition,
     membership::MemberRecord,
     message::{AttemptHeader, AttemptReply, ControlMessage},
-    settings::index::SettingsInForce,
+    settings::{SettingsChange, index::SettingsInForce},
     time::{TimePoint, WallClock},
 };
 
@@ -93,6 +93,8 @@
         /// The message.
         message: ControlMessage,
     },
+    /// Accepted changes were read from the platform or from another daemon, in the order of their revisions.
+    ChangesLearned(Vec<SettingsChange>),
     /// A newer settings tree is in force.
     SettingsInstalled(SettingsInForce),
     /// This daemon may rely on its settings and keys until the given time.
@@ -100,6 +102,11 @@
         /// End of the confirmation.
         until: TimePoint,
     },
+    /// An operator orders an instance to take no more work.
+    DrainOrdered {
+        /// The instance's daemon.
+        member: MemberId,
+    },
     /// An operator or the end of the process asks this daemon to leave.
     DrainRequested,
     /// Nothing runs here any more and the daemon is about to end: claims go to their next owners.
