--- a/crates/ivytrail/src/reducer/event.rs
+++ b/crates/ivytrail/src/reducer/event.rs
@@ -5,9 +5,11 @@
 use bytes::Bytes;
 
 use crate::{
-    id::{AttemptId, CallId, CallToken, ContentDigest, MemberId, ServiceName},
+    id::{AttemptId, CallId, CallToken, ContentDigest, MemberId, RingName, ServiceName},
+    lease::RingDefinition,
+    membership::MemberRecord,
     message::{AttemptHeader, AttemptReply, ControlMessage},
-    settings::index::SettingsInForce,
+    settings::{SettingsChange, index::SettingsInForce},
     time::{TimePoint, WallClock},
 };
 
@@ -70,6 +72,11 @@
         /// How it ended.
         end: RunEnd,
     },
+    /// A probe of the backend server ended.
+    BackendProbed {
+        /// Whether it took the connection.
+        is_alive: bool,
+    },
     /// The backend server announced itself.
     BackendAnnounced(BackendNotice),
     /// Another daemon sent a control message.
@@ -81,6 +88,13 @@
     },
     /// The platform's table or a peer told of a member, or of a ring's definition.
     ControlLearned(LearnedFact),
+    /// A control message could not be delivered.
+    ControlLost {
+        /// The message.
+        message: ControlMessage,
+    },
+    /// Accepted changes were read from the platform or from another daemon, in the order of their revisions.
+    ChangesLearned(Vec<SettingsChange>),
     /// A newer settings tree is in force.
     SettingsInstalled(SettingsInForce),
     /// This daemon may rely on its settings and keys until the given time.
@@ -88,8 +102,15 @@
         /// End of the confirmation.
         until: TimePoint,
     },
+    /// An operator orders an instance to take no more work.
+    DrainOrdered {
+        /// The instance's daemon.
+        member: MemberId,
+    },
     /// An operator or the end of the process asks this daemon to leave.
     DrainRequested,
+    /// Nothing runs here any more and the daemon is about to end: claims go to their next owners.
+    HandOverRequested,
     /// Time passed.
     Tick,
 }
@@ -186,5 +207,9 @@
 #[derive(Clone, Debug)]
 pub enum LearnedFact {
     /// A daemon.
-    Member(crate::membership::MemberRecord),
+    Member(MemberRecord),
+    /// A ring's definition.
+    Ring(RingDefinition),
+    /// The table has no row for a ring.
+    RingAbsent(RingName),
 }
--- a/crates/ivytrail/src/settings.rs
+++ b/crates/ivytrail/src/settings.rs
@@ -12,7 +12,11 @@
 pub mod index;
 pub mod lookup;
 mod reader;
+pub mod rows;
+pub mod snapshot;
+pub mod store;
 pub mod tree;
+pub mod wire;
 
 pub use tree::{
     ClientAccount, KeyRecord, PriorityClass, Revision, RoutePolicy, ServicePolicy, SettingsChange,
