--- a/crates/ivytrail-fakes/src/cluster.rs
+++ b/crates/ivytrail-fakes/src/cluster.rs
@@ -325,7 +325,7 @@
             tokio::time::sleep(LOOK_INTERVAL).await;
         }
         for account in &self.mesh.accounts {
-            let key = tool.issue_key(&account.name)?;
+            let key = tool.issue_key(&first_key(&account.name), &account.name)?;
             self.secrets.insert(account.name.clone(), key.secret);
         }
         Ok(())
@@ -378,3 +378,8 @@
         self.dir.path().join(format!("{}.effects", node.name))
     }
 }
+
+/// Returns the name of the key that a client account gets at the start.
+pub fn first_key(account: &str) -> String {
+    format!("{account}-1")
+}
--- a/crates/ivytrail-fakes/src/operator.rs
+++ b/crates/ivytrail-fakes/src/operator.rs
@@ -60,19 +60,26 @@
         Ok(())
     }
 
-    /// Issues a key for `account`.
+    /// Issues the key `name` for `account`.
     ///
     /// # Errors
     ///
     /// Returns an error with the tool's words when it refuses.
-    pub fn issue_key(&self, account: &str) -> Result<IssuedKey> {
-        let output = self.run(&["key", "issue", account, "--json"])?;
+    pub fn issue_key(&self, name: &str, account: &str) -> Result<IssuedKey> {
+        let output = self.run(&["key", "issue", name, "--account", account, "--json"])?;
         let answer: Value = serde_json::from_slice(&output.stdout)?;
-        let text = |name: &str| {
-            let value = answer[name].as_str().map(str::to_string);
-            value.with_context(|| format!("the tool's answer has no {name}"))
-        };
-        Ok(IssuedKey { name: text("name")?, secret: text("secret")? })
+        let secret = answer["secret"].as_str().context("the tool's answer has no secret")?;
+        Ok(IssuedKey { name: name.to_string(), secret: secret.to_string() })
+    }
+
+    /// Waits until the last accepted revision is in force on every daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the tool's words when it is not in time.
+    pub fn wait_in_force(&self) -> Result<()> {
+        self.run(&["status", "--wait"])?;
+        Ok(())
     }
 
     /// Withdraws the key with the public identifier `name`.
