Switch single decisions off for measurements; bound the calls held

Change: the settings file's section decisions turns single decisions off; a daemon refuses calls beyond max_calls; a refusal of a claimed request by its owner is final, so that its proof of "not run" is not lost by asking others.

--- a/crates/ivytrail-daemon/src/caller_desk.rs
+++ b/crates/ivytrail-daemon/src/caller_desk.rs
@@ -7,7 +7,7 @@
     id::{CallId, CallToken, ContentDigest},
     message::{CallOutcome, RefusalReason},
     reducer::{CallAnswer, CallRequest, CallSource, DaemonEvent},
-    settings::credential::secret_digest,
+    settings::{credential::secret_digest, file::DaemonLimits},
 };
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, async_trait,
@@ -32,6 +32,9 @@
 /// Longest idempotency key, in bytes.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
 
+/// When to come back to a daemon that holds as many calls as it may.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Which of the two interfaces a request came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DeskSide {
@@ -46,24 +49,34 @@
 pub struct CallerDesk {
     executor: EffectExecutor,
     side: DeskSide,
-    max_body_bytes: usize,
+    limits: DaemonLimits,
 }
 
 impl CallerDesk {
-    /// Returns a handler for `side` that takes bodies up to `max_body_bytes`.
-    pub fn new(executor: EffectExecutor, side: DeskSide, max_body_bytes: usize) -> CallerDesk {
-        CallerDesk { executor, side, max_body_bytes }
+    /// Returns a handler for `side` that keeps to `limits`.
+    pub fn new(executor: EffectExecutor, side: DeskSide, limits: DaemonLimits) -> CallerDesk {
+        CallerDesk { executor, side, limits }
     }
 
     async fn answer(&self, req: &mut Request) -> CallAnswer {
         let Some(source) = self.source_of(req) else { return refusal(RefusalReason::BadToken) };
-        let Ok(body) = req.payload_with_max_size(self.max_body_bytes).await.cloned() else {
+        let Ok(body) = req.payload_with_max_size(self.limits.max_body_bytes).await.cloned() else {
             return refusal(RefusalReason::BadRequest);
         };
         let idempotency_key = header_text(req, IDEMPOTENCY_HEADER);
         if idempotency_key.as_ref().is_some_and(|it| MAX_IDEMPOTENCY_KEY_BYTES < it.len()) {
             return refusal(RefusalReason::BadRequest);
         }
+        if self.limits.max_calls <= self.executor.shell().n_calls() {
+            // An earlier copy of a request with an idempotency key may have run.
+            let is_new = idempotency_key.is_none();
+            let outcome = if is_new { CallOutcome::NotRun } else { CallOutcome::Unknown };
+            return CallAnswer::Refused {
+                outcome,
+                reason: RefusalReason::Overloaded,
+                retry_after: Some(FULL_RETRY_AFTER),
+            };
+        }
         let (call, receiver) = self.executor.shell().add_call(body.clone());
         let mut presence = CallerPresence { executor: &self.executor, call, answered: false };
         let path = req.uri().path_and_query().map_or("/", |it| it.as_str()).to_string();
--- a/crates/ivytrail-daemon/src/server.rs
+++ b/crates/ivytrail-daemon/src/server.rs
@@ -64,36 +64,17 @@
         peer_address: settings.peer_address.to_string(),
     };
     let secret = settings.peer_secret.expose().to_string();
-    let shell = DaemonShell::new(DaemonReducer::new(identity, rand::random()));
+    let shell = DaemonShell::new(DaemonReducer::with_switches(
+        identity,
+        rand::random(),
+        settings.decisions,
+    ));
     let peers = PeerClient::new(member.clone(), secret.clone())?;
     let (proposer, proposals) = tokio::sync::mpsc::unbounded_channel();
     let executor = EffectExecutor::new(shell, peers, RunClient::new()?, proposer);
 
     let platform = PlatformClient::new(&settings.platform, settings.intervals.platform_timeout)?;
-    let max_body = settings.limits.max_body_bytes;
-    let operators = operator_router(OperatorState {
-        backend: Arc::new(executor.clone()),
-        platform: platform.clone(),
-        operators: settings.operators.clone(),
-        max_body_bytes: max_body,
-    });
-    let callers = Router::with_path("{**rest}").goal(CallerDesk::new(
-        executor.clone(),
-        DeskSide::Callers,
-        max_body,
-    ));
-    let nested = CallerDesk::new(executor.clone(), DeskSide::Nested, max_body);
-    let local = Router::new()
-        .push(Router::with_path("announce").post(AnnounceDesk::new(executor.clone())))
-        .push(Router::with_path("{**rest}").goal(nested));
-    let peer_desk = PeerDesk::new(executor.clone(), member, &secret, max_body);
-    let peer = Router::with_path("{**rest}").goal(peer_desk);
-    let handles = [
-        serve(settings.caller_address, callers, &settings).await.context("caller_address")?,
-        serve(settings.local_address, local, &settings).await.context("local_address")?,
-        serve(settings.peer_address, peer, &settings).await.context("peer_address")?,
-        serve(settings.operator_address, operators, &settings).await.context("operator_address")?,
-    ];
+    let handles = start_interfaces(&executor, &platform, member, &settings).await?;
     let mut loops = control_loop::spawn(&executor, &platform, proposals);
     loops.push(spawn_ticks(executor.clone()));
     log::info!("event=started");
@@ -116,11 +97,48 @@
     Ok(outcome)
 }
 
+/// An interface's server, and the task that ends with it.
+type RunningServer = (ServerHandle, JoinHandle<()>);
+
+/// Binds the interfaces for callers, the own backend server, other daemons and operators.
+async fn start_interfaces(
+    executor: &EffectExecutor,
+    platform: &PlatformClient,
+    member: MemberId,
+    settings: &DaemonSettings,
+) -> anyhow::Result<[RunningServer; 4]> {
+    let max_body = settings.limits.max_body_bytes;
+    let operators = operator_router(OperatorState {
+        backend: Arc::new(executor.clone()),
+        platform: platform.clone(),
+        operators: settings.operators.clone(),
+        max_body_bytes: max_body,
+    });
+    let callers = Router::with_path("{**rest}").goal(CallerDesk::new(
+        executor.clone(),
+        DeskSide::Callers,
+        settings.limits.clone(),
+    ));
+    let nested = CallerDesk::new(executor.clone(), DeskSide::Nested, settings.limits.clone());
+    let local = Router::new()
+        .push(Router::with_path("announce").post(AnnounceDesk::new(executor.clone())))
+        .push(Router::with_path("{**rest}").goal(nested));
+    let peer_desk =
+        PeerDesk::new(executor.clone(), member, settings.peer_secret.expose(), max_body);
+    let peer = Router::with_path("{**rest}").goal(peer_desk);
+    Ok([
+        serve(settings.caller_address, callers, settings).await.context("caller_address")?,
+        serve(settings.local_address, local, settings).await.context("local_address")?,
+        serve(settings.peer_address, peer, settings).await.context("peer_address")?,
+        serve(settings.operator_address, operators, settings).await.context("operator_address")?,
+    ])
+}
+
 async fn serve(
     address: SocketAddr,
     router: Router,
     settings: &DaemonSettings,
-) -> anyhow::Result<(ServerHandle, JoinHandle<()>)> {
+) -> anyhow::Result<RunningServer> {
     let acceptor: TcpAcceptor = TcpListener::new(address)
         .try_bind()
         .await
--- a/crates/ivytrail-daemon/src/shell.rs
+++ b/crates/ivytrail-daemon/src/shell.rs
@@ -93,6 +93,11 @@
         (call, receiver)
     }
 
+    /// Returns the number of calls that wait for their answers.
+    pub fn n_calls(&self) -> usize {
+        self.calls.lock().len()
+    }
+
     /// Returns the body of a call that waits for its answer.
     pub fn call_body(&self, call: CallId) -> Option<Bytes> {
         self.calls.lock().get(&call).map(|it| it.body.clone())
--- a/crates/ivytrail/src/reducer.rs
+++ b/crates/ivytrail/src/reducer.rs
@@ -88,7 +88,7 @@
     quarantine::CrashQuarantine,
     retry::RetryRatio,
     routing::{RoutingOptions, UpstreamPicker},
-    settings::{Revision, SettingsChange, index::SettingsInForce},
+    settings::{Revision, SettingsChange, decisions::DecisionSwitches, index::SettingsInForce},
     time::{TimePoint, WallClock},
 };
 
@@ -119,6 +119,7 @@
 pub struct DaemonReducer {
     identity: DaemonIdentity,
     settings: SettingsInForce,
+    switches: DecisionSwitches,
     /// End of the time for which the settings are known to be in force.
     authority_until: TimePoint,
     is_leaving: bool,
@@ -175,11 +176,35 @@
     /// Returns the reducer of a daemon that has just started, with empty hands. `seed` feeds every random choice and
     /// must not be guessable, since call tokens are drawn from it.
     pub fn new(identity: DaemonIdentity, seed: [u8; 32]) -> DaemonReducer {
+        DaemonReducer::with_switches(identity, seed, DecisionSwitches::default())
+    }
+
+    /// Returns the same with some decisions switched off, for measurements.
+    pub fn with_switches(
+        identity: DaemonIdentity,
+        seed: [u8; 32],
+        switches: DecisionSwitches,
+    ) -> DaemonReducer {
         let number = ContentDigest::of_parts(&[&seed]).prefix();
-        let routing = RoutingOptions::new(identity.domain.clone(), number);
-        let admission = AdmissionOptions { seed: number, ..AdmissionOptions::default() };
+        let routing = RoutingOptions {
+            load_aware: switches.load_routing,
+            local_first: switches.load_routing,
+            slow_start: switches.load_routing,
+            ejection: switches.ejection,
+            ..RoutingOptions::new(identity.domain.clone(), number)
+        };
+        let admission = AdmissionOptions {
+            adaptive: switches.adaptive_limit,
+            fair: switches.fairness,
+            priority: switches.priority,
+            consistent: switches.consistent_shedding,
+            deadline_aware: switches.deadline_awareness,
+            seed: number,
+            ..AdmissionOptions::default()
+        };
         DaemonReducer {
             settings: SettingsInForce::default(),
+            switches,
             authority_until: TimePoint::ORIGIN,
             is_leaving: false,
             is_starting_anew: false,
--- a/crates/ivytrail/src/reducer/call_flow.rs
+++ b/crates/ivytrail/src/reducer/call_flow.rs
@@ -20,6 +20,8 @@
 
 /// Greatest depth of a call chain; the root call has depth 0.
 const MAX_CALL_DEPTH: u8 = 20;
+/// Retries at each hop where the bounds are switched off for a measurement.
+const NAIVE_RETRIES: usize = 3;
 /// When to come back to a daemon that has to confirm its settings first.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// When to come back after a broken connection or a missing upstream.
@@ -172,8 +174,9 @@
     fn admit_root(&mut self, turn: &mut Turn, id: CallId) {
         let random = self.random_level();
         let Some(call) = self.entry.get(id) else { return };
-        let admitted = self.gate.admit(turn.now, &call.template.route, call.template.level, random);
-        if let Err(wait) = admitted {
+        let route = &call.template.route;
+        let admitted = self.gate.admit(turn.now, route, call.template.level, random);
+        if let Some(wait) = admitted.err().filter(|_| self.switches.entry_gate) {
             return self.refuse_call(turn, id, RefusalReason::Overloaded, Some(wait));
         }
         let Some(account) = call.template.account.clone() else {
@@ -297,9 +300,13 @@
     }
 
     fn may_retry(&mut self, turn: &Turn, id: CallId) -> bool {
-        let in_time = self.entry.get(id).is_some_and(|it| turn.now < it.deadline);
-        in_time
-            && self.ratio_of(id).try_retry(turn.now)
+        let Some(call) = self.entry.get(id).filter(|it| turn.now < it.deadline) else {
+            return false;
+        };
+        if !self.switches.retry_bounds {
+            return call.tried.len() <= NAIVE_RETRIES;
+        }
+        self.ratio_of(id).try_retry(turn.now)
             && self.entry.get_mut(id).is_some_and(|it| it.purse.spend())
     }
 
--- a/crates/ivytrail/src/reducer/entry.rs
+++ b/crates/ivytrail/src/reducer/entry.rs
@@ -370,9 +370,10 @@
     )
 }
 
-/// Returns whether a refusal says that another guard may own the claim.
+/// Returns whether a refusal says that another guard may own the claim. All other refusals of a claimed request come
+/// from its owner and are final.
 fn is_from_other_owner(reason: RefusalReason) -> bool {
-    matches!(reason, RefusalReason::NotOwner | RefusalReason::Draining | RefusalReason::NoUpstream)
+    reason == RefusalReason::NotOwner
 }
 
 /// Returns the digest under which a non-idempotent request is claimed.
--- a/crates/ivytrail/src/reducer/run_flow.rs
+++ b/crates/ivytrail/src/reducer/run_flow.rs
@@ -17,6 +17,8 @@
 
 /// Longest wait in the queue where the service declares none.
 const DEFAULT_MAX_WAIT: Duration = Duration::from_millis(100);
+/// When to come back to a guard whose backend server takes nothing.
+const UNFIT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Share of capacity of a request without a client account.
 const OPEN_ROUTE_WEIGHT: f64 = 1.0;
 
@@ -70,7 +72,7 @@
                 BackendState::Starting | BackendState::Silent => RefusalReason::NoUpstream,
             },
         };
-        Some(not_run(reason, None))
+        Some(not_run(reason, Some(UNFIT_RETRY_AFTER)))
     }
 
     fn ticket(&self, turn: &Turn, header: &AttemptHeader) -> AdmissionTicket {
--- a/crates/ivytrail/src/settings.rs
+++ b/crates/ivytrail/src/settings.rs
@@ -5,6 +5,7 @@
 
 pub mod check;
 pub mod credential;
+pub mod decisions;
 mod document;
 pub mod edit;
 pub mod feed;
--- a/crates/ivytrail/src/settings/file.rs
+++ b/crates/ivytrail/src/settings/file.rs
@@ -13,6 +13,7 @@
     id::{ContentDigest, DomainName, InstanceName},
 };
 
+use super::decisions::{DecisionSwitches, read_decisions};
 use super::{
     credential::{DIGEST_ALLOWED, digest_in},
     document::parse_document,
@@ -64,6 +65,8 @@
     pub limits: DaemonLimits,
     /// Intervals and timeouts.
     pub intervals: DaemonIntervals,
+    /// Decisions that are switched off for a measurement.
+    pub decisions: DecisionSwitches,
 }
 
 /// Secret that the daemons share. It never reaches a log.
@@ -154,6 +157,7 @@
     let operators = read_operators(&mut reader);
     let limits = read_limits(&mut reader);
     let intervals = read_intervals(&mut reader);
+    let decisions = read_decisions(&mut reader);
     check_peer_address(&mut reader, peer_address);
     check_distinct(
         &mut reader,
@@ -178,6 +182,7 @@
         operators,
         limits,
         intervals,
+        decisions,
     })
 }
 
