--- a/crates/ivytrail-daemon/src/server.rs
+++ b/crates/ivytrail-daemon/src/server.rs
@@ -15,14 +15,17 @@
     fuse::FuseConfig,
     server::ServerHandle,
 };
+use tokio::task::JoinHandle;
 
 use crate::{
     caller_desk::{CallerDesk, DeskSide},
     control_loop,
     executor::EffectExecutor,
     local_desk::AnnounceDesk,
+    operator::{OperatorState, operator_router},
     peer_client::PeerClient,
     peer_desk::PeerDesk,
+    platform_client::PlatformClient,
     run_client::RunClient,
     shell::{DaemonShell, wall_clock},
 };
@@ -34,12 +37,24 @@
 /// Time for which a leaving daemon still answers, so that its leave has spread before its interfaces close.
 const LEAVE_SPREAD_TIME: Duration = Duration::from_millis(600);
 
-/// Runs the daemon until a signal asks it to leave.
+/// Time for which a leaving daemon waits until its claims have reached their next owners.
+const HAND_OVER_TIME: Duration = Duration::from_millis(300);
+
+/// How a run of the daemon ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunOutcome {
+    /// A signal asked it to leave.
+    Stopped,
+    /// The other members have fenced it, e.g. after a pause; the next run takes a new incarnation.
+    Fenced,
+}
+
+/// Runs the daemon until a signal asks it to leave, or the other members have fenced it.
 ///
 /// # Errors
 ///
 /// Returns an error when an address can't be bound or a client can't be set up.
-pub async fn run(settings: DaemonSettings) -> anyhow::Result<()> {
+pub async fn run(settings: Arc<DaemonSettings>) -> anyhow::Result<RunOutcome> {
     let incarnation = wall_clock().as_millis();
     let member = MemberId { instance: settings.name.clone(), incarnation };
     log::info!("event=starting member={member} domain={}", settings.failure_domain);
@@ -49,45 +64,81 @@
         peer_address: settings.peer_address.to_string(),
     };
     let secret = settings.peer_secret.expose().to_string();
-    let shell = DaemonShell::new(DaemonReducer::new(identity, rand::random()));
+    let shell = DaemonShell::new(DaemonReducer::with_switches(
+        identity,
+        rand::random(),
+        settings.decisions,
+    ));
     let peers = PeerClient::new(member.clone(), secret.clone())?;
-    let executor = EffectExecutor::new(shell, peers, RunClient::new()?);
+    let (proposer, proposals) = tokio::sync::mpsc::unbounded_channel();
+    let executor = EffectExecutor::new(shell, peers, RunClient::new()?, proposer);
 
+    let platform = PlatformClient::new(&settings.platform, settings.intervals.platform_timeout)?;
+    let handles = start_interfaces(&executor, &platform, member, &settings).await?;
+    let mut loops = control_loop::spawn(&executor, &platform, proposals);
+    loops.push(spawn_ticks(executor.clone()));
+    log::info!("event=started");
+    let outcome = tokio::select! {
+        signal = wait_for_signal() => signal.map(|()| RunOutcome::Stopped)?,
+        () = executor.wait_for_restart() => RunOutcome::Fenced,
+    };
+    leave(&executor, &settings, &platform).await;
+    for (handle, _) in &handles {
+        handle.stop_graceful(settings.intervals.shutdown_grace);
+    }
+    for (_, task) in handles {
+        // The next run needs the addresses.
+        let _ = task.await;
+    }
+    for task in loops {
+        task.abort();
+    }
+    log::info!("event=stopped outcome={outcome:?}");
+    Ok(outcome)
+}
+
+/// An interface's server, and the task that ends with it.
+type RunningServer = (ServerHandle, JoinHandle<()>);
+
+/// Binds the interfaces for callers, the own backend server, other daemons and operators.
+async fn start_interfaces(
+    executor: &EffectExecutor,
+    platform: &PlatformClient,
+    member: MemberId,
+    settings: &DaemonSettings,
+) -> anyhow::Result<[RunningServer; 4]> {
     let max_body = settings.limits.max_body_bytes;
+    let operators = operator_router(OperatorState {
+        backend: Arc::new(executor.clone()),
+        platform: platform.clone(),
+        operators: settings.operators.clone(),
+        max_body_bytes: max_body,
+    });
     let callers = Router::with_path("{**rest}").goal(CallerDesk::new(
         executor.clone(),
         DeskSide::Callers,
-        max_body,
+        settings.limits.clone(),
     ));
-    let nested = CallerDesk::new(executor.clone(), DeskSide::Nested, max_body);
+    let nested = CallerDesk::new(executor.clone(), DeskSide::Nested, settings.limits.clone());
     let local = Router::new()
         .push(Router::with_path("announce").post(AnnounceDesk::new(executor.clone())))
         .push(Router::with_path("{**rest}").goal(nested));
-    let peer_desk = PeerDesk::new(executor.clone(), member, &secret, max_body);
+    let peer_desk =
+        PeerDesk::new(executor.clone(), member, settings.peer_secret.expose(), max_body);
     let peer = Router::with_path("{**rest}").goal(peer_desk);
-    let handles = [
-        serve(settings.caller_address, callers, &settings).await.context("caller_address")?,
-        serve(settings.local_address, local, &settings).await.context("local_address")?,
-        serve(settings.peer_address, peer, &settings).await.context("peer_address")?,
-    ];
-    let settings = Arc::new(settings);
-    control_loop::spawn(executor.clone(), &settings);
-    spawn_ticks(executor.clone());
-    log::info!("event=started");
-    wait_for_signal().await?;
-    leave(&executor, &settings).await;
-    for handle in handles {
-        handle.stop_graceful(settings.intervals.shutdown_grace);
-    }
-    log::info!("event=stopped");
-    Ok(())
+    Ok([
+        serve(settings.caller_address, callers, settings).await.context("caller_address")?,
+        serve(settings.local_address, local, settings).await.context("local_address")?,
+        serve(settings.peer_address, peer, settings).await.context("peer_address")?,
+        serve(settings.operator_address, operators, settings).await.context("operator_address")?,
+    ])
 }
 
 async fn serve(
     address: SocketAddr,
     router: Router,
     settings: &DaemonSettings,
-) -> anyhow::Result<ServerHandle> {
+) -> anyhow::Result<RunningServer> {
     let acceptor: TcpAcceptor = TcpListener::new(address)
         .try_bind()
         .await
@@ -98,18 +149,18 @@
     server.http1_mut().max_buf_size(settings.limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES));
     let handle = server.handle();
     let service = Service::new(router).catcher(Catcher::default());
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         if let Err(cause) = server.try_serve(service).await {
             log::error!("event=server_failed address={address} cause={:?}", cause.to_string());
         }
     });
-    Ok(handle)
+    Ok((handle, task))
 }
 
 /// Least buffer for a request's head that the HTTP library allows, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
 
-fn spawn_ticks(executor: EffectExecutor) {
+fn spawn_ticks(executor: EffectExecutor) -> JoinHandle<()> {
     tokio::spawn(async move {
         let mut interval = tokio::time::interval(TICK_INTERVAL);
         interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
@@ -117,7 +168,7 @@
             interval.tick().await;
             executor.apply(DaemonEvent::Tick);
         }
-    });
+    })
 }
 
 async fn wait_for_signal() -> anyhow::Result<()> {
@@ -132,7 +183,7 @@
 }
 
 /// Leaves without cutting a request: takes nothing new, waits until all that runs here has its answer.
-async fn leave(executor: &EffectExecutor, settings: &DaemonSettings) {
+async fn leave(executor: &EffectExecutor, settings: &DaemonSettings, platform: &PlatformClient) {
     executor.apply(DaemonEvent::DrainRequested);
     let started = tokio::time::Instant::now();
     let grace = settings.intervals.shutdown_grace;
@@ -140,5 +191,7 @@
     while !executor.shell().inspect(DaemonReducer::is_idle) && started.elapsed() < grace {
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
     }
-    control_loop::leave(executor, settings).await;
+    executor.apply(DaemonEvent::HandOverRequested);
+    tokio::time::sleep(HAND_OVER_TIME).await;
+    control_loop::leave(executor, platform).await;
 }
--- a/crates/ivytrail-daemon/src/shell.rs
+++ b/crates/ivytrail-daemon/src/shell.rs
@@ -26,6 +26,8 @@
     pub body: Bytes,
     /// Where the answer goes.
     pub sender: oneshot::Sender<CallAnswer>,
+    /// When the request had come whole.
+    pub received_at: Instant,
 }
 
 /// An attempt at this guard.
@@ -87,10 +89,15 @@
     pub fn add_call(&self, body: Bytes) -> (CallId, oneshot::Receiver<CallAnswer>) {
         let call = CallId(self.next_call.fetch_add(1, Ordering::Relaxed));
         let (sender, receiver) = oneshot::channel();
-        self.calls.lock().insert(call, WaitingCall { body, sender });
+        self.calls.lock().insert(call, WaitingCall { body, sender, received_at: Instant::now() });
         (call, receiver)
     }
 
+    /// Returns the number of calls that wait for their answers.
+    pub fn n_calls(&self) -> usize {
+        self.calls.lock().len()
+    }
+
     /// Returns the body of a call that waits for its answer.
     pub fn call_body(&self, call: CallId) -> Option<Bytes> {
         self.calls.lock().get(&call).map(|it| it.body.clone())
