Test the tool as a process against a daemon

Cause: the tool's messages and exit statuses are what operators and scripts rely on. Change: five tests run the binary against a daemon and the platform stand-in: applying a directory twice, a race of two operators, keys, a lost answer, every exit status.

--- /dev/null
+++ b/crates/ivytrail-cli/tests/tool.rs
@@ -0,0 +1,188 @@
+//! Tests of the tool as a process, against a daemon and the platform stand-in.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Command, Output},
+    sync::Arc,
+    time::Duration,
+};
+
+use ivytrail::settings::{
+    credential::{digest_to_hex, secret_digest},
+    file::DaemonSettings,
+};
+use ivytrail_fakes::platform::{PlatformFake, PlatformFaults, PlatformRates};
+use serde_json::{Value, json};
+use tokio::task::JoinHandle;
+
+const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+/// A daemon with its platform, and a directory for files.
+struct ToolBench {
+    platform: PlatformFake,
+    daemon_url: String,
+    directory: PathBuf,
+    daemon: JoinHandle<()>,
+}
+
+impl ToolBench {
+    async fn start(name: &str) -> ToolBench {
+        let platform = PlatformFake::start(SocketAddr::new(LOOPBACK, 0), PlatformRates::default())
+            .await
+            .expect("a free port");
+        let file = daemon_file(platform.address());
+        let daemon_url =
+            format!("http://{}", file["operator_address"].as_str().unwrap_or_default());
+        let settings = DaemonSettings::parse(&file.to_string()).expect("fixture is valid");
+        let daemon = tokio::spawn(async move {
+            ivytrail_daemon::server::run(Arc::new(settings)).await.expect("the daemon starts");
+        });
+        let directory =
+            std::env::temp_dir().join(format!("ivytrail-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&directory).expect("a writable directory");
+        let bench = ToolBench { platform, daemon_url, directory, daemon };
+        bench.wait_ready().await;
+        bench
+    }
+
+    async fn wait_ready(&self) {
+        for _ in 0..200 {
+            if self.run(&["status"]).status.success() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(25)).await;
+        }
+        panic!("the daemon does not answer");
+    }
+
+    fn run(&self, arguments: &[&str]) -> Output {
+        self.run_with("asha-token", arguments)
+    }
+
+    fn run_with(&self, token: &str, arguments: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_ivytrail"))
+            .args(["--daemon", "http://127.0.0.1:9", "--daemon", &self.daemon_url])
+            .args(arguments)
+            .env("IVYTRAIL_TOKEN", token)
+            .current_dir(&self.directory)
+            .output()
+            .expect("the tool starts")
+    }
+
+    fn write(&self, name: &str, content: &Value) {
+        std::fs::write(self.directory.join(name), content.to_string()).expect("a writable file");
+    }
+}
+
+impl Drop for ToolBench {
+    fn drop(&mut self) {
+        self.daemon.abort();
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+fn daemon_file(platform: SocketAddr) -> Value {
+    let held = [(); 4].map(|()| TcpListener::bind((LOOPBACK, 0)).expect("a free port"));
+    let [caller, local, peer, operator] =
+        held.map(|it| it.local_addr().expect("a bound address").to_string());
+    json!({
+        "name": "booking-1",
+        "failure_domain": "kolkata",
+        "caller_address": caller,
+        "local_address": local,
+        "peer_address": peer,
+        "operator_address": operator,
+        "platform": format!("http://{platform}"),
+        "peer_secret": "sixteen bytes or more",
+        "operators": [
+            {"name": "asha", "token_digest": digest_to_hex(&secret_digest("asha-token"))},
+            {"name": "reto", "token_digest": digest_to_hex(&secret_digest("reto-token"))},
+        ],
+    })
+}
+
+fn subtree(burst: u32) -> Value {
+    json!({
+        "accounts": {"meteo": {"rate_per_s": 1, "burst": burst}},
+        "services": {"booking": {}},
+        "routes": {"book": {"method": "POST", "path": "/book", "service": "booking"}},
+    })
+}
+
+fn check(output: &Output, status: i32, expected: &str) {
+    let text = String::from_utf8_lossy(&output.stdout) + String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(status), "{text}");
+    assert!(text.contains(expected), "\"{expected}\" is not in: {text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn declarations_are_checked_shown_and_applied_once() {
+    let bench = ToolBench::start("apply").await;
+    std::fs::create_dir(bench.directory.join("teams")).unwrap();
+    bench.write("teams/launch.json", &subtree(5));
+    check(&bench.run(&["check", "teams"]), 0, "launch: subtree is valid");
+    check(&bench.run(&["apply", "teams", "--dry-run"]), 0, "+      \"burst\": 5.0");
+    check(&bench.run(&["show", "launch"]), 1, "no subtree at revision 0");
+    check(&bench.run(&["apply", "teams"]), 0, "launch: revision 1");
+    check(&bench.run(&["apply", "teams"]), 0, "launch: unchanged at revision 1");
+    check(&bench.run(&["show", "launch"]), 0, "\"path\": \"/book\"");
+    check(&bench.run(&["status", "--wait", "--revision", "1"]), 0, "booking-1");
+    check(&bench.run(&["audit", "--diff"]), 0, "asha replaced team/launch");
+    check(&bench.run(&["upstreams", "--json"]), 0, "\"upstreams\"");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_who_was_overtaken_is_told_by_whom() {
+    let bench = ToolBench::start("race").await;
+    bench.write("launch.json", &subtree(5));
+    check(&bench.run(&["apply", "launch.json"]), 0, "revision 1");
+    bench.write("launch.json", &subtree(6));
+    let output = bench.run_with("reto-token", &["apply", "launch.json", "--base", "0"]);
+    check(&output, 1, "asha changed team/launch at revision 1");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn key_is_issued_with_its_secret_shown_once() {
+    let bench = ToolBench::start("key").await;
+    bench.write("launch.json", &subtree(5));
+    check(&bench.run(&["apply", "launch.json"]), 0, "revision 1");
+    check(&bench.run(&["key", "issue", "meteo-1", "--account", "nobody"]), 1, "no team has");
+    check(&bench.run(&["key", "issue", "meteo-1", "--account", "meteo"]), 0, "only now: ivk_");
+    let list = bench.run(&["key", "list"]);
+    check(&list, 0, "meteo-1");
+    assert!(!String::from_utf8_lossy(&list.stdout).contains("ivk_"));
+    check(&bench.run(&["key", "withdraw", "meteo-1"]), 0, "revision 3");
+    check(&bench.run(&["key", "withdraw", "meteo-1"]), 1, "no key \"meteo-1\" is in force");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_of_the_platform_is_resolved() {
+    let bench = ToolBench::start("lost").await;
+    bench.write("launch.json", &subtree(5));
+    bench.platform.set_faults(PlatformFaults { lose_next: 1, ..Default::default() });
+    check(&bench.run(&["apply", "launch.json"]), 0, "launch: revision 1");
+    check(&bench.run(&["apply", "launch.json"]), 0, "unchanged at revision 1");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn exit_status_tells_what_went_wrong() {
+    let bench = ToolBench::start("status").await;
+    bench.write("launch.json", &json!({"accounts": {"meteo": {"rate_per_s": 0}}, "rutes": {}}));
+    bench.write("daemon.json", &json!({"name": "x", "platform": "ftp://x"}));
+    check(&bench.run(&["check", "launch.json"]), 2, "$.accounts.meteo.burst: is missing");
+    check(&bench.run(&["apply", "launch.json"]), 2, "$.rutes: unknown field");
+    check(&bench.run(&["check", "daemon.json"]), 2, "$.peer_secret: is missing");
+    check(&bench.run(&["frobnicate"]), 2, "frobnicate");
+    check(&bench.run(&[]), 2, "a command is missing");
+    check(&bench.run_with("wrong", &["status"]), 1, "401");
+    check(&bench.run_with("", &["status"]), 2, "no token given");
+    check(&bench.run(&["drain", "nowhere"]), 1, "404");
+    check(&bench.run(&["key", "issue", "--help"]), 0, "--account ACCOUNT");
+    let unreachable = Command::new(env!("CARGO_BIN_EXE_ivytrail"))
+        .args(["status", "--daemon", "http://127.0.0.1:9", "--json"])
+        .env("IVYTRAIL_TOKEN", "t")
+        .output()
+        .unwrap();
+    check(&unreachable, 3, "\"error\":\"no daemon could answer");
+}
