--- a/crates/ivytrail/src/admission.rs
+++ b/crates/ivytrail/src/admission.rs
@@ -3,7 +3,7 @@
 //! [`AdmissionQueue`] stands in front of one backend server. It runs as many attempts at once as the backend server
 //! copes with, keeps a short queue of those that can still end in time, and refuses the rest at once. Under pressure
 //! the higher [`PriorityClass`] goes first, accounts of one class share the slots by weight, and of one account's
-//! attempts those with the smaller admission level go first. [`EntryGate`] refuses root requests that would fail
+//! attempts those with the greatest admission level are refused first. [`EntryGate`] refuses root requests that would fail
 //! further down the chain, before a slot is spent on them.
 
 use std::{
@@ -20,7 +20,7 @@
     time::TimePoint,
 };
 
-pub use self::gate::EntryGate;
+pub use self::gate::{EntryGate, GateOptions};
 use self::{
     lane::{ClassQueue, LaneOrder, WaitingTicket},
     limit::ConcurrencyLimit,
@@ -37,6 +37,10 @@
 mod tests;
 
 const N_CLASSES: usize = 3;
+/// Attempts that may wait for each slot under lasting pressure.
+const PRESSED_QUEUE_PER_SLOT: usize = 2;
+/// Least bound of the queue under lasting pressure.
+const MIN_PRESSED_QUEUE: usize = 4;
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
@@ -49,7 +53,7 @@
     pub fair: bool,
     /// Serves the higher class first and evicts the lower class first.
     pub priority: bool,
-    /// Serves the smaller admission level first and reports a level cut.
+    /// Refuses the greater admission level first and reports a level cut.
     pub consistent: bool,
     /// Refuses work that can't end before its deadline, and work that would wait longer than it may.
     pub deadline_aware: bool,
@@ -221,7 +225,7 @@
         sample: RunSample,
         out: &mut Vec<AdmissionVerdict>,
     ) {
-        let n_running = self.running.len() as u32;
+        let saturated = self.limit.get() <= self.running.len() as u32;
         let Some(ticket) = self.running.remove(attempt) else { return };
         let elapsed = now.since(ticket.started);
         match sample {
@@ -231,7 +235,8 @@
             }
             RunSample::Overloaded => {}
         }
-        self.limit.note(now, n_running, sample);
+        self.cut.note_finished(self.waiting.is_empty());
+        self.limit.note(now, ticket.started, sample, saturated);
         self.classes[ticket.class_idx].settle(&ticket.lane, ticket.charged, elapsed);
         self.tick(now, out);
         self.start_waiting(now, out);
@@ -268,7 +273,7 @@
             };
             self.refuse(now, attempt, reason, out);
         }
-        self.cut.roll(now, self.waiting.is_empty());
+        self.cut.roll(now);
     }
 
     /// Returns the time at which [`AdmissionQueue::tick`] has something to do.
@@ -339,12 +344,25 @@
 
     /// Evicts what is beyond the queue's bound.
     fn shrink_queue(&mut self, now: TimePoint, out: &mut Vec<AdmissionVerdict>) {
-        while self.options.max_queue < self.waiting.len() {
+        let bound = self.queue_bound();
+        while bound < self.waiting.len() {
             let Some(ticket) = self.evict_last() else { return };
             self.refuse(now, ticket.attempt, RefusalReason::Overloaded, out);
         }
     }
 
+    /// Returns how many attempts may wait.
+    ///
+    /// Under lasting pressure a long queue adds waiting time and no throughput, so it is kept just long enough that no
+    /// slot runs dry.
+    fn queue_bound(&self) -> usize {
+        if !self.options.consistent || !self.cut.is_engaged() {
+            return self.options.max_queue;
+        }
+        let short = (self.limit.get() as usize * PRESSED_QUEUE_PER_SLOT).max(MIN_PRESSED_QUEUE);
+        short.min(self.options.max_queue)
+    }
+
     /// Takes the ticket that would be served last: the lowest class, its most served account, its greatest level.
     fn evict_last(&mut self) -> Option<WaitingTicket> {
         let class = self.classes.iter_mut().rfind(|class| 0 < class.len())?;
--- a/crates/ivytrail/src/admission/lane.rs
+++ b/crates/ivytrail/src/admission/lane.rs
@@ -1,10 +1,13 @@
 //! Waiting tickets of one priority class, shared fairly between client accounts.
 //!
 //! Start-time fair queueing: each account has a lane with a virtual time, which advances by the service time that the
-//! account was given over its weight. The lane that is furthest behind is served next; the ticket that would be served
-//! last is the first to be evicted.
+//! account was given over its weight. The lane that is furthest behind is served next; of the lane that is
+//! furthest ahead, the ticket with the greatest admission level is the first to be evicted.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
     id::{AccountName, AttemptId},
@@ -15,7 +18,8 @@
 const MAX_WEIGHT: f64 = 1_000.0;
 const MAX_IDLE_LANES: usize = 1_024;
 
-/// Place of a ticket inside its lane: admission level first, then order of arrival.
+/// Place of a ticket inside its lane: its admission level, by which it is evicted, and its serial number, by which it is
+/// served. A ticket with a great level isn't passed over, since it may hold slots further up the chain while it waits.
 pub(super) type LaneOrder = (u16, u64);
 
 /// A ticket that waits for a slot.
@@ -35,7 +39,8 @@
     /// Service time given so far over the weight, in microseconds of virtual time.
     virtual_time: f64,
     weight: f64,
-    tickets: BTreeMap<LaneOrder, WaitingTicket>,
+    tickets: BTreeMap<u64, WaitingTicket>,
+    orders: BTreeSet<LaneOrder>,
 }
 
 impl AccountLane {
@@ -66,7 +71,8 @@
             lane.virtual_time = lane.virtual_time.max(floor);
         }
         lane.weight = clamp_weight(ticket.weight);
-        let replaced = lane.tickets.insert(ticket.order, ticket);
+        lane.orders.insert(ticket.order);
+        let replaced = lane.tickets.insert(ticket.order.1, ticket);
         assert!(replaced.is_none(), "two waiting tickets share one place");
         self.n_waiting += 1;
     }
@@ -81,6 +87,7 @@
             .map(|(name, _)| name.clone())?;
         let lane = self.lanes.get_mut(&name)?;
         let (_, ticket) = lane.tickets.pop_first()?;
+        lane.orders.remove(&ticket.order);
         self.virtual_time = self.virtual_time.max(lane.virtual_time);
         lane.virtual_time += virtual_cost(cost, lane.weight);
         self.n_waiting -= 1;
@@ -88,7 +95,7 @@
         Some(ticket)
     }
 
-    /// Takes the ticket that would be served last.
+    /// Takes the ticket with the greatest level from the lane that would be served last.
     pub(super) fn evict(&mut self, cost: Duration) -> Option<WaitingTicket> {
         let cost = virtual_cost(cost, 1.0).max(1.0);
         let lane = self
@@ -96,7 +103,8 @@
             .values_mut()
             .filter(|lane| !lane.tickets.is_empty())
             .max_by(|a, b| a.finish_tag(cost).total_cmp(&b.finish_tag(cost)))?;
-        let (_, ticket) = lane.tickets.pop_last()?;
+        let order = lane.orders.pop_last()?;
+        let ticket = lane.tickets.remove(&order.1)?;
         self.n_waiting -= 1;
         Some(ticket)
     }
@@ -107,7 +115,9 @@
         lane: &Option<AccountName>,
         order: LaneOrder,
     ) -> Option<WaitingTicket> {
-        let ticket = self.lanes.get_mut(lane)?.tickets.remove(&order)?;
+        let lane = self.lanes.get_mut(lane)?;
+        let ticket = lane.tickets.remove(&order.1)?;
+        lane.orders.remove(&order);
         self.n_waiting -= 1;
         Some(ticket)
     }
