--- a/crates/ivytrail/src/quota/account.rs
+++ b/crates/ivytrail/src/quota/account.rs
@@ -336,6 +336,7 @@
             // Half of the target is left before the next ask, so that an ask carries several tokens.
             it if SURE_DEMAND <= it && stock <= target / 2 => (target - stock, 0),
             it if SURE_DEMAND <= it => (0, 0),
+            // More than one at a time keeps the bucket below the level at which a home has tokens to spare.
             it if SPARE_DEMAND <= it && stock == 0 => (0, target.max(1)),
             _ => (0, 0),
         }
--- a/crates/ivytrail/src/quota/plan.rs
+++ b/crates/ivytrail/src/quota/plan.rs
@@ -11,6 +11,10 @@
 /// twice the drift of both clocks over the wait for a promised token, which is at most two hold times.
 const DRIFTING_HOLDS: f64 = 9.0;
 
+/// Tokens that a share can save up at least, when there is more than one. With less, requests that meet an empty share
+/// while another one overflows cost the account too much of its burst.
+const MIN_SHARE_CAPACITY: f64 = 4.0;
+
 /// Nanoseconds per second.
 const NANOS_PER_S: f64 = 1e9;
 
@@ -94,7 +98,7 @@
         let true_hold_s = hold_s + drift_s + ROUNDING.as_secs_f64();
         let minted_rate = sustainable_rate(rate_per_s, burst, true_hold_s);
         let capacity = (burst - minted_rate * true_hold_s).max(1.0);
-        let n_shares = capacity.min(f64::from(MAX_SHARES)).floor();
+        let n_shares = (capacity / MIN_SHARE_CAPACITY).floor().clamp(1.0, f64::from(MAX_SHARES));
         let clock_rate = minted_rate / (1.0 + options.clock_drift_ppm * PPM);
         let interval_ns = (n_shares * NANOS_PER_S / clock_rate).ceil();
         let tolerance_ns = ((capacity / n_shares - 1.0) * interval_ns).floor();
