Fail an ask for tokens without an owner at the next tick

Cause: a daemon of the demo stopped answering before the control ring existed. A stack trace showed it inside route_asks: an ask without an owner failed at once, the stash asked for the next share, and so on without end under the reducer's lock. Ruled out: a deadlock of the shell's locks (one thread was running, none waited on them). Change: such asks fail at the next tick. A panic now ends the process instead of leaving half of its tasks. Before: the demo did not start. After: the new reducer test answers the request within 500 ms of virtual time. The test was written after the trace and not run on the old code, where it would not end.

--- a/crates/ivytrail-daemon/src/main.rs
+++ b/crates/ivytrail-daemon/src/main.rs
@@ -17,6 +17,7 @@
         StartMode::Exit { code } => ExitCode::from(code),
         StartMode::Run(settings) => {
             log_setup::start();
+            abort_on_panic();
             match start(*settings) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(cause) => {
@@ -28,6 +29,16 @@
     }
 }
 
+/// Ends the process on a panic: a daemon whose invariant broke must not go on with half of its tasks.
+fn abort_on_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        log::error!("event=panic message={:?}", info.to_string());
+        report(info);
+        std::process::abort();
+    }));
+}
+
 fn start(settings: DaemonSettings) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- a/crates/ivytrail/src/reducer.rs
+++ b/crates/ivytrail/src/reducer.rs
@@ -55,6 +55,8 @@
 mod quota_flow;
 mod rings;
 mod run_flow;
+#[cfg(test)]
+mod tests;
 
 use std::{
     collections::{HashMap, VecDeque},
--- a/crates/ivytrail/src/reducer/control_flow.rs
+++ b/crates/ivytrail/src/reducer/control_flow.rs
@@ -10,7 +10,7 @@
     membership::{MemberRecord, MemberState, MemberView, MembershipOptions},
     message::ControlMessage,
     quarantine::Suspicion,
-    quota::{QuotaHome, QuotaOptions, QuotaStash},
+    quota::{QuotaAsk, QuotaHome, QuotaOptions, QuotaStash},
     routing::UpstreamInfo,
 };
 
@@ -23,6 +23,8 @@
     pub(super) home: QuotaHome,
     pub(super) standing: ShareStanding,
     pub(super) shares_due: bool,
+    /// Asks for tokens that found no owner.
+    pub(super) lost_asks: Vec<QuotaAsk>,
     pub(super) outbox: ControlOutbox,
 }
 
@@ -45,6 +47,7 @@
             home: QuotaHome::new(QuotaOptions::default()),
             standing: ShareStanding::default(),
             shares_due: true,
+            lost_asks: Vec::new(),
             outbox: ControlOutbox::new(),
         }
     }
--- a/crates/ivytrail/src/reducer/quota_flow.rs
+++ b/crates/ivytrail/src/reducer/quota_flow.rs
@@ -63,8 +63,9 @@
         }
     }
 
-    /// Hands over what the stash asks for; asks without an owner fail at once.
-    fn route_asks(&mut self, now: TimePoint, effects: &mut Vec<QuotaEffect>) -> Vec<QuotaEffect> {
+    /// Hands over what the stash asks for. An ask without an owner fails at the next tick, not at once: the stash then
+    /// asks for another share, and while no share has an owner that would go on without end.
+    fn route_asks(&mut self, effects: &mut Vec<QuotaEffect>) -> Vec<QuotaEffect> {
         let mut decided = Vec::new();
         while let Some(effect) = effects.pop() {
             match effect {
@@ -74,7 +75,7 @@
                         Some(owner) => {
                             self.outbox.push_back((owner, ControlMessage::QuotaAsk(ask)));
                         }
-                        None => self.stash.fail(now, &ask, effects),
+                        None => self.lost_asks.push(ask),
                     }
                 }
                 decision => decided.push(decision),
@@ -105,6 +106,11 @@
     }
 
     pub(super) fn receive_ask(&mut self, turn: &mut Turn, from: &MemberId, ask: &QuotaAsk) {
+        let is_own = *from == self.identity.member;
+        if is_own && !self.control.home.owns(&ask.account, ask.share) {
+            // The ring says that the share is this daemon's, and its home will take it over at a tick.
+            return self.control.lost_asks.push(ask.clone());
+        }
         let lease_end = self.control.rings.control().lease_end();
         let grant = self.control.home.ask(turn.now, lease_end, ask);
         self.control.outbox.push_back((from.clone(), ControlMessage::QuotaGrant(grant)));
@@ -112,6 +118,9 @@
 
     pub(super) fn tick_quota(&mut self, turn: &mut Turn) {
         self.control.review_shares(turn.now, &self.settings);
+        for ask in std::mem::take(&mut self.control.lost_asks) {
+            self.fail_ask(turn, &ask);
+        }
         let mut effects = Vec::new();
         self.control.stash.tick(turn.now, &mut effects);
         self.settle_quota(turn, effects);
@@ -125,7 +134,7 @@
     }
 
     fn settle_quota(&mut self, turn: &mut Turn, mut effects: Vec<QuotaEffect>) {
-        for decision in self.control.route_asks(turn.now, &mut effects) {
+        for decision in self.control.route_asks(&mut effects) {
             match decision {
                 QuotaEffect::Admit { call } => self.quota_granted(turn, call),
                 QuotaEffect::Refuse { call, retry_after } => {
