Ask each later owner's question apart, and join rings and tables in a queue of faults

Cause: the first randomised runs found two second runs: a member that answered a later owner passed over whoever was before the asker, and a tombstone left for one asker was told to the next as not run. Ruled out: dropping the questions (every change of the epoch would put the keys of living members in doubt). Change: the walk through earlier epochs goes on past the asker; a tombstone names its asker; handovers name all heirs.

--- a/crates/ivytrail/src/claim.rs
+++ b/crates/ivytrail/src/claim.rs
@@ -27,7 +27,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use handover::HandoverIntake;
 pub use key::made_ms_of;
 pub use ledger::{AttemptFate, AttemptLedger, AttemptOutcome, LedgerOptions};
 pub use table::ClaimTable;
@@ -191,9 +190,15 @@
     pub age: Duration,
 }
 
-/// Hands claims over to the next owner of their keys. All of them together are everything the sender knows.
+/// Hands claims over to their next owners.
+///
+/// All batches to one receiver together are everything that the sender knows of the keys which go to that receiver.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimHandover {
+    /// Everyone who receives claims: the first of them in a key's rendezvous order is its next owner.
+    pub heirs: Vec<MemberId>,
+    /// The receiver of this batch.
+    pub heir: MemberId,
     /// Position of this batch, from 0.
     pub batch: u32,
     /// Number of batches to this receiver.
--- a/crates/ivytrail/src/claim/doubt.rs
+++ b/crates/ivytrail/src/claim/doubt.rs
@@ -6,7 +6,7 @@
 
 use super::{ClaimTable, ClaimVerdict};
 use crate::{
-    id::MemberId,
+    id::{ContentDigest, MemberId},
     lease::PriorOwner,
     time::{TimePoint, WallClock},
 };
@@ -43,12 +43,13 @@
         &self,
         now: TimePoint,
         wall: WallClock,
+        digest: &ContentDigest,
         made_ms: Option<u64>,
         priors: &[PriorOwner],
     ) -> KeyDoubt {
         let mut doubt = KeyDoubt::None;
         for prior in priors {
-            let is_known = prior.member.as_ref().is_some_and(|it| self.intake.is_complete(it));
+            let is_known = prior.member.as_ref().is_some_and(|it| self.intake.covers(it, digest));
             if is_known || !self.may_have_run(now, wall, made_ms, prior) {
                 continue;
             }
--- a/crates/ivytrail/src/claim/handover.rs
+++ b/crates/ivytrail/src/claim/handover.rs
@@ -11,69 +11,88 @@
 };
 use crate::{
     id::{AttemptId, ContentDigest, MemberId},
+    lease::rendezvous_order,
     time::TimePoint,
 };
 
-/// The batches that arrived from each leaving member.
+/// The batches that arrived from members that leave.
 #[derive(Debug, Default)]
-pub struct HandoverIntake {
+pub(super) struct HandoverIntake {
     batches: BTreeMap<MemberId, BTreeSet<u32>>,
-    complete: BTreeSet<MemberId>,
+    complete: BTreeMap<MemberId, HeirList>,
+}
+
+/// Who got the claims of a member that left.
+#[derive(Debug)]
+struct HeirList {
+    heirs: Vec<MemberId>,
+    heir: MemberId,
+    since: TimePoint,
 }
 
 impl HandoverIntake {
     /// Records one batch and returns whether all of them have arrived.
-    pub fn record(&mut self, from: &MemberId, handover: &ClaimHandover) -> bool {
-        if self.is_complete(from) {
+    fn record(&mut self, now: TimePoint, from: &MemberId, handover: &ClaimHandover) -> bool {
+        if self.complete.contains_key(from) {
             return true;
         }
         let batches = self.batches.entry(from.clone()).or_default();
         batches.insert(handover.batch);
-        if handover.n_batches as usize <= batches.len() {
-            self.complete.insert(from.clone());
+        let is_complete = handover.n_batches as usize <= batches.len();
+        if is_complete {
+            let (heirs, heir) = (handover.heirs.clone(), handover.heir.clone());
+            self.complete.insert(from.clone(), HeirList { heirs, heir, since: now });
             self.batches.remove(from);
         }
-        self.is_complete(from)
+        is_complete
+    }
+
+    /// Returns whether everything that `member` knew of the key has arrived here.
+    ///
+    /// What it knew of a key went to one heir only, so that a complete handover says nothing of others' keys.
+    pub(super) fn covers(&self, member: &MemberId, digest: &ContentDigest) -> bool {
+        let Some(list) = self.complete.get(member) else { return false };
+        first_heir(&list.heirs, digest) == Some(&list.heir)
     }
 
-    /// Returns whether everything that `member` knew has arrived.
-    pub fn is_complete(&self, member: &MemberId) -> bool {
-        self.complete.contains(member)
+    /// Forgets handovers that were complete longer ago than `retention`.
+    pub(super) fn prune(&mut self, now: TimePoint, retention: Duration) {
+        self.complete.retain(|_, list| now.since(list.since) < retention);
     }
 }
 
+fn first_heir<'a>(heirs: &'a [MemberId], digest: &ContentDigest) -> Option<&'a MemberId> {
+    heirs.iter().min_by_key(|it| rendezvous_order(it, digest))
+}
+
 impl ClaimTable {
-    /// Returns batches for the next owners of all claims, as `owner_of` names them, of at most `batch_size` claims.
+    /// Returns the batches for `heirs`, the members that own keys once this one has left.
     ///
-    /// Claims that still run are handed over as in doubt, so the daemon lets them end first. Every member that may
-    /// own keys next gets at least one batch, also an empty one: it proves that there is nothing else.
-    pub fn hand_over<F>(
+    /// Each gets at least one batch, also an empty one: it proves that there is nothing else. The daemon refuses new
+    /// claims before, and lets the running ones end: those that still run are handed over as in doubt.
+    pub fn hand_over(
         &self,
         now: TimePoint,
-        receivers: &[MemberId],
+        heirs: &[MemberId],
         batch_size: usize,
-        owner_of: F,
-    ) -> Vec<(MemberId, ClaimHandover)>
-    where
-        F: Fn(&ContentDigest) -> Option<MemberId>,
-    {
-        let mut by_owner: BTreeMap<MemberId, Vec<HandedClaim>> =
-            receivers.iter().map(|it| (it.clone(), Vec::new())).collect();
+    ) -> Vec<(MemberId, ClaimHandover)> {
+        let mut shares: BTreeMap<&MemberId, Vec<HandedClaim>> =
+            heirs.iter().map(|it| (it, Vec::new())).collect();
         for (digest, claim) in &self.claims {
-            let Some(handed) = hand(now, digest, claim) else { continue };
-            if let Some(claims) = owner_of(digest).and_then(|it| by_owner.get_mut(&it)) {
-                claims.push(handed);
+            let share = first_heir(heirs, digest).and_then(|it| shares.get_mut(it));
+            if let (Some(share), Some(handed)) = (share, hand(now, digest, claim)) {
+                share.push(handed);
             }
         }
-        by_owner
+        shares
             .into_iter()
-            .flat_map(|(owner, claims)| batches(&owner, &claims, batch_size))
+            .flat_map(|(heir, claims)| batches(heirs, heir, &claims, batch_size.max(1)))
             .collect()
     }
 
     /// Takes in a batch of a leaving member and returns whether all its batches have arrived.
     pub fn take_over(&mut self, now: TimePoint, from: &MemberId, handover: ClaimHandover) -> bool {
-        let is_complete = self.intake.record(from, &handover);
+        let is_complete = self.intake.record(now, from, &handover);
         for handed in handover.claims {
             if !self.claims.contains_key(&handed.claim) {
                 self.adopt(now, handed, Vec::new());
@@ -119,7 +138,7 @@
     claim: &RequestClaim,
 ) -> Option<HandedClaim> {
     let (ran, answer) = match &claim.state {
-        ClaimState::Tombstone => return None,
+        ClaimState::Tombstone { .. } => return None,
         ClaimState::Done(answer) => (true, answer.clone()),
         _ => (false, None),
     };
@@ -129,21 +148,24 @@
 }
 
 fn batches(
-    owner: &MemberId,
+    heirs: &[MemberId],
+    heir: &MemberId,
     claims: &[HandedClaim],
     size: usize,
 ) -> Vec<(MemberId, ClaimHandover)> {
-    let n_batches = claims.len().div_ceil(size.max(1)).max(1);
+    let n_batches = claims.len().div_ceil(size).max(1);
     (0..n_batches)
         .map(|batch| {
-            let start = batch * size.max(1);
-            let end = claims.len().min(start + size.max(1));
+            let start = batch * size;
+            let end = claims.len().min(start + size);
             let handover = ClaimHandover {
+                heirs: heirs.to_vec(),
+                heir: heir.clone(),
                 batch: batch as u32,
                 n_batches: n_batches as u32,
                 claims: claims[start..end].to_vec(),
             };
-            (owner.clone(), handover)
+            (heir.clone(), handover)
         })
         .collect()
 }
--- a/crates/ivytrail/src/claim/table.rs
+++ b/crates/ivytrail/src/claim/table.rs
@@ -4,7 +4,9 @@
 
 use super::{
     ClaimAnswer, ClaimEnd, ClaimFate, ClaimOffer, ClaimOptions, ClaimQuestion, ClaimVerdict,
-    HandoverIntake, StoredAnswer, doubt::KeyDoubt, handover::hand,
+    StoredAnswer,
+    doubt::KeyDoubt,
+    handover::{HandoverIntake, hand},
 };
 use crate::{
     id::{AttemptId, ContentDigest, MemberId},
@@ -23,8 +25,8 @@
     Done(Option<StoredAnswer>),
     /// It may or may not have run.
     InDoubt,
-    /// A later owner has asked for it; it never runs here.
-    Tombstone,
+    /// This later owner has asked for it and may have run it; it never runs here.
+    Tombstone { asker: MemberId },
 }
 
 /// One idempotency key in use.
@@ -87,7 +89,7 @@
         if let Some(verdict) = self.age_verdict(wall, offer.made_ms) {
             return verdict;
         }
-        let doubt = self.doubt_of(now, wall, offer.made_ms, &offer.priors);
+        let doubt = self.doubt_of(now, wall, &offer.claim, offer.made_ms, &offer.priors);
         let attempt = offer.attempt.clone();
         let (state, verdict) = match doubt {
             KeyDoubt::Lost => return ClaimVerdict::InDoubt,
@@ -199,20 +201,22 @@
         &mut self,
         now: TimePoint,
         wall: WallClock,
+        asker: &MemberId,
         question: &ClaimQuestion,
         priors: &[PriorOwner],
     ) -> ClaimAnswer {
         self.sweep(now);
         let claim = question.claim;
         let fate = match self.claims.get(&claim) {
-            Some(entry) => self.known_fate(now, &claim, entry),
-            None => self.bury(now, wall, question, priors),
+            Some(entry) => known_fate(now, asker, &claim, entry),
+            None => self.bury(now, wall, asker, question, priors),
         };
         ClaimAnswer { claim, fate }
     }
 
     /// Forgets claims that were settled longer ago than the retention.
     pub fn sweep(&mut self, now: TimePoint) {
+        self.intake.prune(now, self.options.retention);
         while let Some((at, _)) = self.settled.front() {
             if now.since(*at) < self.options.retention {
                 return;
@@ -294,40 +298,25 @@
         waiting.into_iter().map(|it| (it, ClaimVerdict::InDoubt)).collect()
     }
 
-    fn known_fate(
-        &self,
-        now: TimePoint,
-        digest: &ContentDigest,
-        claim: &RequestClaim,
-    ) -> ClaimFate {
-        match &claim.state {
-            ClaimState::Running { .. } => ClaimFate::Running,
-            ClaimState::Done(_) => match hand(now, digest, claim) {
-                Some(handed) => ClaimFate::Done(handed),
-                None => ClaimFate::InDoubt,
-            },
-            ClaimState::Tombstone => ClaimFate::NotRun,
-            ClaimState::Asking { .. } | ClaimState::InDoubt => ClaimFate::InDoubt,
-        }
-    }
-
     /// Leaves a tombstone for a key that was never seen here.
     fn bury(
         &mut self,
         now: TimePoint,
         wall: WallClock,
+        asker: &MemberId,
         question: &ClaimQuestion,
         priors: &[PriorOwner],
     ) -> ClaimFate {
         let is_young = self.age_verdict(wall, question.made_ms) != Some(ClaimVerdict::TooOld);
-        let has_doubt = self.doubt_of(now, wall, question.made_ms, priors) != KeyDoubt::None;
+        let has_doubt =
+            self.doubt_of(now, wall, &question.claim, question.made_ms, priors) != KeyDoubt::None;
         if !is_young || has_doubt || self.options.max_claims <= self.claims.len() {
             return ClaimFate::InDoubt;
         }
         let claim = RequestClaim {
             fingerprint: question.fingerprint,
             made_ms: question.made_ms,
-            state: ClaimState::Tombstone,
+            state: ClaimState::Tombstone { asker: asker.clone() },
             settled_at: None,
         };
         self.claims.insert(question.claim, claim);
@@ -350,6 +339,27 @@
     }
 }
 
+/// Returns what a later owner is told of a key that is in the table.
+fn known_fate(
+    now: TimePoint,
+    asker: &MemberId,
+    digest: &ContentDigest,
+    claim: &RequestClaim,
+) -> ClaimFate {
+    match &claim.state {
+        ClaimState::Running { .. } => ClaimFate::Running,
+        ClaimState::Done(_) => match hand(now, digest, claim) {
+            Some(handed) => ClaimFate::Done(handed),
+            None => ClaimFate::InDoubt,
+        },
+        // Whoever asked first may have run it since.
+        ClaimState::Tombstone { asker: first } if first == asker => ClaimFate::NotRun,
+        ClaimState::Tombstone { .. } | ClaimState::Asking { .. } | ClaimState::InDoubt => {
+            ClaimFate::InDoubt
+        }
+    }
+}
+
 pub(super) fn settled_verdict(state: &ClaimState) -> ClaimVerdict {
     match state {
         ClaimState::Done(Some(answer)) => ClaimVerdict::Replay(answer.clone()),
--- a/crates/ivytrail/src/claim/tests.rs
+++ b/crates/ivytrail/src/claim/tests.rs
@@ -113,13 +113,15 @@
     let question = ClaimQuestion { claim: key("key"), fingerprint: key("body"), made_ms: None };
 
     let verdict = new.offer(at(101), wall(101), &offer(1, None, &living));
-    let reply = old.answer(at(101), wall(101), &question, &[]);
+    let reply = old.answer(at(101), wall(101), &member("new"), &question, &[]);
     let verdicts = new.learn(at(102), &member("prior"), reply.clone());
 
     assert_eq!(verdict, ClaimVerdict::Ask(member("prior")));
     assert_eq!(reply.fate, ClaimFate::NotRun);
     assert_eq!(verdicts, [(attempt(1), ClaimVerdict::Run)]);
     assert_eq!(old.offer(at(103), wall(103), &offer(9, None, &[])), ClaimVerdict::InDoubt);
+    let third = old.answer(at(104), wall(104), &member("third"), &question, &[]);
+    assert_eq!(third.fate, ClaimFate::InDoubt, "the one that asked first may have run it");
 }
 
 #[test]
@@ -129,7 +131,7 @@
     old.settle(at(2), &key("key"), ClaimEnd::Answered(answer(10)));
     let unseen = ClaimOffer { claim: key("unseen"), ..offer(3, None, &[prior(3, false)]) };
 
-    for (_, handover) in old.hand_over(at(3), &[member("new")], 100, |_| Some(member("new"))) {
+    for (_, handover) in old.hand_over(at(3), &[member("new")], 100) {
         assert!(new.take_over(at(3), &member("prior"), handover));
     }
 
--- a/crates/ivytrail/src/lease.rs
+++ b/crates/ivytrail/src/lease.rs
@@ -27,6 +27,7 @@
 mod tests;
 
 pub use history::PriorOwner;
+pub(crate) use history::rendezvous_order;
 pub use ring::LeaseRing;
 
 /// Times and sizes of a ring. All members of a ring must use the same values.
--- a/crates/ivytrail/src/lease/history.rs
+++ b/crates/ivytrail/src/lease/history.rs
@@ -1,6 +1,6 @@
 //! Earlier epochs, and who may have owned a key before.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use super::RingDefinition;
 use crate::{
@@ -44,6 +44,11 @@
     /// Records that this daemon joined a ring which others had before.
     pub(super) fn join(&mut self, before: RingDefinition) {
         self.push(before);
+        self.miss_epochs();
+    }
+
+    /// Records that epochs were replaced which this daemon has not seen, with owners that it does not know.
+    pub(super) fn miss_epochs(&mut self) {
         self.unknown_until = Some(TimePoint::from_micros(u64::MAX));
     }
 
@@ -77,11 +82,13 @@
 
     /// Appends to `priors` who may have owned the key before the current epoch, the latest first.
     ///
-    /// The walk ends at a living member: that one answers for all before it.
+    /// The walk ends at a living member: that one answers for all before it. The member that asks is passed over: it
+    /// answers for itself, but not for those before it.
     pub(super) fn walk<F>(
         &self,
         digest: &ContentDigest,
         me: &MemberId,
+        asker: Option<&MemberId>,
         fenced_at: F,
         priors: &mut Vec<PriorOwner>,
     ) where
@@ -93,6 +100,9 @@
                 if member == me {
                     break;
                 }
+                if Some(member) == asker {
+                    continue;
+                }
                 let fence = fenced_at(member);
                 priors.push(PriorOwner {
                     member: Some(member.clone()),
@@ -116,6 +126,14 @@
     digest: &ContentDigest,
 ) -> Vec<&'a MemberId> {
     let mut members: Vec<&MemberId> = definition.members.iter().map(|it| &it.member).collect();
-    members.sort_by_key(|it| (std::cmp::Reverse(rendezvous_weight(&it.instance, digest)), *it));
+    members.sort_by_key(|it| rendezvous_order(it, digest));
     members
 }
+
+/// Returns the key by which members are sorted for one digest, the first owner first.
+pub(crate) fn rendezvous_order<'a>(
+    member: &'a MemberId,
+    digest: &ContentDigest,
+) -> (Reverse<u64>, &'a MemberId) {
+    (Reverse(rendezvous_weight(&member.instance, digest)), member)
+}
--- a/crates/ivytrail/src/lease/ring.rs
+++ b/crates/ivytrail/src/lease/ring.rs
@@ -85,7 +85,11 @@
         let past = self.definition.take().filter(|past| past.contains(&self.me));
         if let Some(past) = past {
             self.is_expelled |= !is_member;
+            let is_next = past.epoch + 1 == definition.epoch;
             self.history.push(past);
+            if !is_next {
+                self.history.miss_epochs();
+            }
         }
         if is_member && !self.was_member() {
             self.join(&definition);
@@ -173,13 +177,14 @@
             .cloned()
     }
 
-    /// Returns the owner of the key once this daemon has left.
-    pub fn heir_of(&self, digest: &ContentDigest) -> Option<MemberId> {
-        let definition = self.definition.as_ref()?;
-        owners_in_order(definition, digest)
-            .into_iter()
-            .find(|member| **member != self.me && self.fences.fenced_at(member).is_none())
+    /// Returns the other members that can own keys once this daemon has left: the receivers of its claims.
+    pub fn heirs(&self) -> Vec<MemberId> {
+        let members = self.definition.iter().flat_map(|definition| &definition.members);
+        members
+            .map(|it| &it.member)
+            .filter(|it| **it != self.me && self.fences.fenced_at(it).is_none())
             .cloned()
+            .collect()
     }
 
     /// Returns whether this daemon is the owner of the key at `now`: it is the first unfenced and holds its lease.
@@ -199,14 +204,13 @@
 
     /// Returns who may have owned the key before this daemon, the latest first.
     ///
-    /// A member that asks is left out by `asker`: it is the one that wants to know.
+    /// The member that wants to know, where another asks, is left out by `asker`.
     pub fn priors_of(&self, digest: &ContentDigest, asker: Option<&MemberId>) -> Vec<PriorOwner> {
         let mut priors = Vec::new();
         let Some(definition) = self.definition.as_ref() else { return priors };
-        for member in owners_in_order(definition, digest) {
-            if *member == self.me {
-                break;
-            }
+        let before =
+            owners_in_order(definition, digest).into_iter().take_while(|it| **it != self.me);
+        for member in before.filter(|it| Some(*it) != asker) {
             let fence = self.fences.fenced_at(member);
             priors.push(PriorOwner {
                 member: Some(member.clone()),
@@ -214,8 +218,8 @@
                 living: fence.is_none(),
             });
         }
-        self.history.walk(digest, &self.me, |it| self.fences.fenced_at(it), &mut priors);
-        priors.retain(|prior| asker.is_none() || prior.member.as_ref() != asker);
+        let fenced_at = |it: &MemberId| self.fences.fenced_at(it);
+        self.history.walk(digest, &self.me, asker, fenced_at, &mut priors);
         priors
     }
 
--- /dev/null
+++ b/tests/src/fleet.rs
@@ -0,0 +1,404 @@
+//! Two to seven guards with a ring, a claim table and an attempt ledger each, joined by faulty links.
+//!
+//! One entry sends attempts, asks for their fate and sends again, as callers and entries do. The run stops at the first
+//! violation: two owners at one instant, a second run of one key, or a run of an attempt that was said not to have run.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use ivytrail::{
+    claim::{ClaimOptions, LedgerOptions},
+    id::{ContentDigest, MemberId},
+    lease::{LeaseOptions, RingDefinition, RingMember},
+    time::{TimePoint, WallClock},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+mod caller;
+mod guard;
+mod judge;
+mod message;
+
+use self::{
+    caller::CallerTally,
+    guard::GuardNode,
+    judge::FleetJudge,
+    message::{FleetEvent, FleetMessage},
+};
+pub use self::{caller::KeyKind, judge::FleetReport};
+use crate::queue::{EventQueue, LinkQuality, LinkTable};
+
+/// Wall clock at the start of a run, in milliseconds since the Unix epoch.
+const WALL_START_MS: u64 = 1_800_000_000_000;
+/// Time between two ticks of a guard.
+const TICK_EVERY: Duration = Duration::from_millis(250);
+/// Time between two reads of the ring's row by a guard.
+const POLL_EVERY: Duration = Duration::from_millis(1_000);
+
+/// Something that happens to the fleet for a number of milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetFault {
+    /// What happens.
+    pub kind: FaultKind,
+    /// The guard that it happens to.
+    pub guard: usize,
+    /// Its length in milliseconds.
+    pub ms: u64,
+}
+
+/// What can happen to a guard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultKind {
+    /// Its process stands still.
+    Pause,
+    /// It dies and comes back as a new incarnation with empty hands.
+    Restart,
+    /// It leaves cleanly and comes back later.
+    Leave,
+    /// Its messages to the next guard are lost.
+    Silence,
+    /// It is cut off from all others.
+    Isolate,
+    /// The platform does not answer any guard.
+    Outage,
+}
+
+/// A deliberate mistake, to show that the invariants can fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sabotage {
+    /// None.
+    Nothing,
+    /// A promise counts from the arrival of its answer instead of the sending of its request.
+    PromiseFromArrival,
+    /// Every promise counts as given.
+    PromiseAlways,
+    /// A restarted guard keeps its incarnation.
+    SameIncarnation,
+    /// The table takes any next epoch from anyone, also one that replaces several members.
+    WildEpochs,
+    /// A successor does not ask who owned a key before.
+    NoPriors,
+    /// An attempt that was said not to have run may run when a late copy arrives.
+    NoTombstone,
+    /// A run starts without a second look at the lease.
+    UncheckedStart,
+}
+
+/// One randomised run.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Seed of everything that the plan leaves open.
+    pub seed: u64,
+    /// Rate error of each guard's clock, in parts per million; its length is the number of guards.
+    pub drift_ppm: Vec<i64>,
+    /// Number of guards that are members from the start.
+    pub n_founders: usize,
+    /// Faults and their times in milliseconds.
+    pub faults: Vec<(u64, FleetFault)>,
+    /// Length in milliseconds.
+    pub length_ms: u64,
+    /// Time between two new keys in milliseconds.
+    pub key_every_ms: u64,
+    /// Kind of the callers' keys.
+    pub keys: KeyKind,
+    /// Quality of the links.
+    pub quality: LinkQuality,
+    /// Whether pauses may fall between the last look at the lease and the run.
+    pub pauses_before_run: bool,
+    /// The deliberate mistake.
+    pub sabotage: Sabotage,
+}
+
+impl FleetPlan {
+    /// Returns a calm run of `n_guards` guards, with one new key in `key_every_ms` milliseconds.
+    pub fn calm(n_guards: usize, keys: KeyKind, length_ms: u64, key_every_ms: u64) -> FleetPlan {
+        let quality = LinkQuality {
+            lost_per_mille: 0,
+            doubled_per_mille: 0,
+            late_per_mille: 0,
+            ..Default::default()
+        };
+        FleetPlan {
+            seed: 1,
+            drift_ppm: vec![0; n_guards],
+            n_founders: n_guards,
+            faults: Vec::new(),
+            length_ms,
+            key_every_ms,
+            keys,
+            quality,
+            pauses_before_run: false,
+            sabotage: Sabotage::Nothing,
+        }
+    }
+}
+
+/// Options of the runs: those of the product, with a short horizon so that a run reaches beyond it.
+fn claim_options() -> ClaimOptions {
+    ClaimOptions {
+        resend_horizon: Duration::from_secs(45),
+        retention: Duration::from_secs(300),
+        clock_skew: Duration::from_millis(200),
+        key_lead: Duration::from_millis(100),
+        ..Default::default()
+    }
+}
+
+/// The guards, the platform's row, the links and the entry.
+#[derive(Debug)]
+pub struct GuardFleet {
+    plan: FleetPlan,
+    rng: StdRng,
+    queue: EventQueue<FleetEvent>,
+    links: LinkTable<MemberId>,
+    guards: Vec<GuardNode>,
+    row: RingDefinition,
+    outage_until: TimePoint,
+    caller: CallerTally,
+    judge: FleetJudge,
+    lease_options: LeaseOptions,
+}
+
+impl GuardFleet {
+    /// Runs a plan.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first violation of an invariant, with its time.
+    pub fn run(plan: FleetPlan) -> Result<FleetReport, String> {
+        let length = TimePoint::from_millis(plan.length_ms);
+        let mut fleet = GuardFleet::new(plan);
+        while let Some(event) = fleet.queue.pop() {
+            let now = fleet.queue.now();
+            if length <= now {
+                break;
+            }
+            // Time alone only ends leases, so a second owner can appear only where a ring changes.
+            let changes_ring = event.changes_ring();
+            fleet.apply(event).map_err(|violation| format!("at {now}: {violation}"))?;
+            if changes_ring {
+                let owners = fleet.judge.check_owners(now, &fleet.guards);
+                owners.map_err(|violation| format!("at {now}: {violation}"))?;
+            }
+        }
+        Ok(fleet.judge.report())
+    }
+
+    fn new(plan: FleetPlan) -> GuardFleet {
+        let lease_options =
+            LeaseOptions { max_members: plan.drift_ppm.len(), ..Default::default() };
+        let guards: Vec<GuardNode> = plan
+            .drift_ppm
+            .iter()
+            .enumerate()
+            .map(|(idx, drift)| GuardNode::new(idx, *drift, &lease_options, &claim_options()))
+            .collect();
+        let founders = guards[..plan.n_founders].iter().map(GuardNode::ring_member).collect();
+        let mut fleet = GuardFleet {
+            rng: StdRng::seed_from_u64(plan.seed),
+            queue: EventQueue::default(),
+            links: LinkTable::new(plan.quality.clone()),
+            guards,
+            row: RingDefinition { name: "claims/booking".into(), epoch: 1, members: founders },
+            outage_until: TimePoint::ORIGIN,
+            caller: CallerTally::new(plan.keys),
+            judge: FleetJudge::default(),
+            lease_options,
+            plan,
+        };
+        fleet.schedule();
+        fleet
+    }
+
+    fn schedule(&mut self) {
+        for (at, fault) in self.plan.faults.clone() {
+            self.queue.push_at(TimePoint::from_millis(at), FleetEvent::Fault(fault));
+        }
+        for idx in 0..self.guards.len() {
+            self.start_timers(idx);
+        }
+        self.queue.push(Duration::ZERO, FleetEvent::NewKey);
+    }
+
+    fn start_timers(&mut self, guard: usize) {
+        let incarnation = self.guards[guard].incarnation();
+        self.queue.push(Duration::ZERO, FleetEvent::Poll { guard, incarnation });
+        self.queue.push(Duration::ZERO, FleetEvent::Tick { guard, incarnation });
+    }
+
+    fn apply(&mut self, event: FleetEvent) -> Result<(), String> {
+        let Some(event) = self.hold_back(event) else { return Ok(()) };
+        match event {
+            FleetEvent::Fault(fault) => self.strike(fault),
+            FleetEvent::NewKey => self.new_key(),
+            FleetEvent::Resend { key, tries } => self.send_key(key, tries),
+            FleetEvent::AskFate { serial, tries } => self.ask_fate(serial, tries),
+            FleetEvent::Deliver { from, to, message } if to == caller::entry() => {
+                self.caller_receives(&from, message);
+            }
+            FleetEvent::Deliver { from, to, message } => self.deliver(&from, &to, message)?,
+            FleetEvent::Tick { guard, incarnation } => self.tick(guard, incarnation),
+            FleetEvent::Poll { guard, incarnation } => self.poll(guard, incarnation),
+            FleetEvent::RowRead { guard, row, .. } => {
+                let now = self.local_now(guard);
+                self.guards[guard].ring.install(now, row);
+            }
+            FleetEvent::RowWrite { row } => self.write_row(row),
+            FleetEvent::StartRun { guard, claim, .. } => self.start_run(guard, claim)?,
+            FleetEvent::Execute { guard, claim, checked, .. } => {
+                self.execute_run(guard, claim, checked)?;
+            }
+            FleetEvent::EndRun { guard, claim, .. } => self.end_run(guard, claim)?,
+            FleetEvent::GiveUp { guard, claim, .. } => self.give_up(guard, claim),
+            FleetEvent::HandOver { guard, round, .. } => self.hand_over(guard, round),
+            FleetEvent::Reborn { guard } => self.reborn(guard),
+        }
+        Ok(())
+    }
+
+    /// Drops events of dead incarnations and puts off those of a guard that stands still.
+    fn hold_back(&mut self, event: FleetEvent) -> Option<FleetEvent> {
+        let Some((guard, incarnation)) = event.guard(&self.guards) else { return Some(event) };
+        let node = &self.guards[guard];
+        if !node.is_up() || node.incarnation() != incarnation {
+            return None;
+        }
+        if self.queue.now() < node.paused_until {
+            self.queue.push_at(node.paused_until, event);
+            return None;
+        }
+        Some(event)
+    }
+
+    fn strike(&mut self, fault: FleetFault) {
+        let FleetFault { kind, guard, ms } = fault;
+        let n_guards = self.guards.len();
+        let until = self.queue.now().plus(Duration::from_millis(ms));
+        match kind {
+            FaultKind::Pause => self.guards[guard].paused_until = until,
+            FaultKind::Restart => {
+                self.guards[guard].stop();
+                self.queue.push(Duration::from_millis(ms), FleetEvent::Reborn { guard });
+            }
+            FaultKind::Leave => self.begin_leave(guard, ms),
+            FaultKind::Silence => self.silence(guard, (guard + 1) % n_guards, until),
+            FaultKind::Isolate => {
+                for other in (0..n_guards).filter(|other| *other != guard) {
+                    self.silence(guard, other, until);
+                    self.silence(other, guard, until);
+                }
+            }
+            FaultKind::Outage => self.outage_until = until,
+        }
+    }
+
+    /// Links belong to instances, so that they stay silent across restarts.
+    fn silence(&mut self, from: usize, to: usize, until: TimePoint) {
+        let (from, to) = (guard::link_end(from), guard::link_end(to));
+        self.links.silence(from, to, until);
+    }
+
+    fn reborn(&mut self, guard: usize) {
+        let keeps_name = self.plan.sabotage == Sabotage::SameIncarnation;
+        let now_ms = self.queue.now().as_micros() / 1_000;
+        let incarnation =
+            if keeps_name { self.guards[guard].incarnation() } else { WALL_START_MS + now_ms };
+        let paused_until = self.guards[guard].paused_until;
+        if self.guards[guard].is_up() {
+            return;
+        }
+        let drift = self.plan.drift_ppm[guard];
+        let mut node = GuardNode::new(guard, drift, &self.lease_options, &claim_options());
+        node.reincarnate(incarnation, &self.lease_options);
+        node.paused_until = paused_until;
+        self.guards[guard] = node;
+        self.start_timers(guard);
+    }
+
+    fn tick(&mut self, guard: usize, incarnation: u64) {
+        let now = self.local_now(guard);
+        let mut out = Vec::new();
+        self.guards[guard].ring.tick(now, &mut out);
+        self.send_lease(guard, out);
+        self.queue.push(TICK_EVERY, FleetEvent::Tick { guard, incarnation });
+        let is_done = self.guards[guard].ring.is_expelled() && !self.guards[guard].is_leaving;
+        if is_done {
+            self.guards[guard].stop();
+            self.queue.push(Duration::from_millis(500), FleetEvent::Reborn { guard });
+        }
+    }
+
+    fn poll(&mut self, guard: usize, incarnation: u64) {
+        self.queue.push(POLL_EVERY, FleetEvent::Poll { guard, incarnation });
+        if self.queue.now() < self.outage_until {
+            return;
+        }
+        let row = self.row.clone();
+        let delay = Duration::from_micros(self.rng.random_range(1_000..400_000));
+        self.queue.push(delay, FleetEvent::RowRead { guard, incarnation, row });
+        let alive: Vec<RingMember> = self
+            .guards
+            .iter()
+            .filter(|it| it.wants_membership())
+            .map(GuardNode::ring_member)
+            .collect();
+        let now = self.local_now(guard);
+        let wanted = match self.plan.sabotage {
+            Sabotage::WildEpochs => self.wild_change(guard, alive),
+            _ => self.guards[guard].ring.wanted_change(now, &alive),
+        };
+        if let Some(row) = wanted {
+            let delay = Duration::from_micros(self.rng.random_range(1_000..400_000));
+            self.queue.push(delay, FleetEvent::RowWrite { row });
+        }
+    }
+
+    /// Replaces the members by whoever this guard has heard of lately, as a careless writer would.
+    fn wild_change(&mut self, guard: usize, alive: Vec<RingMember>) -> Option<RingDefinition> {
+        let definition = self.guards[guard].ring.definition()?;
+        let members: Vec<RingMember> =
+            alive.into_iter().filter(|_| self.rng.random_bool(0.7)).collect();
+        let (name, epoch) = (definition.name.clone(), definition.epoch + 1);
+        (!members.is_empty()).then_some(RingDefinition { name, epoch, members })
+    }
+
+    /// Applies a compare-and-set of the row.
+    fn write_row(&mut self, row: RingDefinition) {
+        if self.outage_until <= self.queue.now() && row.epoch == self.row.epoch + 1 {
+            self.row = row;
+            self.judge.count("epochs");
+        }
+    }
+
+    fn send(&mut self, from: &MemberId, to: &MemberId, message: FleetMessage) {
+        let now = self.queue.now();
+        let ends = (guard::link_of(from), guard::link_of(to));
+        for delay in self.links.delays(now, &ends.0, &ends.1, &mut self.rng) {
+            let event = FleetEvent::Deliver {
+                from: from.clone(),
+                to: to.clone(),
+                message: message.clone(),
+            };
+            self.queue.push(delay, event);
+        }
+    }
+
+    fn local_now(&self, guard: usize) -> TimePoint {
+        self.guards[guard].clock(self.queue.now())
+    }
+
+    fn local_wall(&self, guard: usize) -> WallClock {
+        self.guards[guard].wall(self.queue.now())
+    }
+}
+
+/// Returns the keys whose owners are checked after each event.
+fn probe_keys() -> Vec<ContentDigest> {
+    (0..6_u8).map(|idx| ContentDigest::of_parts(&[b"probe", &[idx]])).collect()
+}
+
+/// Counts by name.
+type CountTable = BTreeMap<&'static str, u64>;
+
+fn ledger_options() -> LedgerOptions {
+    LedgerOptions::default()
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,4 @@
 //! Golden sessions, randomised runs and process tests.
+
+pub mod fleet;
+pub mod queue;
