--- a/crates/ivytrail/src/claim/doubt.rs
+++ b/crates/ivytrail/src/claim/doubt.rs
@@ -49,7 +49,9 @@
     ) -> KeyDoubt {
         let mut doubt = KeyDoubt::None;
         for prior in priors {
-            let is_known = prior.member.as_ref().is_some_and(|it| self.intake.covers(it, digest));
+            // A living member is asked even if it has handed over: it answers for those before it too.
+            let is_known = !prior.living
+                && prior.member.as_ref().is_some_and(|it| self.intake.covers(it, digest));
             if is_known || !self.may_have_run(now, wall, made_ms, prior) {
                 continue;
             }
--- a/crates/ivytrail/src/claim/tests.rs
+++ b/crates/ivytrail/src/claim/tests.rs
@@ -135,6 +135,15 @@
         assert!(new.take_over(at(3), &member("prior"), handover));
     }
 
+    let living =
+        new.offer(at(4), wall(4), &ClaimOffer { priors: vec![prior(3, true)], ..unseen.clone() });
+    assert_eq!(living, ClaimVerdict::Ask(member("prior")));
+    new.learn(
+        at(4),
+        &member("prior"),
+        ClaimAnswer { claim: key("unseen"), fate: ClaimFate::NotRun },
+    );
+    new.forget_not_run(at(4), &key("unseen"));
     let verdict = new.offer(at(4), wall(4), &offer(2, None, &[prior(3, false)]));
     assert_eq!(verdict, ClaimVerdict::Replay(answer(10)));
     assert_eq!(new.offer(at(4), wall(4), &unseen), ClaimVerdict::Run);
--- a/crates/ivytrail/src/lease/tests.rs
+++ b/crates/ivytrail/src/lease/tests.rs
@@ -69,6 +69,7 @@
     run(&mut rings, &[1, 2], 10, 20);
 
     let fence = rings[1].fence_of(&member("a", 1)).unwrap();
+    println!("lease ended at {}, fenced at {fence}", rings[0].lease_end());
     assert!(rings[0].lease_end() < fence);
     assert!(fence < TimePoint::from_millis(16_000));
     assert!(!rings[0].holds_lease(fence));
