Announce a restart to the ring, and ask more often until an epoch's first lease

Cause: after a restart of 1 s the worst key had no owner for 5.44 s: members knew of the new incarnation only from the row, and their promises to the old one had to run out. Ruled out: a shorter promise (more messages, and pauses of a few seconds would fence). Change: a daemon whose older incarnation is a member says so; a refused request is repeated after a quarter of the period until the epoch's first lease; a newly installed epoch asks at once. Death stays at the length of a promise and its margin.

--- a/crates/ivytrail/src/lease.rs
+++ b/crates/ivytrail/src/lease.rs
@@ -146,7 +146,7 @@
         /// The voter's view of the others.
         standing: MemberStanding,
     },
-    /// Asks for the definition of the receiver's newer epoch.
+    /// Asks for the definition of the receiver's epoch, if it is newer. It also shows the sender's incarnation.
     Behind,
     /// Hands over the definition of the sender's epoch.
     Definition(RingDefinition),
--- a/crates/ivytrail/src/lease/grant.rs
+++ b/crates/ivytrail/src/lease/grant.rs
@@ -49,6 +49,11 @@
         grant.until = grant.until.max(until);
     }
 
+    /// Returns the members that hold or held a promise.
+    pub(super) fn holders(&self) -> impl Iterator<Item = &MemberId> {
+        self.grants.keys()
+    }
+
     /// Returns the end of the latest promise to `member`.
     pub(super) fn granted_until(&self, member: &MemberId) -> Option<TimePoint> {
         self.grants.get(member).map(|grant| grant.until)
--- a/crates/ivytrail/src/lease/history.rs
+++ b/crates/ivytrail/src/lease/history.rs
@@ -126,7 +126,7 @@
     digest: &ContentDigest,
 ) -> Vec<&'a MemberId> {
     let mut members: Vec<&MemberId> = definition.members.iter().map(|it| &it.member).collect();
-    members.sort_by_key(|it| rendezvous_order(it, digest));
+    members.sort_by_cached_key(|it| rendezvous_order(it, digest));
     members
 }
 
--- a/crates/ivytrail/src/lease/ring.rs
+++ b/crates/ivytrail/src/lease/ring.rs
@@ -1,19 +1,25 @@
 //! The state of one member of one ring.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use super::{
     LeaseBody, LeaseMessage, LeaseOptions, PriorOwner, RingDefinition,
     change::is_newer,
     fence::FenceBook,
     grant::GrantBook,
-    history::{EpochHistory, owners_in_order},
+    history::{EpochHistory, owners_in_order, rendezvous_order},
 };
 use crate::{
     id::{ContentDigest, MemberId, RingName},
     time::TimePoint,
 };
 
+/// Rounds in one [`LeaseOptions::renew_every`] until a daemon first holds its lease in an epoch.
+const START_DIVISOR: u32 = 4;
+
 /// A lease without end: that of the only member of a ring.
 const NO_END: TimePoint = TimePoint::from_micros(u64::MAX);
 
@@ -115,6 +121,7 @@
         if self.definition.as_ref().is_some_and(|it| it.name != message.ring) {
             return;
         }
+        let epoch_before = self.epoch();
         self.grants.hear(now, from, message.epoch);
         self.end_older_incarnations(now, from);
         match message.body {
@@ -135,17 +142,28 @@
             LeaseBody::Behind => {}
         }
         self.refresh(now);
+        if epoch_before != self.epoch() && self.is_member() {
+            self.next_ask = now.plus(self.ask_every());
+            self.send_round(now, out);
+        }
     }
 
     /// Asks for promises when they are due, votes, and appends the messages to `out`.
+    ///
+    /// A daemon that is no member says that its older incarnation, where that is one, has ended.
     pub fn tick(&mut self, now: TimePoint, out: &mut Vec<(MemberId, LeaseMessage)>) {
         self.refresh(now);
-        if now < self.next_ask || !self.is_member() {
+        if now < self.next_ask {
             return;
         }
-        self.next_ask = now.plus(self.options.renew_every);
-        self.prune(now);
-        self.send_round(now, out);
+        self.next_ask = now.plus(self.ask_every());
+        match &self.definition {
+            Some(definition) if !self.is_member() => self.announce(definition, out),
+            _ => {
+                self.prune(now);
+                self.send_round(now, out);
+            }
+        }
     }
 
     /// Returns whether this daemon holds its lease at `now`.
@@ -170,10 +188,11 @@
 
     /// Returns the first member in the key's order that is not known to be fenced.
     pub fn owner_of(&self, digest: &ContentDigest) -> Option<MemberId> {
-        let definition = self.definition.as_ref()?;
-        owners_in_order(definition, digest)
-            .into_iter()
-            .find(|member| self.fences.fenced_at(member).is_none())
+        let members = self.definition.iter().flat_map(|definition| &definition.members);
+        members
+            .map(|it| &it.member)
+            .filter(|it| self.fences.fenced_at(it).is_none())
+            .min_by_key(|it| rendezvous_order(it, digest))
             .cloned()
     }
 
@@ -262,11 +281,24 @@
 
     /// Fences older incarnations of the instance of `from`, which its newer one proves to have ended.
     fn end_older_incarnations(&mut self, now: TimePoint, from: &MemberId) {
-        let Some(definition) = self.definition.as_ref() else { return };
-        for member in definition.members.iter().map(|it| &it.member) {
-            if is_newer(from, member) {
-                self.fences.fence(now, member);
-            }
+        let members = self.definition.iter().flat_map(|definition| &definition.members);
+        let older: Vec<MemberId> = members
+            .map(|it| &it.member)
+            .chain(self.grants.holders())
+            .filter(|it| is_newer(from, it))
+            .cloned()
+            .collect();
+        for member in older {
+            self.fences.fence(now, &member);
+        }
+    }
+
+    /// Tells the members that an older incarnation of this instance, which is one of them, has ended.
+    fn announce(&self, definition: &RingDefinition, out: &mut Vec<(MemberId, LeaseMessage)>) {
+        let members = || definition.members.iter().map(|it| &it.member);
+        if members().any(|it| is_newer(&self.me, it)) {
+            let others = members().filter(|it| it.instance != self.me.instance);
+            out.extend(others.map(|it| (it.clone(), self.message(LeaseBody::Behind))));
         }
     }
 
@@ -371,6 +403,13 @@
         self.history.close(now);
     }
 
+    /// Returns the time to the next round: shorter until the first lease of an epoch, whose promises have to wait for
+    /// those of the epoch before.
+    fn ask_every(&self) -> Duration {
+        let divisor = if self.was_active || !self.is_member() { 1 } else { START_DIVISOR };
+        self.options.renew_every / divisor
+    }
+
     fn prune(&mut self, now: TimePoint) {
         self.history.prune(now, self.options.history);
         let definition = self.definition.as_ref();
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -34,6 +34,11 @@
 /// Time between two reads of the ring's row by a guard.
 const POLL_EVERY: Duration = Duration::from_millis(1_000);
 
+/// Time between two counts of keys without an owner.
+const PROBE_EVERY: Duration = Duration::from_millis(20);
+/// Time of the first such count: the ring has started by then.
+const PROBE_START: Duration = Duration::from_millis(3_000);
+
 /// Something that happens to the fleet for a number of milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetFault {
@@ -220,6 +225,7 @@
             self.start_timers(idx);
         }
         self.queue.push(Duration::ZERO, FleetEvent::NewKey);
+        self.queue.push(PROBE_START, FleetEvent::Probe);
     }
 
     fn start_timers(&mut self, guard: usize) {
@@ -233,6 +239,10 @@
         match event {
             FleetEvent::Fault(fault) => self.strike(fault),
             FleetEvent::NewKey => self.new_key(),
+            FleetEvent::Probe => {
+                self.judge.probe(self.queue.now(), &self.guards);
+                self.queue.push(PROBE_EVERY, FleetEvent::Probe);
+            }
             FleetEvent::Resend { key, tries } => self.send_key(key, tries),
             FleetEvent::AskFate { serial, tries } => self.ask_fate(serial, tries),
             FleetEvent::Deliver { from, to, message } if to == caller::entry() => {
--- a/tests/src/fleet/message.rs
+++ b/tests/src/fleet/message.rs
@@ -34,6 +34,7 @@
 pub(super) enum FleetEvent {
     Fault(FleetFault),
     NewKey,
+    Probe,
     Resend { key: usize, tries: u32 },
     AskFate { serial: u64, tries: u32 },
     Deliver { from: MemberId, to: MemberId, message: FleetMessage },
--- a/tests/tests/owner_death.rs
+++ b/tests/tests/owner_death.rs
@@ -2,6 +2,8 @@
 //!
 //! `IVYTRAIL_MEASURE=1` runs more sizes of the ring with more keys, and prints the figures of the design notes.
 
+use std::time::Duration;
+
 use ivytrail::{
     id::MemberId,
     lease::{LeaseBody, LeaseMessage, LeaseOptions, LeaseRing, RingDefinition, RingMember},
@@ -74,6 +76,24 @@
     }
 }
 
+#[test]
+fn keys_have_an_owner_but_for_seconds() {
+    let unowned = |kind: Option<FaultKind>, ms: u64| {
+        let mut plan = FleetPlan::calm(3, KeyKind::Timed, 60_000, 1_000);
+        plan.faults.extend(kind.map(|kind| (20_000, FleetFault { kind, guard: 0, ms })));
+        let report = GuardFleet::run(plan).expect("no invariant is violated");
+        let longest = report.longest_unowned();
+        println!("{kind:?} for {ms} ms: {longest:?} without an owner, the worst of six keys");
+        longest
+    };
+
+    assert_eq!(unowned(None, 0), Duration::ZERO);
+    assert!(unowned(Some(FaultKind::Leave), 10_000) < Duration::from_secs(2));
+    assert!(unowned(Some(FaultKind::Restart), 1_000) < Duration::from_secs(3));
+    assert!(unowned(Some(FaultKind::Restart), 10 * LENGTH_MS) < Duration::from_secs(6));
+    assert!(unowned(Some(FaultKind::Pause), 10_000) < Duration::from_secs(7));
+}
+
 #[test]
 fn a_member_sends_two_small_messages_to_each_other_member_a_second() {
     for n_members in [3, 5, 9] {
