--- a/crates/ivytrail/src/lease/tests.rs
+++ b/crates/ivytrail/src/lease/tests.rs
@@ -157,3 +157,66 @@
     assert_eq!(ring.lease_end(), sent.plus(reliance));
     assert_eq!(reliance, Duration::from_millis(3_992));
 }
+
+#[test]
+fn a_change_waits_until_the_known_votes_keep_a_doubted_member_fenced() {
+    let names = ["a", "b", "c", "d", "f"];
+    let mut ring = rings(&names).remove(4);
+    let now = TimePoint::from_millis(1_000);
+    let doubt = MemberStanding { votes: vec![member("a", 1)], ..Default::default() };
+    let mut receive = |from: &str, body: LeaseBody| {
+        let message = LeaseMessage { ring: "claims/booking".into(), epoch: 1, body };
+        ring.receive(now, &member(from, 1), message, &mut Vec::new());
+        ring.wanted_change(now, &[])
+    };
+    let reply = |standing| LeaseBody::Reply { sent: now, granted: true, standing };
+    receive("a", LeaseBody::Ask { sent: now, standing: MemberStanding::default() });
+    receive("c", reply(MemberStanding::default()));
+
+    let with_one_vote = receive("b", reply(doubt.clone()));
+    let after_leave = receive("c", LeaseBody::Leave);
+    let with_two_votes = receive("d", reply(doubt));
+
+    assert_eq!(with_one_vote, None);
+    assert_eq!(after_leave, None, "one vote of four does not block");
+    assert_eq!(with_two_votes, Some(definition(2, &["a", "b", "d", "f"])));
+}
+
+#[test]
+fn a_restarted_member_proves_the_end_of_its_older_incarnation() {
+    let mut rings = rings(&["a", "b", "c"]);
+    run(&mut rings, &[0, 1, 2], 0, 10);
+    let now = TimePoint::from_millis(10_000);
+    let mut newer = LeaseRing::new(member("a", 2), LeaseOptions::default());
+    newer.install(now, definition(1, &["a", "b", "c"]));
+    let mut out = Vec::new();
+
+    newer.tick(now, &mut out);
+    for (to, message) in out {
+        let idx = rings.iter().position(|ring| *ring.me() == to).unwrap();
+        rings[idx].receive(now, newer.me(), message, &mut Vec::new());
+    }
+
+    assert!(!newer.holds_lease(now));
+    assert_eq!(rings[1].fence_of(&member("a", 1)), Some(now));
+    assert_eq!(rings[2].fence_of(&member("a", 1)), Some(now));
+}
+
+#[test]
+fn a_member_that_missed_epochs_does_not_claim_to_know_the_earlier_owners() {
+    let mut rings = rings(&["a", "b", "c"]);
+    run(&mut rings, &[0, 1, 2], 0, 10);
+    let now = TimePoint::from_millis(10_000);
+    let key = (0_u8..)
+        .map(|salt| ContentDigest::of_parts(&[&[salt]]))
+        .find(|key| rings[0].owner_of(key) == Some(member("a", 1)))
+        .unwrap();
+    let unknown =
+        |ring: &LeaseRing| ring.priors_of(&key, None).iter().any(|it| it.member.is_none());
+
+    rings[0].install(now, definition(2, &["a", "b", "c", "d"]));
+    assert!(!unknown(&rings[0]));
+    rings[0].install(now, definition(4, &["a", "b", "c"]));
+
+    assert!(unknown(&rings[0]));
+}
