Let a handed answer replace a tombstone, and find the oldest stored answer at once

Cause: after a clean leave the heir ignored answers for keys that it had a tombstone for, so resends were told unknown; and with full answer storage each new answer searched the claims from the oldest on. Change: a handed run replaces a tombstone or a doubt; stored answers have a queue of their own.

--- a/crates/ivytrail/src/claim/handover.rs
+++ b/crates/ivytrail/src/claim/handover.rs
@@ -94,13 +94,22 @@
     pub fn take_over(&mut self, now: TimePoint, from: &MemberId, handover: ClaimHandover) -> bool {
         let is_complete = self.intake.record(now, from, &handover);
         for handed in handover.claims {
-            if !self.claims.contains_key(&handed.claim) {
+            if self.is_news(&handed) {
                 self.adopt(now, handed, Vec::new());
             }
         }
         is_complete
     }
 
+    /// Returns whether a handed claim says more than this table knows.
+    fn is_news(&self, handed: &HandedClaim) -> bool {
+        match self.claims.get(&handed.claim).map(|claim| &claim.state) {
+            None => true,
+            Some(ClaimState::Tombstone { .. } | ClaimState::InDoubt) => handed.ran,
+            Some(_) => false,
+        }
+    }
+
     /// Takes over a settled claim of an earlier owner.
     pub(super) fn adopt(
         &mut self,
--- a/crates/ivytrail/src/claim/table.rs
+++ b/crates/ivytrail/src/claim/table.rs
@@ -49,6 +49,8 @@
     pub(super) claims: HashMap<ContentDigest, RequestClaim>,
     /// Settled claims, the oldest first.
     settled: VecDeque<(TimePoint, ContentDigest)>,
+    /// Claims whose answers are stored, the oldest first.
+    stored: VecDeque<ContentDigest>,
     stored_bytes: usize,
     pub(super) intake: HandoverIntake,
 }
@@ -60,6 +62,7 @@
             options,
             claims: HashMap::new(),
             settled: VecDeque::new(),
+            stored: VecDeque::new(),
             stored_bytes: 0,
             intake: HandoverIntake::default(),
         }
@@ -217,34 +220,38 @@
     /// Forgets claims that were settled longer ago than the retention.
     pub fn sweep(&mut self, now: TimePoint) {
         self.intake.prune(now, self.options.retention);
-        while let Some((at, _)) = self.settled.front() {
-            if now.since(*at) < self.options.retention {
-                return;
+        while let Some((at, digest)) = self.settled.front().copied() {
+            if now.since(at) < self.options.retention {
+                break;
             }
-            let Some((at, digest)) = self.settled.pop_front() else { return };
+            self.settled.pop_front();
             let is_due = self.claims.get(&digest).is_some_and(|it| it.settled_at == Some(at));
             if is_due {
                 self.drop_answer(&digest);
                 self.claims.remove(&digest);
             }
         }
+        while self.stored.front().is_some_and(|digest| !self.has_answer(digest)) {
+            self.stored.pop_front();
+        }
     }
 
-    pub(super) fn store(&mut self, claim: &ContentDigest, answer: StoredAnswer) {
+    pub(super) fn store(&mut self, digest: &ContentDigest, answer: StoredAnswer) {
         let size = answer.size();
         let is_kept = size <= self.options.max_answer_bytes && self.make_room(size);
-        let Some(entry) = self.claims.get_mut(claim) else { return };
-        entry.state = ClaimState::Done(is_kept.then_some(answer));
-        self.stored_bytes += if is_kept { size } else { 0 };
+        let Some(claim) = self.claims.get_mut(digest) else { return };
+        claim.state = ClaimState::Done(is_kept.then_some(answer));
+        if is_kept {
+            self.stored_bytes += size;
+            self.stored.push_back(*digest);
+        }
     }
 
     /// Drops the oldest stored answers, not their claims, until `size` bytes fit.
     fn make_room(&mut self, size: usize) -> bool {
-        let mut idx = 0;
         while self.options.max_stored_bytes < self.stored_bytes + size {
-            let Some((_, digest)) = self.settled.get(idx).copied() else { return false };
+            let Some(digest) = self.stored.pop_front() else { return false };
             self.drop_answer(&digest);
-            idx += 1;
         }
         true
     }
@@ -256,6 +263,10 @@
         }
     }
 
+    fn has_answer(&self, digest: &ContentDigest) -> bool {
+        matches!(self.claims.get(digest).map(|claim| &claim.state), Some(ClaimState::Done(Some(_))))
+    }
+
     pub(super) fn mark_settled(&mut self, now: TimePoint, digest: &ContentDigest) {
         if let Some(claim) = self.claims.get_mut(digest) {
             claim.settled_at = Some(now);
--- a/crates/ivytrail/src/claim/tests.rs
+++ b/crates/ivytrail/src/claim/tests.rs
@@ -182,3 +182,39 @@
     check("5df41881-3aed-4515-88a7-2f4a814cf09e", None);
     check("booking-17", None);
 }
+
+#[test]
+fn a_handed_answer_replaces_a_tombstone() {
+    let (mut leaver, mut heir) = (table(), table());
+    let question = ClaimQuestion { claim: key("key"), fingerprint: key("body"), made_ms: None };
+    heir.answer(at(1), wall(1), &member("leaver"), &question, &[]);
+    leaver.offer(at(1), wall(1), &offer(1, None, &[]));
+    leaver.settle(at(2), &key("key"), ClaimEnd::Answered(answer(10)));
+
+    for (_, handover) in leaver.hand_over(at(3), &[member("heir")], 100) {
+        heir.take_over(at(3), &member("leaver"), handover);
+    }
+
+    let verdict = heir.offer(at(4), wall(4), &offer(2, None, &[]));
+    assert_eq!(verdict, ClaimVerdict::Replay(answer(10)));
+}
+
+#[test]
+fn the_oldest_answers_make_room_and_their_claims_stay() {
+    let mut table = ClaimTable::new(ClaimOptions { max_stored_bytes: 25, ..Default::default() });
+    let claims: Vec<ClaimOffer> =
+        ["a", "b", "c"].map(|name| ClaimOffer { claim: key(name), ..offer(1, None, &[]) }).to_vec();
+    for claim in &claims {
+        table.offer(at(1), wall(1), claim);
+        table.settle(at(2), &claim.claim, ClaimEnd::Answered(answer(10)));
+    }
+
+    let verdicts: Vec<ClaimVerdict> =
+        claims.iter().map(|claim| table.offer(at(3), wall(3), claim)).collect();
+
+    let replay = ClaimVerdict::Replay(answer(10));
+    assert_eq!(verdicts, [ClaimVerdict::AnswerGone, replay.clone(), replay]);
+    assert_eq!(table.stored_bytes(), 20);
+    table.sweep(at(10_000));
+    assert_eq!((table.len(), table.stored_bytes()), (0, 0));
+}
