--- a/crates/ivytrail/src/claim/table.rs
+++ b/crates/ivytrail/src/claim/table.rs
@@ -4,7 +4,9 @@
 
 use super::{
     ClaimAnswer, ClaimEnd, ClaimFate, ClaimOffer, ClaimOptions, ClaimQuestion, ClaimVerdict,
-    HandoverIntake, StoredAnswer, doubt::KeyDoubt, handover::hand,
+    StoredAnswer,
+    doubt::KeyDoubt,
+    handover::{HandoverIntake, hand},
 };
 use crate::{
     id::{AttemptId, ContentDigest, MemberId},
@@ -23,8 +25,8 @@
     Done(Option<StoredAnswer>),
     /// It may or may not have run.
     InDoubt,
-    /// A later owner has asked for it; it never runs here.
-    Tombstone,
+    /// This later owner has asked for it and may have run it; it never runs here.
+    Tombstone { asker: MemberId },
 }
 
 /// One idempotency key in use.
@@ -47,6 +49,8 @@
     pub(super) claims: HashMap<ContentDigest, RequestClaim>,
     /// Settled claims, the oldest first.
     settled: VecDeque<(TimePoint, ContentDigest)>,
+    /// Claims whose answers are stored, the oldest first.
+    stored: VecDeque<ContentDigest>,
     stored_bytes: usize,
     pub(super) intake: HandoverIntake,
 }
@@ -58,6 +62,7 @@
             options,
             claims: HashMap::new(),
             settled: VecDeque::new(),
+            stored: VecDeque::new(),
             stored_bytes: 0,
             intake: HandoverIntake::default(),
         }
@@ -87,7 +92,7 @@
         if let Some(verdict) = self.age_verdict(wall, offer.made_ms) {
             return verdict;
         }
-        let doubt = self.doubt_of(now, wall, offer.made_ms, &offer.priors);
+        let doubt = self.doubt_of(now, wall, &offer.claim, offer.made_ms, &offer.priors);
         let attempt = offer.attempt.clone();
         let (state, verdict) = match doubt {
             KeyDoubt::Lost => return ClaimVerdict::InDoubt,
@@ -199,48 +204,54 @@
         &mut self,
         now: TimePoint,
         wall: WallClock,
+        asker: &MemberId,
         question: &ClaimQuestion,
         priors: &[PriorOwner],
     ) -> ClaimAnswer {
         self.sweep(now);
         let claim = question.claim;
         let fate = match self.claims.get(&claim) {
-            Some(entry) => self.known_fate(now, &claim, entry),
-            None => self.bury(now, wall, question, priors),
+            Some(entry) => known_fate(now, asker, &claim, entry),
+            None => self.bury(now, wall, asker, question, priors),
         };
         ClaimAnswer { claim, fate }
     }
 
     /// Forgets claims that were settled longer ago than the retention.
     pub fn sweep(&mut self, now: TimePoint) {
-        while let Some((at, _)) = self.settled.front() {
-            if now.since(*at) < self.options.retention {
-                return;
+        self.intake.prune(now, self.options.retention);
+        while let Some((at, digest)) = self.settled.front().copied() {
+            if now.since(at) < self.options.retention {
+                break;
             }
-            let Some((at, digest)) = self.settled.pop_front() else { return };
+            self.settled.pop_front();
             let is_due = self.claims.get(&digest).is_some_and(|it| it.settled_at == Some(at));
             if is_due {
                 self.drop_answer(&digest);
                 self.claims.remove(&digest);
             }
         }
+        while self.stored.front().is_some_and(|digest| !self.has_answer(digest)) {
+            self.stored.pop_front();
+        }
     }
 
-    pub(super) fn store(&mut self, claim: &ContentDigest, answer: StoredAnswer) {
+    pub(super) fn store(&mut self, digest: &ContentDigest, answer: StoredAnswer) {
         let size = answer.size();
         let is_kept = size <= self.options.max_answer_bytes && self.make_room(size);
-        let Some(entry) = self.claims.get_mut(claim) else { return };
-        entry.state = ClaimState::Done(is_kept.then_some(answer));
-        self.stored_bytes += if is_kept { size } else { 0 };
+        let Some(claim) = self.claims.get_mut(digest) else { return };
+        claim.state = ClaimState::Done(is_kept.then_some(answer));
+        if is_kept {
+            self.stored_bytes += size;
+            self.stored.push_back(*digest);
+        }
     }
 
     /// Drops the oldest stored answers, not their claims, until `size` bytes fit.
     fn make_room(&mut self, size: usize) -> bool {
-        let mut idx = 0;
         while self.options.max_stored_bytes < self.stored_bytes + size {
-            let Some((_, digest)) = self.settled.get(idx).copied() else { return false };
+            let Some(digest) = self.stored.pop_front() else { return false };
             self.drop_answer(&digest);
-            idx += 1;
         }
         true
     }
@@ -252,6 +263,10 @@
         }
     }
 
+    fn has_answer(&self, digest: &ContentDigest) -> bool {
+        matches!(self.claims.get(digest).map(|claim| &claim.state), Some(ClaimState::Done(Some(_))))
+    }
+
     pub(super) fn mark_settled(&mut self, now: TimePoint, digest: &ContentDigest) {
         if let Some(claim) = self.claims.get_mut(digest) {
             claim.settled_at = Some(now);
@@ -294,40 +309,25 @@
         waiting.into_iter().map(|it| (it, ClaimVerdict::InDoubt)).collect()
     }
 
-    fn known_fate(
-        &self,
-        now: TimePoint,
-        digest: &ContentDigest,
-        claim: &RequestClaim,
-    ) -> ClaimFate {
-        match &claim.state {
-            ClaimState::Running { .. } => ClaimFate::Running,
-            ClaimState::Done(_) => match hand(now, digest, claim) {
-                Some(handed) => ClaimFate::Done(handed),
-                None => ClaimFate::InDoubt,
-            },
-            ClaimState::Tombstone => ClaimFate::NotRun,
-            ClaimState::Asking { .. } | ClaimState::InDoubt => ClaimFate::InDoubt,
-        }
-    }
-
     /// Leaves a tombstone for a key that was never seen here.
     fn bury(
         &mut self,
         now: TimePoint,
         wall: WallClock,
+        asker: &MemberId,
         question: &ClaimQuestion,
         priors: &[PriorOwner],
     ) -> ClaimFate {
         let is_young = self.age_verdict(wall, question.made_ms) != Some(ClaimVerdict::TooOld);
-        let has_doubt = self.doubt_of(now, wall, question.made_ms, priors) != KeyDoubt::None;
+        let has_doubt =
+            self.doubt_of(now, wall, &question.claim, question.made_ms, priors) != KeyDoubt::None;
         if !is_young || has_doubt || self.options.max_claims <= self.claims.len() {
             return ClaimFate::InDoubt;
         }
         let claim = RequestClaim {
             fingerprint: question.fingerprint,
             made_ms: question.made_ms,
-            state: ClaimState::Tombstone,
+            state: ClaimState::Tombstone { asker: asker.clone() },
             settled_at: None,
         };
         self.claims.insert(question.claim, claim);
@@ -350,6 +350,27 @@
     }
 }
 
+/// Returns what a later owner is told of a key that is in the table.
+fn known_fate(
+    now: TimePoint,
+    asker: &MemberId,
+    digest: &ContentDigest,
+    claim: &RequestClaim,
+) -> ClaimFate {
+    match &claim.state {
+        ClaimState::Running { .. } => ClaimFate::Running,
+        ClaimState::Done(_) => match hand(now, digest, claim) {
+            Some(handed) => ClaimFate::Done(handed),
+            None => ClaimFate::InDoubt,
+        },
+        // Whoever asked first may have run it since.
+        ClaimState::Tombstone { asker: first } if first == asker => ClaimFate::NotRun,
+        ClaimState::Tombstone { .. } | ClaimState::Asking { .. } | ClaimState::InDoubt => {
+            ClaimFate::InDoubt
+        }
+    }
+}
+
 pub(super) fn settled_verdict(state: &ClaimState) -> ClaimVerdict {
     match state {
         ClaimState::Done(Some(answer)) => ClaimVerdict::Replay(answer.clone()),
--- a/crates/ivytrail/src/lease.rs
+++ b/crates/ivytrail/src/lease.rs
@@ -27,6 +27,7 @@
 mod tests;
 
 pub use history::PriorOwner;
+pub(crate) use history::rendezvous_order;
 pub use ring::LeaseRing;
 
 /// Times and sizes of a ring. All members of a ring must use the same values.
@@ -145,7 +146,7 @@
         /// The voter's view of the others.
         standing: MemberStanding,
     },
-    /// Asks for the definition of the receiver's newer epoch.
+    /// Asks for the definition of the receiver's epoch, if it is newer. It also shows the sender's incarnation.
     Behind,
     /// Hands over the definition of the sender's epoch.
     Definition(RingDefinition),
