Keep trials of a lower limit from disturbing the level cut

Change: a trial is kept only when whole answers hold, begins once running has come down, and holds the cut.

--- a/crates/ivytrail/src/admission.rs
+++ b/crates/ivytrail/src/admission.rs
@@ -225,7 +225,7 @@
         sample: RunSample,
         out: &mut Vec<AdmissionVerdict>,
     ) {
-        let saturated = self.limit.get() <= self.running.len() as u32;
+        let n_running = self.running.len() as u32;
         let Some(ticket) = self.running.remove(attempt) else { return };
         let elapsed = now.since(ticket.started);
         match sample {
@@ -236,7 +236,7 @@
             RunSample::Overloaded => {}
         }
         self.cut.note_finished(self.waiting.is_empty());
-        self.limit.note(now, ticket.started, sample, saturated);
+        self.limit.note(now, ticket.started, sample, n_running);
         self.classes[ticket.class_idx].settle(&ticket.lane, ticket.charged, elapsed);
         self.tick(now, out);
         self.start_waiting(now, out);
@@ -273,7 +273,7 @@
             };
             self.refuse(now, attempt, reason, out);
         }
-        self.cut.roll(now);
+        self.cut.roll(now, self.limit.is_on_trial());
     }
 
     /// Returns the time at which [`AdmissionQueue::tick`] has something to do.
--- a/crates/ivytrail/src/admission/limit.rs
+++ b/crates/ivytrail/src/admission/limit.rs
@@ -3,7 +3,7 @@
 //! A rise of the latency has two causes that look alike: the server copes with fewer requests at once than it announced,
 //! or the work itself has become slower, for instance because a service further down has. Only in the first case does
 //! a lower limit help; in the second it would leave slots idle. The limit therefore tries: it halves itself for one
-//! window and stays there only when the latency falls with it. The trial also renews the latency floor.
+//! window and stays there only when the latency falls and the whole answers don't. The trial also renews the latency floor.
 
 use std::time::Duration;
 
@@ -12,14 +12,17 @@
 use super::RunSample;
 
 /// Latency over its floor from which a lower limit is tried.
-const MAX_GRADIENT: f64 = 1.5;
+const MAX_GRADIENT: f64 = 2.0;
 const TRIAL_FACTOR: f64 = 0.5;
 /// The latency has to fall below this share for a trial to count as a success.
 const MAX_TRIAL_LATENCY: f64 = 0.75;
+/// Share of the whole answers that a trial must not fall below, whatever the latency.
+const MIN_TRIAL_YIELD: f64 = 0.85;
 /// Whole answers have to grow by this factor for a trial to count as a success regardless of the latency.
 const MIN_TRIAL_GAIN: f64 = 1.2;
 const GROWTH_FACTOR: f64 = 1.5;
 const SHED_FACTOR: f64 = 0.9;
+/// Least time from the first to the last sample of a window.
 const MIN_WINDOW: Duration = Duration::from_millis(20);
 const SAMPLES_PER_SLOT: f64 = 4.0;
 const MIN_SAMPLES: f64 = 16.0;
@@ -47,6 +50,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct SampleWindow {
     start: TimePoint,
+    first_sample: Option<TimePoint>,
     n_samples: f64,
     n_whole: f64,
     n_saturated: f64,
@@ -93,6 +97,11 @@
         (self.limit as u32).clamp(1, self.slots)
     }
 
+    /// Returns whether the limit is lowered for a trial, so that refusals tell nothing about the pressure.
+    pub(super) fn is_on_trial(&self) -> bool {
+        self.phase != LimitPhase::Steady
+    }
+
     /// Sets the upper bound. A limit that was at the old bound follows it.
     pub(super) fn set_slots(&mut self, slots: u32) {
         let was_full = self.get() == self.slots;
@@ -101,13 +110,13 @@
         self.phase = LimitPhase::Steady;
     }
 
-    /// Records the end of a run that began at `started`. `saturated` tells whether all of the limit was in use.
+    /// Records the end of a run that began at `started`, with `n_running` at that time, itself included.
     pub(super) fn note(
         &mut self,
         now: TimePoint,
         started: TimePoint,
         sample: RunSample,
-        saturated: bool,
+        n_running: u32,
     ) {
         if !self.adaptive || self.slots == 0 {
             return;
@@ -115,17 +124,25 @@
         if sample == RunSample::Overloaded {
             return self.decrease(now, now.since(started));
         }
+        let limit = self.get();
+        if self.is_on_trial() && limit < n_running {
+            // Runs from before the trial still hold more than the limit.
+            return self.begin_window(now);
+        }
         // Runs that began before the limit was changed say nothing about the new one.
         if started < self.window.start || matches!(sample, RunSample::Failed { .. }) {
             return;
         }
         let latency = now.since(started).as_secs_f64();
+        self.window.first_sample.get_or_insert(now);
         self.window.n_samples += 1.0;
         self.window.latency_sum_s += latency;
         self.window.n_whole += if matches!(sample, RunSample::Whole { .. }) { 1.0 } else { 0.0 };
-        self.window.n_saturated += if saturated { 1.0 } else { 0.0 };
+        self.window.n_saturated += if limit <= n_running { 1.0 } else { 0.0 };
         let wanted = (self.limit * SAMPLES_PER_SLOT).clamp(MIN_SAMPLES, MAX_SAMPLES);
-        if wanted <= self.window.n_samples && MIN_WINDOW <= now.since(self.window.start) {
+        if wanted <= self.window.n_samples
+            && MIN_WINDOW <= now.since(self.window.first_sample.unwrap_or(now))
+        {
             self.end_window(now);
         }
     }
@@ -144,15 +161,17 @@
         let window = self.window;
         self.begin_window(now);
         let latency = window.latency_sum_s / window.n_samples;
-        let whole_per_s = window.n_whole / now.since(window.start).as_secs_f64();
+        let sampled = now.since(window.first_sample.unwrap_or(window.start)).as_secs_f64();
+        let whole_per_s = window.n_whole / sampled;
         if 0.0 < window.n_whole {
             self.floor_s = self.floor_s.min(latency);
         }
         if let LimitPhase::Trial { before, latency_s, whole_per_s: whole_before } = self.phase {
             self.phase = LimitPhase::Steady;
-            let better = latency < latency_s * MAX_TRIAL_LATENCY
-                || whole_before * MIN_TRIAL_GAIN < whole_per_s
-                || whole_before == 0.0;
+            let quicker = latency < latency_s * MAX_TRIAL_LATENCY
+                && whole_before * MIN_TRIAL_YIELD < whole_per_s;
+            let better =
+                quicker || whole_before * MIN_TRIAL_GAIN < whole_per_s || whole_before == 0.0;
             return self.judge_trial(now, before, latency_s, better);
         }
         if window.n_saturated < window.n_samples * MIN_SATURATION {
--- a/crates/ivytrail/src/admission/pressure.rs
+++ b/crates/ivytrail/src/admission/pressure.rs
@@ -12,9 +12,9 @@
 /// Refusals in one window from which it lowers the cut.
 const MIN_REFUSALS: u32 = 4;
 /// Share of the offered attempts whose refusal lowers the cut.
-const MAX_REFUSED: f64 = 0.04;
+const MAX_REFUSED: f64 = 0.02;
 /// Share of the offered attempts that a lowered cut still leaves to be refused, so that no slot runs dry.
-const TARGET_REFUSED: f64 = 0.02;
+const TARGET_REFUSED: f64 = 0.01;
 /// Share of the offered attempts up to which a window counts as calm.
 const CALM_REFUSED: f64 = 0.005;
 /// Share of the finished runs after which no attempt waited, from which the cut rises.
@@ -107,8 +107,8 @@
         self.is_engaged().then(|| self.window_start.plus(WINDOW))
     }
 
-    /// Recomputes the cut when the window has ended.
-    pub(super) fn roll(&mut self, now: TimePoint) {
+    /// Recomputes the cut when the window has ended. With `hold`, the cut is not lowered.
+    pub(super) fn roll(&mut self, now: TimePoint, hold: bool) {
         let length = now.since(self.window_start);
         if length < WINDOW {
             return;
@@ -120,7 +120,7 @@
         let refused = f64::from(self.n_refused) / n_offered;
         let dry = f64::from(self.n_finished) * MIN_DRY <= f64::from(self.n_dry);
         self.learn_density();
-        if MAX_REFUSED < refused && MIN_REFUSALS <= self.n_refused {
+        if !hold && MAX_REFUSED < refused && MIN_REFUSALS <= self.n_refused {
             // Refusals of attempts that were offered earlier must not push the cut below what the slots can take.
             let kept = (n_offered * (1.0 - refused)).max(n_started) + n_offered * TARGET_REFUSED;
             self.cut = self.cut.min(self.level_at(kept));
