--- a/crates/ivytrail/src/admission.rs
+++ b/crates/ivytrail/src/admission.rs
@@ -337,6 +337,7 @@
             let run = RunningTicket { started: now, class_idx, lane: ticket.lane, charged: cost };
             let replaced = self.running.insert(ticket.attempt.clone(), run);
             assert!(replaced.is_none(), "{} runs twice", ticket.attempt);
+            assert!(self.running.len() as u32 <= self.limit.get(), "more runs than the limit");
             out.push(AdmissionVerdict::Run { attempt: ticket.attempt });
         }
         self.check_invariants();
@@ -411,5 +412,7 @@
         assert_eq!(self.waiting.len(), self.expiries.len(), "waiting tickets and expiries differ");
         let n_queued: usize = self.classes.iter().map(ClassQueue::len).sum();
         assert_eq!(self.waiting.len(), n_queued, "waiting tickets and lanes differ");
+        let is_full = self.limit.get() <= self.running.len() as u32;
+        assert!(self.waiting.is_empty() || is_full, "a slot is idle while an attempt waits");
     }
 }
--- a/crates/ivytrail/src/admission/gate.rs
+++ b/crates/ivytrail/src/admission/gate.rs
@@ -61,7 +61,7 @@
 struct RouteCut {
     cut: f64,
     noted: TimePoint,
-    /// Since when it has been refusing.
+    /// Time of the last request that was let through above the cut.
     probed: TimePoint,
 }
 
--- a/crates/ivytrail/src/routing.rs
+++ b/crates/ivytrail/src/routing.rs
@@ -74,7 +74,8 @@
 #[derive(Debug, Default)]
 struct ServiceUpstreams {
     states: Vec<UpstreamState>,
-    /// Positions in `states` of upstreams in the own failure domain, then of the others.
+    /// Positions in `states`: of all upstreams, of those in the own failure domain, and of the others.
+    all: Vec<usize>,
     local: Vec<usize>,
     remote: Vec<usize>,
 }
@@ -82,6 +83,7 @@
 impl ServiceUpstreams {
     fn reindex(&mut self, domain: &DomainName) {
         let indices = 0..self.states.len();
+        self.all = indices.clone().collect();
         (self.local, self.remote) =
             indices.partition(|idx| self.states[*idx].info.domain == *domain);
     }
@@ -161,6 +163,7 @@
         } else {
             upstreams.remote.push(idx);
         }
+        upstreams.all.push(idx);
         upstreams.states.push(UpstreamState::new(now, info));
     }
 
@@ -203,8 +206,7 @@
                 }
             }
         } else {
-            let all: Vec<usize> = (0..upstreams.states.len()).collect();
-            search.best_of_two(&all, &mut self.rng)
+            search.best_of_two(&upstreams.all, &mut self.rng)
         };
         let idx = idx.map(|(idx, _)| idx).or_else(|| search.least_bad())?;
         Some(upstreams.states[idx].info.member.clone())
--- a/crates/ivytrail/src/routing/tests.rs
+++ b/crates/ivytrail/src/routing/tests.rs
@@ -1,5 +1,10 @@
 //! Tests of the choice of upstreams.
 
+use proptest::{
+    prelude::*,
+    test_runner::{TestRng, TestRunner},
+};
+
 use super::*;
 
 const NOW: TimePoint = TimePoint::from_millis(1_000);
@@ -24,6 +29,100 @@
     assert_eq!(picker.services[&service()].n_ejected(NOW), 2);
 }
 
+#[test]
+fn the_own_domain_is_taken_until_it_is_loaded() {
+    let mut picker = picker_with(2);
+    let far = UpstreamInfo { domain: "durgapur".into(), ..info(2, false) };
+    picker.upsert(NOW, far);
+    let load = |in_flight| LoadReport { in_flight, limit: 10, queued: 0, level_cut: u16::MAX };
+    let warm = NOW.plus(Duration::from_secs(10));
+    let reply = |picker: &mut UpstreamPicker, in_flight| {
+        (0..2).for_each(|idx| {
+            picker.note_reply(warm, &member(idx), load(in_flight), Duration::ZERO, true);
+        });
+        picker.note_reply(warm, &member(2), load(0), Duration::ZERO, true);
+        picker.pick(warm, &service(), &[])
+    };
+
+    assert_ne!(reply(&mut picker, 2), Some(member(2)));
+    assert_eq!(reply(&mut picker, 9), Some(member(2)));
+}
+
+#[test]
+fn a_cold_server_gets_little_at_first() {
+    let mut picker = picker_with(5);
+    let warm = NOW.plus(Duration::from_secs(10));
+    picker.upsert(warm, info(9, false));
+
+    let n_cold = (0..1_000)
+        .filter(|_| {
+            let picked = picker.pick(warm, &service(), &[]).unwrap();
+            picker.note_sent(warm, &picked);
+            let load = LoadReport { in_flight: 5, limit: 100, queued: 0, level_cut: u16::MAX };
+            picker.note_reply(warm, &picked, load, Duration::ZERO, true);
+            picked == member(9)
+        })
+        .count();
+
+    assert!(n_cold < 50, "{n_cold} of 1,000 went to the cold server");
+}
+
+#[test]
+fn an_ejected_server_is_taken_again_after_its_time() {
+    let mut picker = picker_with(3);
+    (0..5).for_each(|_| picker.note_failure(NOW, &member(0)));
+    let picks = |picker: &mut UpstreamPicker, now| {
+        (0..200).filter_map(|_| picker.pick(now, &service(), &[])).any(|it| it == member(0))
+    };
+
+    assert!(!picks(&mut picker, NOW));
+    assert!(picks(&mut picker, NOW.plus(Duration::from_secs(7))));
+}
+
+/// Whatever joins, leaves, drains and fails: only known upstreams are picked, never a draining or excluded one, and
+/// always one when there is any.
+#[test]
+fn randomised_membership_keeps_picks_valid() {
+    let config = ProptestConfig { cases: 200, failure_persistence: None, ..Default::default() };
+    let mut runner =
+        TestRunner::new_with_rng(config, TestRng::deterministic_rng(Default::default()));
+    let steps = prop::collection::vec((0..12_u64, 0..6_u8, any::<bool>()), 1..300);
+
+    let checked = runner.run(&steps, |steps| {
+        let mut picker = picker_with(0);
+        let mut now = NOW;
+        for (idx, kind, flag) in steps {
+            now = now.plus(Duration::from_millis(50));
+            match kind {
+                0 => picker.remove(&member(idx)),
+                1 | 2 => {
+                    let domain = if flag { "kolkata" } else { "durgapur" };
+                    let info = UpstreamInfo { domain: domain.into(), ..info(idx, kind == 2) };
+                    picker.upsert(now, info);
+                }
+                3 => picker.note_failure(now, &member(idx)),
+                4 => {
+                    let load = LoadReport { in_flight: 9, limit: 10, ..LoadReport::default() };
+                    picker.note_reply(now, &member(idx), load, Duration::ZERO, flag);
+                }
+                _ => picker.note_sent(now, &member(idx)),
+            }
+            let exclude = [member(idx)];
+            let allowed: Vec<MemberId> = picker
+                .upstreams(&service())
+                .filter(|it| !it.draining && !exclude.contains(&it.member))
+                .map(|it| it.member.clone())
+                .collect();
+            let picked = picker.pick(now, &service(), &exclude);
+            prop_assert_eq!(picked.is_some(), !allowed.is_empty());
+            prop_assert!(picked.is_none_or(|it| allowed.contains(&it)));
+        }
+        Ok(())
+    });
+
+    assert_eq!(checked, Ok(()));
+}
+
 fn picker_with(n: u64) -> UpstreamPicker {
     let mut picker = UpstreamPicker::new(RoutingOptions::new("kolkata".into(), 1));
     (0..n).for_each(|idx| picker.upsert(NOW, info(idx, false)));
