Sample a whole generation of runs before a trial is judged

Cause: the first runs to end in a window are the short ones, and a failed trial while most runs were cut off raised the floor, so that no further trial was made.

--- a/crates/ivytrail/src/admission/limit.rs
+++ b/crates/ivytrail/src/admission/limit.rs
@@ -26,9 +26,12 @@
 const MIN_WINDOW: Duration = Duration::from_millis(20);
 const SAMPLES_PER_SLOT: f64 = 4.0;
 const MIN_SAMPLES: f64 = 16.0;
-const MAX_SAMPLES: f64 = 100.0;
+/// A window of many slots needs this many, since the first runs to end are the short ones.
+const MAX_SAMPLES: f64 = 250.0;
 /// Share of the samples in a window that must have been taken with all of the limit in use.
 const MIN_SATURATION: f64 = 0.9;
+/// Share of whole answers below which failed trials are repeated soon: there is little to lose.
+const MIN_WHOLE: f64 = 0.5;
 /// Pause after a failed trial; doubled by each further failure.
 const MIN_PAUSE: Duration = Duration::from_secs(1);
 const MAX_PAUSE: Duration = Duration::from_secs(16);
@@ -172,7 +175,13 @@
                 && whole_before * MIN_TRIAL_YIELD < whole_per_s;
             let better =
                 quicker || whole_before * MIN_TRIAL_GAIN < whole_per_s || whole_before == 0.0;
-            return self.judge_trial(now, before, latency_s, better);
+            if better {
+                self.pause = MIN_PAUSE;
+            } else {
+                let starving = window.n_whole < window.n_samples * MIN_WHOLE;
+                self.end_trial(now, before, latency_s, starving);
+            }
+            return;
         }
         if window.n_saturated < window.n_samples * MIN_SATURATION {
             return;
@@ -188,16 +197,16 @@
         }
     }
 
-    /// Keeps the lower limit when it was better. Otherwise goes back, takes the latency as the new floor, and pauses.
-    fn judge_trial(&mut self, now: TimePoint, before: f64, latency_before_s: f64, better: bool) {
-        if better {
-            self.pause = MIN_PAUSE;
-            return;
-        }
+    /// Goes back to the limit `before` and pauses. Takes the latency as the new floor unless most runs were cut off.
+    fn end_trial(&mut self, now: TimePoint, before: f64, latency_s: f64, starving: bool) {
         self.limit = before.min(f64::from(self.slots));
-        self.floor_s = latency_before_s;
         self.next_trial = now.plus(self.pause);
-        self.pause = (self.pause * 2).min(MAX_PAUSE);
+        if starving {
+            self.pause = MIN_PAUSE;
+        } else {
+            self.floor_s = latency_s;
+            self.pause = (self.pause * 2).min(MAX_PAUSE);
+        }
     }
 
     fn begin_window(&mut self, now: TimePoint) {
