Join parts of the fleet that have never heard of each other

Ruled out: keeping seeds for ever in the view; a seed may be gone too. Change: MemberView::take_rows_due tells the daemon to read rows of the table again, every 2 s while it knows no other member, else every 10 minutes on average (11 reads a second at 6,800 members).

--- a/crates/ivytrail/src/membership.rs
+++ b/crates/ivytrail/src/membership.rs
@@ -17,7 +17,9 @@
 #[cfg(test)]
 mod tests;
 
-use rand::{SeedableRng, rngs::StdRng};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use self::{
     book::{MergeResult, RecordBook},
@@ -40,6 +42,9 @@
 /// Prefix of the rows in the platform's table by which a joining daemon finds its first peers.
 const ROW_PREFIX: &str = "member/";
 
+/// Time between two reads of rows by a member that knows no other.
+const ALONE_PERIOD: Duration = Duration::from_secs(2);
+
 /// What one daemon knows of all others.
 ///
 /// The view holds no clock and does no I/O: messages go in with the time, messages to send come out. Every receiver of
@@ -65,6 +70,8 @@
     next_probe_at: TimePoint,
     next_repair_at: TimePoint,
     next_revival_at: TimePoint,
+    last_rows_at: TimePoint,
+    next_rows_at: TimePoint,
     is_superseded: bool,
 }
 
@@ -86,6 +93,8 @@
             next_probe_at: TimePoint::ORIGIN,
             next_repair_at: TimePoint::ORIGIN,
             next_revival_at: TimePoint::ORIGIN,
+            last_rows_at: TimePoint::ORIGIN,
+            next_rows_at: TimePoint::ORIGIN,
             is_superseded: false,
         };
         view.publish_own(TimePoint::ORIGIN);
@@ -117,6 +126,20 @@
         keeper.is_some_and(|it| it.member == self.me.member)
     }
 
+    /// Returns whether rows of other members are to be read now, from [`MemberView::first_peer_ranges`] or the seeds, and
+    /// given to [`MemberView::learn`]. It is due soon while no other member is known to run, and rarely otherwise.
+    pub fn take_rows_due(&mut self, now: TimePoint) -> bool {
+        let is_alone = self.book.n_running() < 2;
+        let is_due =
+            self.next_rows_at <= now || (is_alone && self.last_rows_at.plus(ALONE_PERIOD) <= now);
+        if is_due {
+            self.last_rows_at = now;
+            self.next_rows_at =
+                now.plus(self.options.rows_period.mul_f64(self.rng.random_range(0.5..1.5)));
+        }
+        is_due
+    }
+
     /// Changes the own record and spreads the change. After [`MemberState::Left`] nothing changes any more; the caller
     /// goes on calling [`MemberView::tick`] for a second, so that the change is passed on.
     pub fn announce(
--- a/crates/ivytrail/src/membership/options.rs
+++ b/crates/ivytrail/src/membership/options.rs
@@ -25,6 +25,9 @@
     pub tombstone_time: Duration,
     /// Time between two probes of members that are held dead, which may have been cut off only.
     pub revival_period: Duration,
+    /// Average time between two reads of other members' rows in the platform's table, which join parts of the fleet that
+    /// have never heard of each other.
+    pub rows_period: Duration,
     /// Bytes per second that this member sends for rumors and repairs.
     pub bytes_per_s: u32,
     /// Bytes of one message of records at most.
@@ -44,6 +47,7 @@
             repair_period: Duration::from_secs(2),
             tombstone_time: Duration::from_secs(3_600),
             revival_period: Duration::from_secs(5),
+            rows_period: Duration::from_secs(600),
             bytes_per_s: 6_000,
             message_bytes: 16_000,
         }
--- a/crates/ivytrail/src/membership/tests.rs
+++ b/crates/ivytrail/src/membership/tests.rs
@@ -28,6 +28,8 @@
     views: Vec<MemberView>,
     cut: Vec<usize>,
     drop_percent: u32,
+    /// Whether members can read each other's rows in the platform's table.
+    rows_are_up: bool,
     rng: StdRng,
 }
 
@@ -47,6 +49,7 @@
             views,
             cut: Vec::new(),
             drop_percent: 0,
+            rows_are_up: false,
             rng: StdRng::seed_from_u64(1),
         }
     }
@@ -56,6 +59,7 @@
         while self.now < end {
             self.now = self.now.plus(Duration::from_millis(200));
             for idx in 0..self.views.len() {
+                self.read_row(idx);
                 let mut out = Vec::new();
                 self.views[idx].tick(self.now, &mut out);
                 self.deliver(idx, out);
@@ -63,6 +67,14 @@
         }
     }
 
+    /// Gives member `idx` the row of another member when it wants to read one.
+    fn read_row(&mut self, idx: usize) {
+        if self.views[idx].take_rows_due(self.now) && self.rows_are_up {
+            let row = self.views[self.rng.random_range(0..self.views.len())].me.clone();
+            self.views[idx].learn(self.now, &row);
+        }
+    }
+
     fn deliver(&mut self, idx: usize, out: Vec<(MemberId, GossipMessage)>) {
         let mut queue: Vec<(usize, MemberId, GossipMessage)> =
             out.into_iter().map(|(to, message)| (idx, to, message)).collect();
@@ -219,7 +231,8 @@
         }
         fleet.cut.clear();
         fleet.drop_percent = 0;
-        fleet.run(Duration::from_secs(180));
+        fleet.rows_are_up = true;
+        fleet.run(MembershipOptions::default().rows_period * 2);
         let own: BTreeMap<_, _> =
             fleet.views.iter().map(|it| (it.me.member.instance.clone(), it.me.clone())).collect();
         for view in &fleet.views {
