Give up all shares when a home's lease lapsed before its renewal

Cause: a paused home whose share went to another and came back kept its saved tokens unless the caller had told it of the loss; both homes' bursts would then count in one window. Ruled out: relying on the caller to call lose first; a paused daemon can't. Change: QuotaHome::renew, called at each renewal of the lease; gain does nothing without a running lease. The randomised fleet no longer calls lose.

--- a/crates/ivytrail/examples/measure_quota/driver.rs
+++ b/crates/ivytrail/examples/measure_quota/driver.rs
@@ -54,6 +54,7 @@
         };
         for (share, home) in (0..MAX_SHARES).zip(&mut driver.homes) {
             home.set_account(TimePoint::ORIGIN, &driver.account, case.rate, case.burst);
+            home.renew(TimePoint::ORIGIN, TimePoint::from_micros(u64::MAX));
             home.gain(TimePoint::ORIGIN, &driver.account, share);
         }
         for stash in &mut driver.stashes {
--- a/crates/ivytrail/src/quota/home.rs
+++ b/crates/ivytrail/src/quota/home.rs
@@ -34,19 +34,26 @@
 
 /// The shares that one daemon owns.
 ///
-/// The caller proves ownership at each ask by the end of its lease, and reports when ownership begins and ends. A share
-/// starts empty: what the former owner had saved up is lost, never doubled.
+/// The caller reports each renewal of its lease, and when ownership of a share begins and ends. A share starts empty:
+/// what the former owner had saved up is lost, never doubled. When a lease has lapsed before its renewal, another home
+/// may have minted meanwhile, so all shares are given up.
 #[derive(Debug)]
 pub struct QuotaHome {
     options: QuotaOptions,
     accounts: BTreeMap<AccountName, HomeAccount>,
     mints: BTreeMap<(AccountName, u8), TokenMint>,
+    lease_end: TimePoint,
 }
 
 impl QuotaHome {
     /// Returns a home that owns nothing.
     pub fn new(options: QuotaOptions) -> QuotaHome {
-        QuotaHome { options, accounts: BTreeMap::new(), mints: BTreeMap::new() }
+        QuotaHome {
+            options,
+            accounts: BTreeMap::new(),
+            mints: BTreeMap::new(),
+            lease_end: TimePoint::ORIGIN,
+        }
     }
 
     /// Sets rate and burst of an account.
@@ -82,9 +89,21 @@
         self.mints.retain(|(name, _), _| name != account);
     }
 
+    /// Notes that the lease runs until `lease_end`. It is called at each renewal, and gives up all shares when the lease
+    /// had lapsed before.
+    pub fn renew(&mut self, now: TimePoint, lease_end: TimePoint) {
+        if self.lease_end < now {
+            self.lose_all();
+        }
+        self.lease_end = self.lease_end.max(lease_end);
+    }
+
     /// Takes over a share, which starts empty. `now` must not be before the former owner's lease has ended. It changes
-    /// nothing when the share is owned already.
+    /// nothing when the share is owned already, or when the own lease does not run.
     pub fn gain(&mut self, now: TimePoint, account: &AccountName, share: u8) {
+        if self.lease_end < now {
+            return;
+        }
         let Some(known) = self.accounts.get(account) else { return };
         let Some(plan) = known.plan.as_ref().filter(|it| share < it.n_shares()) else { return };
         let mint = TokenMint::empty(now.max(known.settled_at), plan);
@@ -112,6 +131,7 @@
     /// time runs at the entry.
     pub fn ask(&mut self, now: TimePoint, lease_end: TimePoint, ask: &QuotaAsk) -> QuotaGrant {
         let mut grant = QuotaGrant::empty(ask);
+        self.renew(now, lease_end);
         let plan = self.accounts.get(&ask.account).and_then(|it| it.plan.as_ref());
         let mint = self.mints.get_mut(&(ask.account.clone(), ask.share));
         let (Some(plan), Some(mint)) = (plan, mint) else { return grant };
--- a/crates/ivytrail/src/quota/tests.rs
+++ b/crates/ivytrail/src/quota/tests.rs
@@ -15,6 +15,7 @@
     let mut home = QuotaHome::new(QuotaOptions::default());
     stash.set_account(TimePoint::ORIGIN, &account, 100.0, 50.0);
     home.set_account(TimePoint::ORIGIN, &account, 100.0, 50.0);
+    home.renew(TimePoint::ORIGIN, TimePoint::from_millis(10_000));
     (0..MAX_SHARES).for_each(|it| home.gain(TimePoint::ORIGIN, &account, it));
     let now = TimePoint::from_millis(5_000);
     let mut out = Vec::new();
@@ -97,3 +98,26 @@
         prop_assert!(overrun <= 0, "the busiest window holds {} millionths of a request too many", overrun);
     }
 }
+
+#[test]
+fn home_whose_lease_lapsed_gives_up_its_shares() {
+    let account = AccountName::from("meteo");
+    let mut home = QuotaHome::new(QuotaOptions::default());
+    home.set_account(TimePoint::ORIGIN, &account, 100.0, 50.0);
+    home.renew(TimePoint::ORIGIN, TimePoint::from_millis(1_000));
+    home.gain(TimePoint::ORIGIN, &account, 0);
+
+    home.renew(TimePoint::from_millis(900), TimePoint::from_millis(1_900));
+    assert!(home.owns(&account, 0));
+    home.renew(TimePoint::from_millis(1_901), TimePoint::from_millis(2_900));
+    assert!(!home.owns(&account, 0));
+}
+
+#[test]
+fn burst_too_small_for_the_hold_time_lowers_the_minted_rate() {
+    let plan = |rate, burst| QuotaPlan::new(rate, burst, &QuotaOptions::default());
+    assert_eq!(plan(100.0, 0.5), None);
+    assert!(plan(10.0, 1.0).is_some_and(|it| (8.9..9.1).contains(&it.minted_rate_per_s())));
+    assert!(plan(10.0, 2.0).is_some_and(|it| it.minted_rate_per_s() == 10.0 && it.n_shares() == 1));
+    assert!(plan(300.0, 300.0).is_some_and(|it| it.n_shares() == MAX_SHARES));
+}
--- a/crates/ivytrail/src/quota/tests/fleet.rs
+++ b/crates/ivytrail/src/quota/tests/fleet.rs
@@ -155,7 +155,9 @@
         }
         for idx in 0..self.homes.len() {
             let now = self.clock(self.case.n_entries + idx, 0);
+            let lease_end = self.clock(self.case.n_entries + idx, LEASE_US);
             self.homes[idx].set_account(now, &self.account, rate, burst);
+            self.homes[idx].renew(now, lease_end);
             for share in (0..MAX_SHARES).filter(|it| self.leases[usize::from(*it)].owner == idx) {
                 self.homes[idx].gain(now, &self.account, share);
             }
@@ -243,12 +245,15 @@
             if shall_move {
                 let owner = (lease.owner + 1) % self.case.n_homes;
                 let now = self.clock(self.case.n_entries + owner, at_us);
-                if self.case.fault == FleetFault::None {
-                    self.homes[owner].lose(&self.account, share);
-                }
+                let lease_end = self.clock(self.case.n_entries + owner, at_us + LEASE_US);
+                self.homes[owner].renew(now, lease_end);
                 self.homes[owner].gain(now, &self.account, share);
                 self.leases[usize::from(share)] = ShareLease { owner, end_us: at_us + LEASE_US };
             } else if !is_paused {
+                let node = self.case.n_entries + lease.owner;
+                let (now, lease_end) =
+                    (self.clock(node, at_us), self.clock(node, at_us + LEASE_US));
+                self.homes[lease.owner].renew(now, lease_end);
                 self.leases[usize::from(share)].end_us = at_us + LEASE_US;
             }
         }
