Refuse the waiting calls of a removed account

Cause: remove_account left waiting calls without an outcome. Change: they are refused through the effects; tests for this and for an ask that can't be delivered.

--- a/crates/ivytrail/src/quota/stash.rs
+++ b/crates/ivytrail/src/quota/stash.rs
@@ -69,11 +69,18 @@
         );
     }
 
-    /// Forgets an account; its waiting requests are neither admitted nor refused any more.
-    pub fn remove_account(&mut self, account: &AccountName) {
+    /// Forgets an account and refuses its waiting requests.
+    pub fn remove_account(&mut self, account: &AccountName, out: &mut Vec<QuotaEffect>) {
         self.accounts.remove(account);
         self.active.remove(account);
-        self.waiting.retain(|_, it| it != account);
+        let (refused, waiting) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|(_, it)| it == account);
+        self.waiting = waiting;
+        let refused: BTreeMap<CallId, AccountName> = refused;
+        let refusals = refused
+            .into_keys()
+            .map(|call| QuotaEffect::Refuse { call, retry_after: NO_QUOTA_RETRY });
+        out.extend(refusals);
     }
 
     /// Spends a token of `account` on `call`, or lets it wait for one, or refuses it.
--- a/crates/ivytrail/src/quota/tests.rs
+++ b/crates/ivytrail/src/quota/tests.rs
@@ -113,6 +113,37 @@
     assert!(!home.owns(&account, 0));
 }
 
+#[test]
+fn undelivered_ask_goes_to_another_share() {
+    let account = AccountName::from("meteo");
+    let mut stash = QuotaStash::new(QuotaOptions::default(), 1);
+    stash.set_account(TimePoint::ORIGIN, &account, 100.0, 50.0);
+    let now = TimePoint::from_millis(5_000);
+    let mut out = Vec::new();
+    stash.request(now, &account, CallId(1), &mut out);
+    let Some(QuotaEffect::Ask { ask, .. }) = out.pop() else { panic!("no ask in {out:?}") };
+
+    stash.fail(now, &ask, &mut out);
+
+    let is_elsewhere =
+        |it: &QuotaEffect| matches!(it, QuotaEffect::Ask { share, .. } if *share != ask.share);
+    assert!(out.len() == 1 && out.iter().all(is_elsewhere), "{out:?}");
+}
+
+#[test]
+fn removed_account_refuses_its_waiting_calls() {
+    let account = AccountName::from("meteo");
+    let mut stash = QuotaStash::new(QuotaOptions::default(), 1);
+    stash.set_account(TimePoint::ORIGIN, &account, 100.0, 50.0);
+    let mut out = Vec::new();
+    stash.request(TimePoint::ORIGIN, &account, CallId(1), &mut out);
+    out.clear();
+
+    stash.remove_account(&account, &mut out);
+
+    assert!(matches!(out[..], [QuotaEffect::Refuse { call: CallId(1), .. }]), "{out:?}");
+}
+
 /// The first home is paused and loses its shares to the second one, which saves up tokens, spends them and is paused in
 /// turn. The first one must not add what it would have saved up in all that time.
 #[test]
