--- a/crates/ivytrail/examples/measure_quota/main.rs
+++ b/crates/ivytrail/examples/measure_quota/main.rs
@@ -98,6 +98,16 @@
         base("home-death-at-90-percent", 0.9, evenly, TAKEOVER_US),
         base("home-death-in-outage-at-60-percent", 0.6, evenly, OUTAGE_US),
         QuotaCase { rate: 10.0, burst: 10.0, ..base("small-account", 0.9, evenly, 0) },
+        QuotaCase {
+            rate: 10.0,
+            burst: 10.0,
+            ..base("small-account-at-70-percent", 0.7, evenly, 0)
+        },
+        QuotaCase {
+            rate: 10.0,
+            burst: 10.0,
+            ..base("small-account-home-death", 0.7, evenly, TAKEOVER_US)
+        },
         QuotaCase { rate: 3_000.0, burst: 600.0, ..base("large-account", 0.9, evenly, 0) },
         base("overload", 5.0, evenly, 0),
     ]
