--- a/crates/ivytrail/src/membership.rs
+++ b/crates/ivytrail/src/membership.rs
@@ -17,7 +17,9 @@
 #[cfg(test)]
 mod tests;
 
-use rand::{SeedableRng, rngs::StdRng};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use self::{
     book::{MergeResult, RecordBook},
@@ -32,7 +34,7 @@
     record::{MemberRecord, MemberState},
 };
 use crate::{
-    id::{InstanceName, MemberId, ServiceName},
+    id::{ContentDigest, InstanceName, MemberId, ServiceName, rendezvous_weight},
     platform::KeyRange,
     time::TimePoint,
 };
@@ -40,6 +42,9 @@
 /// Prefix of the rows in the platform's table by which a joining daemon finds its first peers.
 const ROW_PREFIX: &str = "member/";
 
+/// Time between two reads of rows by a member that knows no other.
+const ALONE_PERIOD: Duration = Duration::from_secs(2);
+
 /// What one daemon knows of all others.
 ///
 /// The view holds no clock and does no I/O: messages go in with the time, messages to send come out. Every receiver of
@@ -65,6 +70,8 @@
     next_probe_at: TimePoint,
     next_repair_at: TimePoint,
     next_revival_at: TimePoint,
+    last_rows_at: TimePoint,
+    next_rows_at: TimePoint,
     is_superseded: bool,
 }
 
@@ -86,6 +93,8 @@
             next_probe_at: TimePoint::ORIGIN,
             next_repair_at: TimePoint::ORIGIN,
             next_revival_at: TimePoint::ORIGIN,
+            last_rows_at: TimePoint::ORIGIN,
+            next_rows_at: TimePoint::ORIGIN,
             is_superseded: false,
         };
         view.publish_own(TimePoint::ORIGIN);
@@ -107,7 +116,32 @@
         [KeyRange { from: MemberView::row_key(instance), ..from_start.clone() }, from_start]
     }
 
-    /// Changes the own record and spreads the change.
+    /// Returns whether this member deletes the row of `instance`, whose member was found dead. Each dead instance has
+    /// one such member in a whole list, so that a death costs one write.
+    pub fn is_row_keeper(&self, instance: &InstanceName) -> bool {
+        let digest =
+            ContentDigest::of_parts(&[ROW_PREFIX.as_bytes(), instance.as_str().as_bytes()]);
+        let running = self.book.records().filter(|it| !it.state.is_over());
+        let keeper = running.max_by_key(|it| rendezvous_weight(&it.member.instance, &digest));
+        keeper.is_some_and(|it| it.member == self.me.member)
+    }
+
+    /// Returns whether rows of other members are to be read now, from [`MemberView::first_peer_ranges`] or the seeds, and
+    /// given to [`MemberView::learn`]. It is due soon while no other member is known to run, and rarely otherwise.
+    pub fn take_rows_due(&mut self, now: TimePoint) -> bool {
+        let is_alone = self.book.n_running() < 2;
+        let is_due =
+            self.next_rows_at <= now || (is_alone && self.last_rows_at.plus(ALONE_PERIOD) <= now);
+        if is_due {
+            self.last_rows_at = now;
+            self.next_rows_at =
+                now.plus(self.options.rows_period.mul_f64(self.rng.random_range(0.5..1.5)));
+        }
+        is_due
+    }
+
+    /// Changes the own record and spreads the change. After [`MemberState::Left`] nothing changes any more; the caller
+    /// goes on calling [`MemberView::tick`] for a second, so that the change is passed on.
     pub fn announce(
         &mut self,
         now: TimePoint,
@@ -132,6 +166,9 @@
     }
 
     /// Takes a record from the platform's table or from a seed.
+    ///
+    /// A row of this very instance with a greater incarnation silences the view. So a starting daemon reads its own
+    /// row first and takes an incarnation above it, in case its wall clock was set back.
     pub fn learn(&mut self, now: TimePoint, record: &MemberRecord) {
         self.take_record(now, record);
     }
@@ -147,10 +184,15 @@
         if *from == self.me.member || self.is_superseded {
             return;
         }
+        let mut has_urgent_news = false;
         for rumor in message.rumors {
-            self.hear_rumor(now, rumor);
+            let is_urgent = rumor.is_urgent();
+            has_urgent_news |= self.hear_rumor(now, rumor) && is_urgent;
         }
         self.handle_body(now, from, message.body, out);
+        if has_urgent_news {
+            self.spread_rumors(out);
+        }
         self.check_invariants();
     }
 
