--- /dev/null
+++ b/crates/ivytrail/src/settings/feed/log.rs
@@ -0,0 +1,57 @@
+//! The latest changes, kept for daemons that are a little behind.
+
+use std::collections::VecDeque;
+
+use crate::settings::{Revision, SettingsChange};
+
+/// Greatest number of changes kept.
+const MAX_CHANGES: usize = 512;
+
+/// Greatest sum of the encoded changes kept, in bytes.
+const MAX_LOG_BYTES: usize = 1 << 20;
+
+/// The latest changes without a gap.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ChangeLog {
+    changes: VecDeque<(SettingsChange, usize)>,
+    n_bytes: usize,
+}
+
+impl ChangeLog {
+    /// Appends the change that follows the last one.
+    pub(super) fn push(&mut self, change: SettingsChange) {
+        let size = rmp_serde::to_vec(&change).map_or(MAX_LOG_BYTES, |it| it.len());
+        self.n_bytes += size;
+        self.changes.push_back((change, size));
+        while MAX_CHANGES < self.changes.len() || MAX_LOG_BYTES < self.n_bytes {
+            let Some((_, size)) = self.changes.pop_front() else { break };
+            self.n_bytes -= size;
+        }
+    }
+
+    /// Forgets everything, since changes are about to be missing.
+    pub(super) fn clear(&mut self) {
+        *self = ChangeLog::default();
+    }
+
+    /// Returns the changes after `revision`, the first one and as many more as fit into `max_bytes`. Returns `None` when
+    /// the first one is not kept.
+    pub(super) fn after(
+        &self,
+        revision: Revision,
+        max_bytes: usize,
+    ) -> Option<Vec<SettingsChange>> {
+        let first = self.changes.front()?.0.revision;
+        let skipped = revision.next().0.checked_sub(first.0)?;
+        let mut n_bytes = 0;
+        let mut changes = Vec::new();
+        for (change, size) in self.changes.iter().skip(usize::try_from(skipped).ok()?) {
+            n_bytes += size;
+            if !changes.is_empty() && max_bytes < n_bytes {
+                break;
+            }
+            changes.push(change.clone());
+        }
+        Some(changes)
+    }
+}
--- a/crates/ivytrail/src/settings/tree.rs
+++ b/crates/ivytrail/src/settings/tree.rs
@@ -115,12 +115,13 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServicePolicy {
-    /// Greatest number of requests that one backend server runs at once, whatever it announces.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub max_concurrency: Option<u32>,
     /// Longest wait in a guard's queue, in milliseconds.
     #[serde(default = "default_queue_ms")]
     pub max_queue_ms: u64,
+    // It comes last: MessagePack writes structs as arrays, in which only the last fields may be left out.
+    /// Greatest number of requests that one backend server runs at once, whatever it announces.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_concurrency: Option<u32>,
 }
 
 fn default_queue_ms() -> u64 {
