--- a/crates/ivytrail/src/settings/file.rs
+++ b/crates/ivytrail/src/settings/file.rs
@@ -13,9 +13,9 @@
     id::{ContentDigest, DomainName, InstanceName},
 };
 
-use super::decisions::{DecisionSwitches, read_decisions};
 use super::{
     credential::{DIGEST_ALLOWED, digest_in},
+    decisions::{DecisionSwitches, read_decisions},
     document::parse_document,
     reader::{NAME_ALLOWED, NumberBounds, ObjectReader, ROOT_PLACE, name_in, unexpected},
 };
@@ -63,7 +63,7 @@
     pub operators: Vec<OperatorCredential>,
     /// Limits on what one daemon holds.
     pub limits: DaemonLimits,
-    /// Intervals and timeouts.
+    /// Timeouts.
     pub intervals: DaemonIntervals,
     /// Decisions that are switched off for a measurement.
     pub decisions: DecisionSwitches,
@@ -108,17 +108,11 @@
     pub max_calls: usize,
 }
 
-/// Intervals and timeouts of one daemon.
+/// Timeouts of one daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DaemonIntervals {
-    /// Between two readings of the settings' head row by a poller.
-    pub settings_poll: Duration,
-    /// Between two rounds of gossip with other daemons.
-    pub gossip: Duration,
     /// Longest wait for an answer of the platform.
     pub platform_timeout: Duration,
-    /// Longest wait for a control answer of another daemon.
-    pub peer_timeout: Duration,
     /// Longest wait for the head of a caller's request on an open connection.
     pub header_timeout: Duration,
     /// Longest time that a graceful shutdown waits for running requests.
@@ -265,10 +259,7 @@
         Duration::from_millis(intervals.bounded(name, NumberBounds { least, greatest, default }))
     };
     let settings = DaemonIntervals {
-        settings_poll: millis("settings_poll_ms", 100, 2_000, 1_000),
-        gossip: millis("gossip_ms", 50, 2_000, 500),
         platform_timeout: millis("platform_timeout_ms", 50, 10_000, 1_000),
-        peer_timeout: millis("peer_timeout_ms", 50, 10_000, 500),
         header_timeout: millis("header_timeout_ms", 100, 60_000, 10_000),
         shutdown_grace: millis("shutdown_grace_ms", 0, 600_000, 30_000),
     };
