--- a/crates/ivytrail-fakes/src/bin/ivytrail-demo.rs
+++ b/crates/ivytrail-fakes/src/bin/ivytrail-demo.rs
@@ -23,7 +23,17 @@
 }
 
 #[tokio::main]
-async fn main() -> Result<ExitCode> {
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(code) => code,
+        Err(cause) => {
+            eprintln!("ivytrail-demo: {cause:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<ExitCode> {
     let options = DemoOptions::parse_args_default_or_exit();
     let mesh = match options.mesh.as_str() {
         "stratolift" => mesh::stratolift(),
