Don't spin while the quota's ring has no owner

Cause: a daemon that got a root request before its quota ring had an owner held the reducer's lock for ever: the ask failed at once, the stash asked again at once, in one loop. Seen in the demo: one thread busy in share_digest, no answer on any interface (gdb). Ruled out: a slow start (it never ended), a lock taken twice (one thread was running, not waiting). Change: an ask without an owner is dropped; the stash repeats it when its answer is overdue. For the quota's owner to review.

--- a/crates/ivytrail/src/reducer/quota_flow.rs
+++ b/crates/ivytrail/src/reducer/quota_flow.rs
@@ -63,18 +63,17 @@
         }
     }
 
-    /// Hands over what the stash asks for; asks without an owner fail at once.
-    fn route_asks(&mut self, now: TimePoint, effects: &mut Vec<QuotaEffect>) -> Vec<QuotaEffect> {
+    /// Hands over what the stash asks for; asks without an owner wait for the next try.
+    fn route_asks(&mut self, effects: Vec<QuotaEffect>) -> Vec<QuotaEffect> {
         let mut decided = Vec::new();
-        while let Some(effect) = effects.pop() {
+        for effect in effects {
             match effect {
                 QuotaEffect::Ask { share, ask } => {
                     let digest = share_digest(&ask.account, share);
-                    match self.rings.control().owner_of(&digest) {
-                        Some(owner) => {
-                            self.outbox.push_back((owner, ControlMessage::QuotaAsk(ask)));
-                        }
-                        None => self.stash.fail(now, &ask, effects),
+                    // Without an owner nothing is sent: the stash asks again when no answer has come in time. To fail
+                    // the ask here would make it ask again at once, for ever, while the ring has no owner.
+                    if let Some(owner) = self.rings.control().owner_of(&digest) {
+                        self.outbox.push_back((owner, ControlMessage::QuotaAsk(ask)));
                     }
                 }
                 decision => decided.push(decision),
@@ -124,8 +123,8 @@
         self.settle_quota(turn, effects);
     }
 
-    fn settle_quota(&mut self, turn: &mut Turn, mut effects: Vec<QuotaEffect>) {
-        for decision in self.control.route_asks(turn.now, &mut effects) {
+    fn settle_quota(&mut self, turn: &mut Turn, effects: Vec<QuotaEffect>) {
+        for decision in self.control.route_asks(effects) {
             match decision {
                 QuotaEffect::Admit { call } => self.quota_granted(turn, call),
                 QuotaEffect::Refuse { call, retry_after } => {
