Spread settings between daemons and rely on a majority's word

Cause: each daemon polled the table, and trusted its keys only while it could read it itself; at the target's size the polls alone would take more than the table gives, and an outage of the platform stopped every keyed route. Change: the feed and the authority watch are joined to the reducer; a few pollers read the head, others learn from them; the control ring's definition spreads by notices; members and rings are read often only while something is missing; operators' changes are confirmed by a majority of the control ring.

--- a/crates/ivytrail-daemon/src/control_loop.rs
+++ b/crates/ivytrail-daemon/src/control_loop.rs
@@ -1,4 +1,4 @@
-//! What the daemon does with the platform: joins, finds first peers, follows the settings and the rings.
+//! What the daemon does with the platform: joins, finds first peers, reads settings, follows and writes rings.
 
 use std::time::Duration;
 
@@ -7,36 +7,54 @@
     lease::RingDefinition,
     membership::{MemberRecord, MemberView},
     platform::{RowWrite, TableRead, TableRow, TableTransaction, TransactionResult, VersionCheck},
-    reducer::{DaemonEvent, DaemonReducer, LearnedFact},
+    reducer::{DaemonEvent, DaemonReducer, LearnedFact, SettingsReading},
     settings::{
-        SettingsChange,
-        rows::{CHANGES_PER_READ, changes_read},
+        Revision,
+        rows::{CHANGES_PER_READ, changes_in, changes_read, head_in},
+        snapshot::{SnapshotReading, SnapshotStep},
     },
 };
+use rand::RngExt;
 use tokio::{sync::mpsc::UnboundedReceiver, task::JoinHandle};
 
 use crate::{executor::EffectExecutor, platform_client::PlatformClient};
 
-/// Time between two readings of the settings.
-const POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// Time for which a reading confirms the settings.
-const CONFIRMATION: Duration = Duration::from_secs(3);
+/// Time between two readings of members and rings while this daemon knows no peer or lacks a ring.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two readings afterwards; what changes meanwhile comes from other daemons.
+const REVIEW_INTERVAL: Duration = Duration::from_secs(30);
+/// Time for which a daemon searches after its start, so that those that start with it are found.
+const SEARCH_TIME: Duration = Duration::from_secs(4);
 /// Rows of members that are read to find first peers.
 const FIRST_PEER_ROWS: usize = 16;
 /// Prefix of the rows that hold the rings' definitions.
 const RING_PREFIX: &str = "ring/";
 
+/// What the reducer asks of the platform.
+#[derive(Clone, Debug)]
+pub enum PlatformRequest {
+    /// Writes a ring's next definition, if the epoch before it is current.
+    WriteRing(RingDefinition),
+    /// Reads the head and the changes after a revision.
+    ReadChanges {
+        /// The revision in force here.
+        after: Revision,
+    },
+    /// Reads the whole settings tree.
+    ReadTree,
+}
+
 /// Starts the loops.
 pub fn spawn(
     executor: &EffectExecutor,
     platform: &PlatformClient,
-    proposals: UnboundedReceiver<RingDefinition>,
+    requests: UnboundedReceiver<PlatformRequest>,
 ) -> Vec<JoinHandle<()>> {
-    let (writer, writer_platform) = (executor.clone(), platform.clone());
-    let (follower, follower_platform) = (executor.clone(), platform.clone());
+    let (server, server_platform) = (executor.clone(), platform.clone());
+    let (searcher, searcher_platform) = (executor.clone(), platform.clone());
     vec![
-        tokio::spawn(async move { propose(writer, &writer_platform, proposals).await }),
-        tokio::spawn(async move { follow(follower, &follower_platform).await }),
+        tokio::spawn(async move { serve_requests(server, server_platform, requests).await }),
+        tokio::spawn(async move { search(searcher, &searcher_platform).await }),
     ]
 }
 
@@ -51,16 +69,22 @@
     }
 }
 
-async fn follow(executor: EffectExecutor, platform: &PlatformClient) {
+/// Joins, and reads members and rings: often while something is missing, rarely afterwards.
+async fn search(executor: EffectExecutor, platform: &PlatformClient) {
+    let started = tokio::time::Instant::now();
     let mut has_joined = false;
     loop {
         if !has_joined {
             has_joined = join(&executor, platform).await.is_ok();
         }
-        if let Err(cause) = poll(&executor, platform).await {
-            log::warn!("event=platform_unreachable cause={:?}", format!("{cause:#}"));
+        if let Err(cause) = read_fleet(&executor, platform).await {
+            log::warn!("event=fleet_not_read cause={:?}", format!("{cause:#}"));
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
+        let is_missing = !has_joined || executor.shell().inspect(DaemonReducer::lacks_fleet);
+        let is_searching = is_missing || started.elapsed() < SEARCH_TIME;
+        let pause = if is_searching { SEARCH_INTERVAL } else { REVIEW_INTERVAL };
+        let jitter = rand::rng().random_range(0.75..1.25);
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
     }
 }
 
@@ -68,65 +92,80 @@
     let record = executor.shell().inspect(|it| it.own_record().clone());
     let key = MemberView::row_key(&record.member.instance);
     let write = RowWrite { key, value: serde_json::to_value(&record)? };
-    let transaction = TableTransaction { checks: Vec::new(), writes: vec![write] };
-    platform.transact(&transaction).await?;
+    platform.transact(&TableTransaction { checks: Vec::new(), writes: vec![write] }).await?;
     Ok(())
 }
 
-async fn poll(executor: &EffectExecutor, platform: &PlatformClient) -> anyhow::Result<()> {
-    let asked_at = executor.shell().now();
+async fn read_fleet(executor: &EffectExecutor, platform: &PlatformClient) -> anyhow::Result<()> {
     let instance = executor.shell().inspect(|it| it.own_record().member.instance.clone());
-    let mut ranges = MemberView::first_peer_ranges(&instance, FIRST_PEER_ROWS).to_vec();
-    let revision = executor.shell().inspect(DaemonReducer::revision);
-    ranges.extend(changes_read(revision, CHANGES_PER_READ).ranges);
+    let ranges = MemberView::first_peer_ranges(&instance, FIRST_PEER_ROWS).to_vec();
     let rings = executor.shell().inspect(|it| it.ring_names().cloned().collect::<Vec<_>>());
     let keys = rings.iter().map(ring_key).collect();
-    let rows = platform.read(&TableRead { keys, ranges }).await?;
-    let mut changes = Vec::new();
+    let rows = platform.read(&TableRead { keys, ranges }).await?.rows;
     for name in rings {
-        if !rows.rows.iter().any(|row| row.key == ring_key(&name)) {
+        if !rows.iter().any(|row| row.key == ring_key(&name)) {
             executor.apply(DaemonEvent::ControlLearned(LearnedFact::RingAbsent(name)));
         }
     }
-    for row in rows.rows {
-        take_row(executor, row, &mut changes)?;
+    for row in rows {
+        executor.apply(DaemonEvent::ControlLearned(fact_in(row)?));
     }
-    executor.apply(DaemonEvent::ChangesLearned(changes));
-    executor.apply(DaemonEvent::AuthorityConfirmed { until: asked_at.plus(CONFIRMATION) });
     Ok(())
 }
 
-fn take_row(
+fn fact_in(row: TableRow) -> anyhow::Result<LearnedFact> {
+    Ok(match row.key.starts_with(RING_PREFIX) {
+        true => LearnedFact::Ring(serde_json::from_value::<RingDefinition>(row.value)?),
+        false => LearnedFact::Member(serde_json::from_value::<MemberRecord>(row.value)?),
+    })
+}
+
+/// Carries out the reducer's requests; each one in a task of its own, since the platform may be slow.
+async fn serve_requests(
+    executor: EffectExecutor,
+    platform: PlatformClient,
+    mut requests: UnboundedReceiver<PlatformRequest>,
+) {
+    while let Some(request) = requests.recv().await {
+        let (executor, platform) = (executor.clone(), platform.clone());
+        tokio::spawn(async move {
+            let result = match request {
+                PlatformRequest::WriteRing(it) => write_ring(&executor, &platform, it).await,
+                PlatformRequest::ReadChanges { after } => {
+                    read_changes(&executor, &platform, after).await
+                }
+                PlatformRequest::ReadTree => read_tree(&executor, &platform).await,
+            };
+            if let Err(cause) = result {
+                log::warn!("event=platform_request_failed cause={:?}", format!("{cause:#}"));
+            }
+        });
+    }
+}
+
+async fn read_changes(
     executor: &EffectExecutor,
-    row: TableRow,
-    changes: &mut Vec<SettingsChange>,
+    platform: &PlatformClient,
+    after: Revision,
 ) -> anyhow::Result<()> {
-    match row.key.split_once('/') {
-        Some(("member", _)) => {
-            let record: MemberRecord = serde_json::from_value(row.value)?;
-            executor.apply(DaemonEvent::ControlLearned(LearnedFact::Member(record)));
-        }
-        Some(("ring", _)) => {
-            let definition: RingDefinition = serde_json::from_value(row.value)?;
-            executor.apply(DaemonEvent::ControlLearned(LearnedFact::Ring(definition)));
-        }
-        Some(("change", _)) => {
-            changes.push(serde_json::from_value(row.value)?);
-        }
-        _ => {}
-    }
+    let sent_at = executor.shell().now();
+    let rows = platform.read(&changes_read(after, CHANGES_PER_READ)).await?;
+    let reading = SettingsReading::Changes { head: head_in(&rows)?, changes: changes_in(&rows)? };
+    executor.apply(DaemonEvent::SettingsRead { sent_at, reading });
     Ok(())
 }
 
-/// Writes proposed ring definitions, each only if the epoch before it is current in the table.
-async fn propose(
-    executor: EffectExecutor,
-    platform: &PlatformClient,
-    mut proposals: UnboundedReceiver<RingDefinition>,
-) {
-    while let Some(definition) = proposals.recv().await {
-        if let Err(cause) = write_ring(&executor, platform, definition).await {
-            log::warn!("event=ring_not_written cause={:?}", format!("{cause:#}"));
+async fn read_tree(executor: &EffectExecutor, platform: &PlatformClient) -> anyhow::Result<()> {
+    let sent_at = executor.shell().now();
+    let (mut reading, mut read) = SnapshotReading::start();
+    loop {
+        match reading.on_rows(&platform.read(&read).await?)? {
+            SnapshotStep::Read(next) => read = next,
+            SnapshotStep::Done(tree) => {
+                let reading = SettingsReading::Tree(tree);
+                executor.apply(DaemonEvent::SettingsRead { sent_at, reading });
+                return Ok(());
+            }
         }
     }
 }
@@ -138,13 +177,9 @@
 ) -> anyhow::Result<()> {
     let key = ring_key(&definition.name);
     let read = TableRead { keys: vec![key.clone()], ranges: Vec::new() };
-    let rows = platform.read(&read).await?;
-    let row = rows.rows.into_iter().next();
+    let row = platform.read(&read).await?.rows.into_iter().next();
     let version = row.as_ref().map_or(0, |it| it.version);
-    let current = match row {
-        Some(row) => Some(serde_json::from_value::<RingDefinition>(row.value)?),
-        None => None,
-    };
+    let current = row.map(|it| serde_json::from_value::<RingDefinition>(it.value)).transpose()?;
     let current_epoch = current.as_ref().map_or(0, |it| it.epoch);
     if current_epoch + 1 != definition.epoch {
         if let Some(current) = current {
@@ -154,8 +189,9 @@
     }
     let write = RowWrite { key: key.clone(), value: serde_json::to_value(&definition)? };
     let checks = vec![VersionCheck { key, version }];
-    let result = platform.transact(&TableTransaction { checks, writes: vec![write] }).await?;
-    if result == TransactionResult::Applied {
+    let transaction = TableTransaction { checks, writes: vec![write] };
+    // A lost answer needs no care: whoever reads the row next learns what it says.
+    if platform.transact(&transaction).await? == TransactionResult::Applied {
         log::info!(
             "event=ring_changed ring={} epoch={} members={}",
             definition.name,
--- a/crates/ivytrail/src/reducer/call_flow.rs
+++ b/crates/ivytrail/src/reducer/call_flow.rs
@@ -56,6 +56,7 @@
                 return refuse_at_once(turn, &request, reason, outcome);
             }
         };
+        self.control.view.subscribe(turn.now, policy.service.clone());
         let is_root = lineage.parent.is_none();
         let deadline = turn.now.plus(lineage.time_left);
         let parent = lineage.parent.clone();
@@ -83,7 +84,7 @@
         }
         let account = match key.and_then(|it| self.settings.find_key(&it)).cloned() {
             _ if policy.open => None,
-            _ if self.authority_until < turn.now => return Err(RefusalReason::StaleSettings),
+            _ if !self.is_authoritative(turn.now) => return Err(RefusalReason::StaleSettings),
             None => return Err(RefusalReason::BadKey),
             account => account,
         };
--- a/crates/ivytrail/src/reducer/claim_flow.rs
+++ b/crates/ivytrail/src/reducer/claim_flow.rs
@@ -157,7 +157,7 @@
     ) {
         let ring = self.backend.service().and_then(|it| self.control.rings.claims(it));
         let priors = ring.map(|it| it.priors_of(&question.claim, Some(from))).unwrap_or_default();
-        let answer = self.claims.answer(turn.now, turn.wall, question, &priors);
+        let answer = self.claims.answer(turn.now, turn.wall, from, question, &priors);
         self.control.outbox.push_back((from.clone(), ControlMessage::ClaimAnswer(answer)));
     }
 
@@ -207,13 +207,7 @@
                     .map(|it| it.member.clone())
                     .filter(|it| it != me && ring.fence_of(it).is_none())
                     .collect();
-                let next_owner = |digest: &ContentDigest| {
-                    receivers
-                        .iter()
-                        .max_by_key(|it| crate::id::rendezvous_weight(&it.instance, digest))
-                        .cloned()
-                };
-                self.claims.hand_over(turn.now, &receivers, HANDOVER_BATCH, next_owner)
+                self.claims.hand_over(turn.now, &receivers, HANDOVER_BATCH)
             }
             None => Vec::new(),
         };
--- a/crates/ivytrail/src/reducer/control_flow.rs
+++ b/crates/ivytrail/src/reducer/control_flow.rs
@@ -2,11 +2,13 @@
 
 use super::{
     BackendNotice, BackendState, ControlOutbox, DaemonEffect, DaemonIdentity, DaemonReducer,
-    LearnedFact, Turn, quota_flow::ShareStanding, rings::RingSet,
+    LearnedFact, Turn,
+    quota_flow::ShareStanding,
+    rings::{RingSet, control_ring},
 };
 use crate::{
     id::{ContentDigest, MemberId, ServiceName, rendezvous_weight},
-    lease::LeaseMessage,
+    lease::{LeaseMessage, RingDefinition},
     membership::{MemberRecord, MemberState, MemberView, MembershipOptions},
     message::ControlMessage,
     quarantine::Suspicion,
@@ -93,6 +95,9 @@
                 self.control.rings.receive(turn.now, from, message, &mut out);
                 self.queue_leases(out);
             }
+            ControlMessage::Feed(message) => self.receive_feed(turn, from, message),
+            ControlMessage::Authority(message) => self.receive_authority(turn, from, &message),
+            ControlMessage::Ring(definition) => self.install_ring(turn, definition),
             ControlMessage::QuotaAsk(ask) => self.receive_ask(turn, from, &ask),
             ControlMessage::QuotaGrant(grant) => self.receive_grant(turn, &grant),
             ControlMessage::ClaimQuestion(question) => self.receive_question(turn, from, &question),
@@ -117,7 +122,7 @@
     pub(super) fn learn(&mut self, turn: &mut Turn, fact: LearnedFact) {
         match fact {
             LearnedFact::Member(record) => self.control.view.learn(turn.now, &record),
-            LearnedFact::Ring(definition) => self.control.rings.install(turn.now, definition),
+            LearnedFact::Ring(definition) => self.install_ring(turn, definition),
             LearnedFact::RingAbsent(name) => self.control.rings.note_absent(turn.now, name),
         }
     }
@@ -171,6 +176,7 @@
         self.control.rings.tick(turn.now, &mut out);
         self.queue_leases(out);
         self.review_rings(turn);
+        self.tick_settings(turn);
         self.tick_quota(turn);
         for record in self.control.view.take_changes() {
             self.take_member(turn, record);
@@ -203,6 +209,16 @@
         }
     }
 
+    fn install_ring(&mut self, turn: &mut Turn, definition: RingDefinition) {
+        let is_control = definition.name == control_ring();
+        let before = self.control.rings.control().definition().map(|it| it.epoch);
+        self.control.rings.install(turn.now, definition);
+        let after = self.control.rings.control().definition().map(|it| it.epoch);
+        if is_control && before != after {
+            self.spread_ring();
+        }
+    }
+
     fn review_rings(&mut self, turn: &mut Turn) {
         let control = &mut self.control;
         let proposals = control.rings.review(turn.now, &control.view, &mut self.rng);
--- a/crates/ivytrail/src/reducer/effect.rs
+++ b/crates/ivytrail/src/reducer/effect.rs
@@ -8,6 +8,7 @@
     id::{AttemptId, CallId, CallToken, MemberId},
     lease::RingDefinition,
     message::{AttemptHeader, AttemptReply, CallOutcome, ControlMessage, RefusalReason},
+    settings::Revision,
     time::TimePoint,
 };
 
@@ -84,6 +85,13 @@
         /// The message.
         message: ControlMessage,
     },
+    /// Reads the settings' head and the changes after a revision from the platform's table.
+    ReadChanges {
+        /// The revision in force here.
+        after: Revision,
+    },
+    /// Reads the whole settings tree from the platform's table.
+    ReadTree,
     /// Writes a ring's next definition to the platform's table, if the epoch before it is current there.
     ProposeRing(RingDefinition),
     /// Ends this run of the daemon and starts the next one: the other members have fenced this incarnation.
--- a/crates/ivytrail/src/reducer/event.rs
+++ b/crates/ivytrail/src/reducer/event.rs
@@ -9,7 +9,7 @@
     lease::RingDefinition,
     membership::MemberRecord,
     message::{AttemptHeader, AttemptReply, ControlMessage},
-    settings::{SettingsChange, index::SettingsInForce},
+    settings::{Revision, SettingsChange, SettingsTree},
     time::{TimePoint, WallClock},
 };
 
@@ -93,14 +93,14 @@
         /// The message.
         message: ControlMessage,
     },
-    /// Accepted changes were read from the platform or from another daemon, in the order of their revisions.
+    /// An operator stored changes through this daemon; they come in the order of their revisions.
     ChangesLearned(Vec<SettingsChange>),
-    /// A newer settings tree is in force.
-    SettingsInstalled(SettingsInForce),
-    /// This daemon may rely on its settings and keys until the given time.
-    AuthorityConfirmed {
-        /// End of the confirmation.
-        until: TimePoint,
+    /// The settings were read from the platform's table.
+    SettingsRead {
+        /// When the read was sent, on this daemon's clock.
+        sent_at: TimePoint,
+        /// What was read.
+        reading: SettingsReading,
     },
     /// An operator orders an instance to take no more work.
     DrainOrdered {
@@ -115,6 +115,20 @@
     Tick,
 }
 
+/// A reading of the settings.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SettingsReading {
+    /// The head, and the changes after the revision in force here.
+    Changes {
+        /// Revision of the last accepted change.
+        head: Revision,
+        /// The changes, in the order of their revisions.
+        changes: Vec<SettingsChange>,
+    },
+    /// The whole tree.
+    Tree(Box<SettingsTree>),
+}
+
 /// A request at its entry daemon.
 #[derive(Clone, Debug)]
 pub struct CallRequest {
--- a/crates/ivytrail/src/reducer/rings.rs
+++ b/crates/ivytrail/src/reducer/rings.rs
@@ -89,6 +89,11 @@
         self.rings.keys()
     }
 
+    /// Returns whether some ring has no definition here.
+    pub(super) fn lacks_definition(&self) -> bool {
+        self.rings.values().any(|it| it.definition().is_none())
+    }
+
     /// Takes a message of another member.
     pub(super) fn receive(
         &mut self,
--- a/crates/ivytrail/src/reducer/tests.rs
+++ b/crates/ivytrail/src/reducer/tests.rs
@@ -5,7 +5,7 @@
     id::{CallId, TeamName},
     message::{CallOutcome, RefusalReason},
     settings::{
-        ClientAccount, KeyRecord, PriorityClass, RoutePolicy, SettingsTree, TeamSubtree,
+        ClientAccount, KeyRecord, PriorityClass, Revision, RoutePolicy, SettingsTree, TeamSubtree,
         credential::secret_digest,
     },
 };
@@ -36,9 +36,9 @@
     let member = MemberId { instance: "tracker-1".into(), incarnation: 1 };
     let identity = DaemonIdentity::new(member, "kolkata", "127.0.0.1:7101");
     let mut reducer = DaemonReducer::new(identity, [7; 32]);
-    let settings = SettingsInForce::new(tree());
-    reducer.apply(at(0, DaemonEvent::SettingsInstalled(settings)));
-    reducer.apply(at(0, DaemonEvent::AuthorityConfirmed { until: TimePoint::from_millis(60_000) }));
+    let reading = SettingsReading::Tree(Box::new(tree()));
+    let sent_at = TimePoint::from_millis(0);
+    reducer.apply(at(0, DaemonEvent::SettingsRead { sent_at, reading }));
     reducer
 }
 
--- a/crates/ivytrail/src/routing/tests.rs
+++ b/crates/ivytrail/src/routing/tests.rs
@@ -34,7 +34,13 @@
     let mut picker = picker_with(2);
     let far = UpstreamInfo { domain: "durgapur".into(), ..info(2, false) };
     picker.upsert(NOW, far);
-    let load = |in_flight| LoadReport { in_flight, limit: 10, queued: 0, level_cut: u16::MAX };
+    let load = |in_flight| LoadReport {
+        in_flight,
+        limit: 10,
+        queued: 0,
+        level_cut: u16::MAX,
+        chain_cut: u16::MAX,
+    };
     let warm = NOW.plus(Duration::from_secs(10));
     let reply = |picker: &mut UpstreamPicker, in_flight| {
         (0..2).for_each(|idx| {
@@ -58,7 +64,13 @@
         .filter(|_| {
             let picked = picker.pick(warm, &service(), &[]).unwrap();
             picker.note_sent(warm, &picked);
-            let load = LoadReport { in_flight: 5, limit: 100, queued: 0, level_cut: u16::MAX };
+            let load = LoadReport {
+                in_flight: 5,
+                limit: 100,
+                queued: 0,
+                level_cut: u16::MAX,
+                chain_cut: u16::MAX,
+            };
             picker.note_reply(warm, &picked, load, Duration::ZERO, true);
             picked == member(9)
         })
