Try a lower limit also while most runs are cut off

Ruled out: leaving the floor after a failed trial, since work that has really become slower would then be tried forever. Change: a window with less than half of its runs whole calls for a trial by itself.

--- a/crates/ivytrail/src/admission/limit.rs
+++ b/crates/ivytrail/src/admission/limit.rs
@@ -30,7 +30,7 @@
 const MAX_SAMPLES: f64 = 250.0;
 /// Share of the samples in a window that must have been taken with all of the limit in use.
 const MIN_SATURATION: f64 = 0.9;
-/// Share of whole answers below which failed trials are repeated soon: there is little to lose.
+/// Share of whole answers below which a lower limit is tried whatever the latency, and tried again soon.
 const MIN_WHOLE: f64 = 0.5;
 /// Pause after a failed trial; doubled by each further failure.
 const MIN_PAUSE: Duration = Duration::from_secs(1);
@@ -186,7 +186,8 @@
         if window.n_saturated < window.n_samples * MIN_SATURATION {
             return;
         }
-        let slowed = self.floor_s * MAX_GRADIENT < latency || window.n_whole == 0.0;
+        let starving = window.n_whole < window.n_samples * MIN_WHOLE;
+        let slowed = starving || self.floor_s * MAX_GRADIENT < latency;
         let overdue = self.last_trial.plus(FLOOR_LIFE) <= now;
         if self.next_trial <= now && (slowed || overdue) && 2.0 <= self.limit {
             self.phase = LimitPhase::Trial { before: self.limit, latency_s: latency, whole_per_s };
