Isolate suspects at the guard and join the measured gate

Cause: the quarantine's isolation and clearances and the gate's fairness switch were not joined. Change: two suspects never run together at one guard; clearances spread; the fairness switch reaches the gate.

--- a/crates/ivytrail/examples/measure_cost.rs
+++ b/crates/ivytrail/examples/measure_cost.rs
@@ -63,7 +63,13 @@
         let now = TimePoint::from_micros(idx * 100);
         let picked = picker.pick(now, &service, &[]).expect("there are upstreams");
         picker.note_sent(now, &picked);
-        let load = LoadReport { in_flight: 5, limit: 20, queued: 0, level_cut: u16::MAX };
+        let load = LoadReport {
+            in_flight: 5,
+            limit: 20,
+            queued: 0,
+            level_cut: u16::MAX,
+            chain_cut: u16::MAX,
+        };
         picker.note_reply(now, &picked, load, Duration::from_millis(10), true);
     }
 }
--- a/crates/ivytrail/src/reducer.rs
+++ b/crates/ivytrail/src/reducer.rs
@@ -80,7 +80,7 @@
     },
 };
 use crate::{
-    admission::{AdmissionOptions, AdmissionQueue, EntryGate},
+    admission::{AdmissionOptions, AdmissionQueue, EntryGate, GateOptions},
     claim::{AttemptLedger, ClaimOptions, ClaimTable, LedgerOptions},
     id::{AccountName, ContentDigest, DomainName, MemberId, RingName, RouteName, ServiceName},
     lease::LeaseOptions,
@@ -217,7 +217,10 @@
             claims: ClaimTable::new(ClaimOptions::default()),
             run_window: LeaseOptions::default().run_window(),
             admission: AdmissionQueue::new(admission),
-            gate: EntryGate::new(),
+            gate: EntryGate::with_options(GateOptions {
+                cuts: switches.entry_gate,
+                fair: switches.fairness,
+            }),
             picker: UpstreamPicker::new(routing),
             ratios: HashMap::new(),
             loads: HashMap::new(),
--- a/crates/ivytrail/src/reducer/call_flow.rs
+++ b/crates/ivytrail/src/reducer/call_flow.rs
@@ -177,7 +177,7 @@
         let Some(call) = self.entry.get(id) else { return };
         let route = &call.template.route;
         let admitted = self.gate.admit(turn.now, route, call.template.level, random);
-        if let Some(wait) = admitted.err().filter(|_| self.switches.entry_gate) {
+        if let Err(wait) = admitted {
             return self.refuse_call(turn, id, RefusalReason::Overloaded, Some(wait));
         }
         let Some(account) = call.template.account.clone() else {
--- a/crates/ivytrail/src/reducer/run_flow.rs
+++ b/crates/ivytrail/src/reducer/run_flow.rs
@@ -19,6 +19,8 @@
 const DEFAULT_MAX_WAIT: Duration = Duration::from_millis(100);
 /// When to come back to a guard whose backend server takes nothing.
 const UNFIT_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// When to come back with a request that may crash backend servers, while another such one runs.
+const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Share of capacity of a request without a client account.
 const OPEN_ROUTE_WEIGHT: f64 = 1.0;
 
@@ -112,6 +114,14 @@
             self.end_unrun(turn, &attempt, &not_run(RefusalReason::NotOwner, None));
             return self.carry_out(turn, verdicts);
         }
+        if !self.quarantine.try_isolate(&header.fingerprint) {
+            // Another suspect runs here; two at once could not be told apart if the backend server crashed.
+            let mut verdicts = Vec::new();
+            self.admission.finish(turn.now, &attempt, RunSample::Cancelled, &mut verdicts);
+            let result = not_run(RefusalReason::Overloaded, Some(SUSPECT_RETRY_AFTER));
+            self.end_unrun(turn, &attempt, &result);
+            return self.carry_out(turn, verdicts);
+        }
         let (token, time_left) = self.guard.start(turn.now, &attempt);
         let start_by = turn.now.plus(self.run_window);
         turn.out.push(DaemonEffect::StartRun { attempt, header, token, start_by, time_left });
@@ -156,6 +166,9 @@
     ) {
         let Some(run) = self.guard.remove(attempt) else { return };
         self.ledger.end(turn.now, attempt, outcome_of(&result));
+        if matches!(run.state, RunState::Running { .. }) {
+            self.quarantine.release(&run.header.fingerprint);
+        }
         let load = LoadReport { chain_cut: run.chain_cut, ..self.admission.load() };
         let attempt = attempt.clone();
         let reply = AttemptReply { attempt, result, retry_tokens: run.purse.held(), load };
@@ -229,6 +242,8 @@
         let mut verdicts = Vec::new();
         self.admission.tick(turn.now, &mut verdicts);
         self.carry_out(turn, verdicts);
+        let clearances = self.quarantine.take_clearances();
+        self.spread_suspicions(&clearances);
         self.ledger.sweep(turn.now);
         self.claims.sweep(turn.now);
         let is_silent = ANNOUNCEMENT_PATIENCE < turn.now.since(self.backend.heard_at);
