Stop empty-handed daemons from polling the platform

Change: such a daemon waits 1 s for its peers, then reads after 2, 4, 8 and 16 s until the platform has answered.

--- a/crates/ivytrail/src/settings/feed.rs
+++ b/crates/ivytrail/src/settings/feed.rs
@@ -96,6 +96,39 @@
     pub platform_reads: u64,
 }
 
+/// First wait of an empty-handed daemon for its peers, before it reads the platform itself.
+const FIRST_START_WAIT: Duration = Duration::from_secs(1);
+
+/// Longest wait between two reads of an empty-handed daemon.
+const LONGEST_START_WAIT: Duration = Duration::from_secs(16);
+
+/// When an empty-handed daemon that is no poller reads the platform: rarely, since the whole fleet may start at once.
+#[derive(Debug)]
+struct StartReads {
+    next_at: Option<TimePoint>,
+    wait: Duration,
+    is_answered: bool,
+}
+
+impl Default for StartReads {
+    fn default() -> StartReads {
+        StartReads { next_at: None, wait: FIRST_START_WAIT, is_answered: false }
+    }
+}
+
+impl StartReads {
+    /// Returns whether a read is due, and puts the next one off.
+    fn is_due(&mut self, now: TimePoint) -> bool {
+        let next_at = *self.next_at.get_or_insert(now.plus(self.wait));
+        let is_due = !self.is_answered && next_at <= now;
+        if is_due {
+            self.wait = (self.wait * 2).min(LONGEST_START_WAIT);
+            self.next_at = Some(now.plus(self.wait));
+        }
+        is_due
+    }
+}
+
 /// One daemon's part in the spread of changes.
 ///
 /// Invariant: the revision in force here never falls.
@@ -115,6 +148,7 @@
     has_news: bool,
     next_poll: TimePoint,
     next_notice: TimePoint,
+    start: StartReads,
     traffic: FeedTraffic,
 }
 
@@ -133,6 +167,7 @@
             has_news: false,
             next_poll: TimePoint::ORIGIN,
             next_notice: TimePoint::ORIGIN,
+            start: StartReads::default(),
             traffic: FeedTraffic::default(),
         }
     }
@@ -166,16 +201,15 @@
         reads_anyway: bool,
     ) -> Vec<FeedEffect> {
         let mut effects = Vec::new();
-        if self.next_poll <= now {
+        let is_due = self.next_poll <= now && (reads_anyway || self.is_poller(peers));
+        let starts = self.tree.revision == Revision::default() && self.start.is_due(now);
+        if is_due || starts {
             self.next_poll = now.plus(self.jittered(self.options.poll_every));
-            let is_empty_handed = self.tree.revision == Revision::default();
-            if is_empty_handed || reads_anyway || self.is_poller(peers) {
-                self.traffic.platform_reads += 1;
-                effects.push(match is_empty_handed {
-                    true => FeedEffect::ReadTree,
-                    false => FeedEffect::ReadChanges { after: self.tree.revision },
-                });
-            }
+            self.traffic.platform_reads += 1;
+            effects.push(match self.tree.revision {
+                Revision(0) => FeedEffect::ReadTree,
+                after => FeedEffect::ReadChanges { after },
+            });
         }
         if std::mem::take(&mut self.has_news) {
             for _ in 0..self.options.fanout {
@@ -242,8 +276,9 @@
         effects
     }
 
-    /// Takes changes read from the platform, or stored there for an operator of this daemon.
+    /// Takes changes read from the platform, possibly none, or stored there for an operator of this daemon.
     pub fn on_changes(&mut self, changes: &[SettingsChange]) {
+        self.start.is_answered = true;
         for change in changes {
             if self.tree.apply(change).is_ok() {
                 self.log.push(change.clone());
@@ -254,6 +289,7 @@
 
     /// Takes a whole tree read from the platform. A tree that is not newer is left aside.
     pub fn on_snapshot(&mut self, tree: SettingsTree) {
+        self.start.is_answered = true;
         if tree.revision <= self.tree.revision {
             return;
         }
