--- a/crates/ivytrail-fakes/src/caller.rs
+++ b/crates/ivytrail-fakes/src/caller.rs
@@ -121,8 +121,8 @@
     pub account: usize,
     /// Index of its phase in the plan.
     pub phase: usize,
-    /// When it was first sent, since the start of the run.
-    pub sent_at: Duration,
+    /// When it was due, since the start of the run.
+    pub due_at: Duration,
     /// Time from the first sending to the end.
     pub latency: Duration,
     /// Times it was sent.
@@ -200,7 +200,6 @@
             plan: Arc::clone(&plan),
             client: pools[idx % pools.len()].clone(),
             progress: Arc::clone(&progress),
-            start,
         };
         let records = Arc::clone(&records);
         tasks.spawn(async move {
@@ -211,7 +210,7 @@
     }
     while tasks.join_next().await.is_some() {}
     let mut records = std::mem::take(&mut *records.lock());
-    records.sort_by_key(|record| record.sent_at);
+    records.sort_by_key(|record| record.due_at);
     Ok(records)
 }
 
@@ -225,7 +224,6 @@
     plan: Arc<LoadPlan>,
     client: reqwest::Client,
     progress: Arc<LoadProgress>,
-    start: Instant,
 }
 
 impl CallSender {
@@ -241,7 +239,7 @@
             kind: call.kind,
             account: call.account,
             phase: call.phase,
-            sent_at: begin - self.start,
+            due_at: call.at,
             latency: begin.elapsed(),
             attempts,
             end,
--- a/crates/ivytrail-fakes/src/caller/recovery.rs
+++ b/crates/ivytrail-fakes/src/caller/recovery.rs
@@ -14,7 +14,7 @@
 const RECOVERED_SHARE: f64 = 0.95;
 
 /// Returns the time from `trigger_end` until the share of requests that end whole within their deadlines is back at
-/// 95 % of what it was before `trigger_begin`, by the time at which requests were sent. `None` means that the run
+/// 95 % of what it was before `trigger_begin`, by the time at which requests were due. `None` means that the run
 /// ended first.
 pub fn recovery_time(
     plan: &LoadPlan,
@@ -45,8 +45,8 @@
     from: Duration,
     to: Duration,
 ) -> Option<f64> {
-    let begin = records.partition_point(|record| record.sent_at < from);
-    let end = records.partition_point(|record| record.sent_at < to);
+    let begin = records.partition_point(|record| record.due_at < from);
+    let end = records.partition_point(|record| record.due_at < to);
     let sent = &records[begin..end];
     let whole = sent.iter().filter(|record| is_in_time(plan, record)).count();
     (!sent.is_empty()).then(|| whole as f64 / sent.len() as f64)
--- a/crates/ivytrail-fakes/src/mesh.rs
+++ b/crates/ivytrail-fakes/src/mesh.rs
@@ -10,7 +10,7 @@
 
 use ivytrail::settings::{ClientAccount, PriorityClass, RoutePolicy, ServicePolicy, TeamSubtree};
 
-pub use self::firms::{chain, stratolift, teigwerk};
+pub use self::firms::{chain, pair, stratolift, teigwerk};
 use crate::{
     backend::NestedCall,
     caller::{AccountLoad, CallKind, ResendMode},
--- a/crates/ivytrail-fakes/src/mesh/firms.rs
+++ b/crates/ivytrail-fakes/src/mesh/firms.rs
@@ -116,6 +116,25 @@
     mesh
 }
 
+/// Returns the smallest mesh with nested calls: two services with two upstreams each, for tests.
+pub fn pair() -> MeshPlan {
+    let small = |name: &str, calls: &[&str]| ServicePlan {
+        service_time_ms: 20,
+        ..service(name, 2, 8, calls)
+    };
+    MeshPlan {
+        team: "pair".to_string(),
+        domains: names(&["east", "west"]),
+        services: vec![small("booking", &["POST /launch-holds"]), small("launch", &[])],
+        routes: vec![
+            write("book", "/bookings", "booking", PriorityClass::Critical, 20.0),
+            read("look", "/launches", "launch", 20.0),
+            write("hold-launch", "/launch-holds", "launch", PriorityClass::Critical, 0.0),
+        ],
+        accounts: accounts(&["a", "b", "c", "d", "e", "f", "g", "h"]),
+    }
+}
+
 fn names(names: &[&str]) -> Vec<String> {
     names.iter().map(ToString::to_string).collect()
 }
--- a/crates/ivytrail-fakes/tests/caller.rs
+++ b/crates/ivytrail-fakes/tests/caller.rs
@@ -51,7 +51,7 @@
         kind: 0,
         account: 0,
         phase: 0,
-        sent_at: Duration::ZERO,
+        due_at: Duration::ZERO,
         latency: Duration::from_millis(1),
         attempts: 1,
         end,
--- /dev/null
+++ b/tests/tests/whole_path.rs
@@ -0,0 +1,106 @@
+//! The whole path with the real programs: keys, nested calls, cut and late answers.
+
+use anyhow::Result;
+use ivytrail_fakes::{caller::AttemptEnd, cluster::first_key};
+use ivytrail_tests::{MESH_TURN, PATIENCE, TestCaller, kind, small_mesh};
+use tokio::time::Instant;
+
+#[tokio::test]
+async fn each_entry_answers_whole_and_each_request_runs_once() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let cluster = small_mesh().await?;
+    let caller = TestCaller::new(&cluster)?;
+    let book = kind(&cluster, "book");
+
+    for (idx, entry) in cluster.entries().into_iter().enumerate() {
+        let end = caller.send(entry, &book, &format!("once-{idx}"), &[]).await;
+        assert_eq!(end, AttemptEnd::Whole, "at entry {idx}");
+    }
+
+    let effects = cluster.effects()?;
+    for idx in 0..cluster.nodes.len() {
+        let serial = format!("once-{idx}");
+        assert_eq!((effects.count("booking", &serial), effects.count("launch", &serial)), (1, 1));
+    }
+    let keys_seen: u64 = cluster.run_logs().await.iter().map(|log| log.keys_seen).sum();
+    assert_eq!(keys_seen, 0, "a backend server saw a caller's key");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_wrong_key_runs_nothing() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let cluster = small_mesh().await?;
+    let caller = TestCaller::new(&cluster)?.with_secret("not-a-key");
+    let book = kind(&cluster, "book");
+
+    let end = caller.send(cluster.entries()[0], &book, "wrong-key", &[]).await;
+
+    let AttemptEnd::NotRun { reason, .. } = end else { panic!("ended with {end:?}") };
+    assert_eq!(reason, "bad-key");
+    assert_eq!(cluster.effects()?.count("booking", "wrong-key"), 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_cut_answer_is_told_as_unknown_and_runs_once() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let cluster = small_mesh().await?;
+    let caller = TestCaller::new(&cluster)?;
+    let book = kind(&cluster, "book");
+
+    let end = caller.send(cluster.entries()[0], &book, "cut", &[("x-truncate", "1")]).await;
+
+    assert!(matches!(end, AttemptEnd::Unknown { .. }), "ended with {end:?}");
+    assert_eq!(cluster.effects()?.count("booking", "cut"), 1);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_late_answer_reaches_no_other_request() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let cluster = small_mesh().await?;
+    let caller = TestCaller::new(&cluster)?;
+    let book = kind(&cluster, "book");
+    let entry = cluster.entries()[0];
+
+    let late = caller.send(entry, &book, "late", &[("x-late-ms", "3000")]).await;
+    let mut ends = Vec::new();
+    for idx in 0..20 {
+        ends.push(caller.send(entry, &book, &format!("after-late-{idx}"), &[]).await);
+    }
+
+    assert!(matches!(late, AttemptEnd::Unknown { .. }), "ended with {late:?}");
+    assert!(ends.iter().all(|end| *end != AttemptEnd::Crossed), "{ends:?}");
+    assert!(ends.contains(&AttemptEnd::Whole), "{ends:?}");
+    assert_eq!(cluster.effects()?.count("booking", "late"), 1);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_stops_on_a_busy_connection() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let cluster = small_mesh().await?;
+    let caller = TestCaller::new(&cluster)?;
+    let look = kind(&cluster, "look");
+    let entry = cluster.entries()[1];
+    let account = cluster.secrets.keys().next().expect("the mesh has keys");
+    let before = caller.send(entry, &look, "before", &[]).await;
+
+    cluster.tool()?.withdraw_key(&first_key(account))?;
+    let limit = Instant::now() + PATIENCE;
+    while !is_bad_key(&caller.send(entry, &look, "withdrawn", &[]).await) {
+        assert!(Instant::now() < limit, "the withdrawn key still works");
+    }
+
+    assert_eq!(before, AttemptEnd::Whole);
+    for idx in 0..20 {
+        let end = caller.send(entry, &look, &format!("after-{idx}"), &[]).await;
+        assert!(is_bad_key(&end), "the key works again: {end:?}");
+    }
+    Ok(())
+}
+
+fn is_bad_key(end: &AttemptEnd) -> bool {
+    matches!(end, AttemptEnd::NotRun { reason, .. } if reason == "bad-key")
+}
