--- a/crates/ivytrail/src/quota/tests.rs
+++ b/crates/ivytrail/src/quota/tests.rs
@@ -15,6 +15,7 @@
     let mut home = QuotaHome::new(QuotaOptions::default());
     stash.set_account(TimePoint::ORIGIN, &account, 100.0, 50.0);
     home.set_account(TimePoint::ORIGIN, &account, 100.0, 50.0);
+    home.renew(TimePoint::ORIGIN, TimePoint::from_millis(10_000));
     (0..MAX_SHARES).for_each(|it| home.gain(TimePoint::ORIGIN, &account, it));
     let now = TimePoint::from_millis(5_000);
     let mut out = Vec::new();
@@ -97,3 +98,75 @@
         prop_assert!(overrun <= 0, "the busiest window holds {} millionths of a request too many", overrun);
     }
 }
+
+#[test]
+fn home_whose_lease_lapsed_gives_up_its_shares() {
+    let account = AccountName::from("meteo");
+    let mut home = QuotaHome::new(QuotaOptions::default());
+    home.set_account(TimePoint::ORIGIN, &account, 100.0, 50.0);
+    home.renew(TimePoint::ORIGIN, TimePoint::from_millis(1_000));
+    home.gain(TimePoint::ORIGIN, &account, 0);
+
+    home.renew(TimePoint::from_millis(900), TimePoint::from_millis(1_900));
+    assert!(home.owns(&account, 0));
+    home.renew(TimePoint::from_millis(1_901), TimePoint::from_millis(2_900));
+    assert!(!home.owns(&account, 0));
+}
+
+#[test]
+fn undelivered_ask_goes_to_another_share() {
+    let account = AccountName::from("meteo");
+    let mut stash = QuotaStash::new(QuotaOptions::default(), 1);
+    stash.set_account(TimePoint::ORIGIN, &account, 100.0, 50.0);
+    let now = TimePoint::from_millis(5_000);
+    let mut out = Vec::new();
+    stash.request(now, &account, CallId(1), &mut out);
+    let Some(QuotaEffect::Ask { ask, .. }) = out.pop() else { panic!("no ask in {out:?}") };
+
+    stash.fail(now, &ask, &mut out);
+
+    let is_elsewhere =
+        |it: &QuotaEffect| matches!(it, QuotaEffect::Ask { share, .. } if *share != ask.share);
+    assert!(out.len() == 1 && out.iter().all(is_elsewhere), "{out:?}");
+}
+
+#[test]
+fn removed_account_refuses_its_waiting_calls() {
+    let account = AccountName::from("meteo");
+    let mut stash = QuotaStash::new(QuotaOptions::default(), 1);
+    stash.set_account(TimePoint::ORIGIN, &account, 100.0, 50.0);
+    let mut out = Vec::new();
+    stash.request(TimePoint::ORIGIN, &account, CallId(1), &mut out);
+    out.clear();
+
+    stash.remove_account(&account, &mut out);
+
+    assert!(matches!(out[..], [QuotaEffect::Refuse { call: CallId(1), .. }]), "{out:?}");
+}
+
+/// The first home is paused and loses its shares to the second one, which saves up tokens, spends them and is paused in
+/// turn. The first one must not add what it would have saved up in all that time.
+#[test]
+fn home_that_owns_a_share_again_starts_empty() {
+    let case = FleetCase {
+        rate: 20,
+        burst: 200,
+        n_entries: 1,
+        n_homes: 2,
+        phases: vec![(9_300_000, 0), (100_000, 3_000), (1_400_000, 0), (100_000, 3_000)],
+        pauses: vec![(1, 500_000, 1_500_000), (2, 9_500_000, 2_500_000)],
+        ..calm_case()
+    };
+    let (fleet, overrun) = run(case);
+    assert!(140 < fleet.uses.len(), "{} uses", fleet.uses.len());
+    assert!(overrun <= 0);
+}
+
+#[test]
+fn burst_too_small_for_the_hold_time_lowers_the_minted_rate() {
+    let plan = |rate, burst| QuotaPlan::new(rate, burst, &QuotaOptions::default());
+    assert_eq!(plan(100.0, 0.5), None);
+    assert!(plan(10.0, 1.0).is_some_and(|it| (8.9..9.1).contains(&it.minted_rate_per_s())));
+    assert!(plan(10.0, 2.0).is_some_and(|it| it.minted_rate_per_s() == 10.0 && it.n_shares() == 1));
+    assert!(plan(300.0, 300.0).is_some_and(|it| it.n_shares() == MAX_SHARES));
+}
--- a/tests/tests/process_faults.rs
+++ b/tests/tests/process_faults.rs
@@ -7,7 +7,7 @@
 use ivytrail_fakes::{
     caller::AttemptEnd, cluster::MeshCluster, platform::PlatformFaults, process::ChildSignal,
 };
-use ivytrail_tests::{BackgroundLoad, MESH_TURN, PATIENCE, TestCaller, kind, small_mesh};
+use ivytrail_tests::mesh::{BackgroundLoad, MESH_TURN, PATIENCE, TestCaller, kind, small_mesh};
 
 /// Length of the load beside each fault.
 const LOAD_LENGTH: Duration = Duration::from_secs(8);
--- a/tests/tests/whole_path.rs
+++ b/tests/tests/whole_path.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 use ivytrail_fakes::{caller::AttemptEnd, cluster::first_key};
-use ivytrail_tests::{MESH_TURN, PATIENCE, TestCaller, kind, small_mesh};
+use ivytrail_tests::mesh::{MESH_TURN, PATIENCE, TestCaller, kind, small_mesh};
 use tokio::time::Instant;
 
 #[tokio::test]
