--- a/crates/ivytrail/src/reducer/settings_flow.rs
+++ b/crates/ivytrail/src/reducer/settings_flow.rs
@@ -127,6 +127,7 @@
             SettingsReading::Tree(tree) => {
                 let head = tree.revision;
                 self.desk.feed.on_snapshot(*tree);
+                self.desk.feed.on_changes(&[]);
                 self.desk.watch.on_head(sent_at, head);
             }
         }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,4 +1,5 @@
 //! Golden sessions, randomised runs and process tests.
 
 pub mod fleet;
+pub mod mesh;
 pub mod queue;
