End a fence with the membership that it was for

A member that was fenced and dropped while it was restarting never learned it and was added again as the same incarnation; a member that remembered the fence passed it on, so that some took it for fenced while it held its lease. Ruled out: forbidding the return of an incarnation (nobody remembers all those that were dropped). Change: a fence lasts for one membership; where epochs were missed it is forgotten, unless the member is proved to have ended. A member that hears of its own fence is expelled for good.

--- a/crates/ivytrail/src/lease/fence.rs
+++ b/crates/ivytrail/src/lease/fence.rs
@@ -27,17 +27,32 @@
     reports: BTreeMap<MemberId, SuspectReport>,
     /// Members that this daemon suspects.
     suspects: BTreeSet<MemberId>,
-    /// Members that can never hold the lease again, and when this daemon learned it.
+    /// Members that can't hold the lease again during this membership, and when this daemon learned it.
     fences: BTreeMap<MemberId, TimePoint>,
+    /// Members that are proved to have ended for good.
+    ended: BTreeSet<MemberId>,
 }
 
 impl FenceBook {
-    /// Starts an epoch: votes and reports of others count only in the epoch in which they were sent.
-    pub(super) fn start_epoch(&mut self, definition: &RingDefinition) {
+    /// Starts an epoch after `past`, the definition that was installed before.
+    ///
+    /// Votes and reports of others count only in the epoch in which they were sent. A fence lasts as long as the
+    /// membership: where this daemon can't tell that a member was one throughout, it may have been dropped and added
+    /// again, and others take it for unfenced. Votes of this daemon stay all the same, which is safe.
+    pub(super) fn start_epoch(
+        &mut self,
+        past: Option<&RingDefinition>,
+        definition: &RingDefinition,
+    ) {
         self.votes.clear();
         self.reports.clear();
         self.suspects.clear();
         self.mine.retain(|member| definition.contains(member));
+        let past = past.filter(|past| past.epoch + 1 == definition.epoch);
+        self.fences.retain(|member, _| {
+            let stayed = past.is_some_and(|past| past.contains(member));
+            stayed || !definition.contains(member) || self.ended.contains(member)
+        });
     }
 
     /// Takes in what `from` has said in this epoch.
@@ -91,7 +106,13 @@
         others + usize::from(self.mine.contains(target) && definition.contains(me))
     }
 
-    /// Records that `target` can never hold the lease again.
+    /// Records that `target` has ended for good.
+    pub(super) fn end(&mut self, now: TimePoint, target: &MemberId) {
+        self.ended.insert(target.clone());
+        self.fence(now, target);
+    }
+
+    /// Records that `target` can't hold the lease again during this membership.
     pub(super) fn fence(&mut self, now: TimePoint, target: &MemberId) {
         self.fences.entry(target.clone()).or_insert(now);
     }
@@ -107,6 +128,7 @@
         F: Fn(&MemberId) -> bool,
     {
         self.fences.retain(|member, _| is_needed(member));
+        self.ended.retain(|member| is_needed(member));
     }
 
     /// Returns the view to send; `definition` limits it to current members.
--- a/crates/ivytrail/src/lease/ring.rs
+++ b/crates/ivytrail/src/lease/ring.rs
@@ -88,8 +88,9 @@
             return;
         }
         let is_member = definition.contains(&self.me);
-        let past = self.definition.take().filter(|past| past.contains(&self.me));
-        if let Some(past) = past {
+        let past = self.definition.take();
+        self.fences.start_epoch(past.as_ref(), &definition);
+        if let Some(past) = past.filter(|past| past.contains(&self.me)) {
             self.is_expelled |= !is_member;
             let is_next = past.epoch + 1 == definition.epoch;
             self.history.push(past);
@@ -100,7 +101,6 @@
         if is_member && !self.was_member() {
             self.join(&definition);
         }
-        self.fences.start_epoch(&definition);
         self.definition = Some(definition);
         self.installed_at = now;
         self.next_ask = now;
@@ -126,7 +126,7 @@
         self.end_older_incarnations(now, from);
         match message.body {
             LeaseBody::Definition(definition) => self.install(now, definition),
-            LeaseBody::Leave => self.fences.fence(now, from),
+            LeaseBody::Leave => self.fences.end(now, from),
             _ if message.epoch < self.epoch() => self.send_definition(from, out),
             _ if self.epoch() < message.epoch => {
                 out.push((from.clone(), self.message_in(&message.ring, LeaseBody::Behind)));
@@ -211,14 +211,14 @@
         self.holds_lease(now) && self.owner_of(digest).as_ref() == Some(&self.me)
     }
 
-    /// Returns when this daemon learned that `member` can never hold the lease again.
+    /// Returns when this daemon learned that `member` can't hold the lease again during this membership.
     pub fn fence_of(&self, member: &MemberId) -> Option<TimePoint> {
         self.fences.fenced_at(member)
     }
 
     /// Returns whether this incarnation can never hold the lease again, so that the daemon has to start anew.
     pub fn is_expelled(&self) -> bool {
-        self.is_expelled || self.fences.fenced_at(&self.me).is_some()
+        self.is_expelled
     }
 
     /// Returns who may have owned the key before this daemon, the latest first.
@@ -289,7 +289,7 @@
             .cloned()
             .collect();
         for member in older {
-            self.fences.fence(now, &member);
+            self.fences.end(now, &member);
         }
     }
 
@@ -345,6 +345,7 @@
                 .grants
                 .is_clear(now, definition.epoch, |it| self.fences.fenced_at(it).is_some());
         self.judge(now, &definition);
+        self.is_expelled |= self.fences.fenced_at(&self.me).is_some();
         self.definition = Some(definition);
         if !self.was_active && self.holds_lease(now) {
             self.activate(now);
--- a/tests/tests/ring_runs.rs
+++ b/tests/tests/ring_runs.rs
@@ -125,3 +125,32 @@
     check(Sabotage::NoTombstone, "not to have run");
     check(Sabotage::UncheckedStart, "");
 }
+
+#[test]
+fn found_runs_stay_mended() {
+    let fault = |at, kind, guard, ms| (at, FleetFault { kind, guard, ms });
+    let plan = FleetPlan {
+        seed: 3_469_705_929_222_524_717,
+        drift_ppm: vec![984, 729, 292],
+        n_founders: 1,
+        faults: vec![
+            fault(69_783, FaultKind::Pause, 0, 10_622),
+            fault(48_047, FaultKind::Pause, 1, 8_483),
+            fault(44_718, FaultKind::Restart, 1, 5_843),
+            fault(60_121, FaultKind::Leave, 0, 3_903),
+            fault(2_959, FaultKind::Silence, 1, 14_190),
+            fault(35_097, FaultKind::Restart, 1, 12_000),
+        ],
+        length_ms: LENGTH_MS,
+        key_every_ms: 150,
+        keys: KeyKind::Timed,
+        quality: LinkQuality::default(),
+        claims: short_memory(),
+        pauses_before_run: false,
+        sabotage: Sabotage::Nothing,
+    };
+
+    let report = GuardFleet::run(plan);
+
+    assert!(report.is_ok(), "{report:?}");
+}
