Take back the token of a refused call that has not run

Cause: a request refused under overload had spent its account's token, so resends pushed accounts within their rate over it. Ruled out: not counting such requests at all, which would need the guard's verdict before the token. Change: the token of a call whose answer is not-run serves another call of the account while it would not be void; the bound holds as before, since it is used within its old time. The demo counts refusals on quota only.

--- a/crates/ivytrail-fakes/src/demo/report.rs
+++ b/crates/ivytrail-fakes/src/demo/report.rs
@@ -47,7 +47,7 @@
     /// Share of whole answers while another client account sends eight times its rate, over the share before, of the
     /// client account that is served worst.
     pub worst_account_ratio: f64,
-    /// Requests refused as not run that came when their client account sent no more than its rate.
+    /// Requests refused on quota that came when their client account sent no more than its rate.
     pub refused_within_rate: u64,
     /// Median time that two hops add, in microseconds.
     pub added_p50_us: u64,
@@ -141,6 +141,6 @@
         let factor = phase.account_factors.get(&account.name).copied().unwrap_or(phase.factor);
         factor <= account.rate_multiple
     };
-    let is_refused = |record: &CallRecord| matches!(record.end, CallEnd::NotRun { .. });
+    let is_refused = |record: &CallRecord| matches!(&record.end, CallEnd::NotRun { reason } if reason == "over-quota");
     records.iter().filter(|it| is_refused(it) && is_within(it)).count() as u64
 }
--- a/crates/ivytrail/src/quota/account.rs
+++ b/crates/ivytrail/src/quota/account.rs
@@ -37,6 +37,13 @@
     until: TimePoint,
 }
 
+/// A token that was spent on a call and may come back while it would not be void yet.
+#[derive(Clone, Copy, Debug)]
+struct SpentToken {
+    call: CallId,
+    until: TimePoint,
+}
+
 /// A request that waits for a token.
 #[derive(Clone, Copy, Debug)]
 struct WaitingCall {
@@ -73,6 +80,8 @@
     shares: Vec<ShareState>,
     next_share: usize,
     tokens: Vec<HeldToken>,
+    /// Tokens that may still be taken back.
+    spent: VecDeque<SpentToken>,
     waiting: VecDeque<WaitingCall>,
     asks: Vec<OpenAsk>,
     demand: DemandMeter,
@@ -89,6 +98,7 @@
             shares: Vec::new(),
             next_share: 0,
             tokens: Vec::new(),
+            spent: VecDeque::new(),
             waiting: VecDeque::new(),
             asks: Vec::new(),
             demand: DemandMeter::default(),
@@ -109,7 +119,10 @@
 
     /// Returns whether there is nothing to do for this account before the next request.
     pub(crate) fn is_idle(&self) -> bool {
-        self.waiting.is_empty() && self.asks.is_empty() && self.tokens.is_empty()
+        self.waiting.is_empty()
+            && self.asks.is_empty()
+            && self.tokens.is_empty()
+            && self.spent.is_empty()
     }
 
     /// Returns the number of tokens that became void unused.
@@ -131,11 +144,16 @@
         let deadline = now.plus(plan.max_wait());
         self.demand.count(now);
         self.drop_void(now);
-        let verdict = if self.waiting.is_empty() && self.spend(now) {
-            QuotaVerdict::Granted
-        } else {
-            self.waiting.push_back(WaitingCall { call, deadline });
-            QuotaVerdict::Waiting
+        let spent = if self.waiting.is_empty() { self.spend(now) } else { None };
+        let verdict = match spent {
+            Some(until) => {
+                self.spent.push_back(SpentToken { call, until });
+                QuotaVerdict::Granted
+            }
+            None => {
+                self.waiting.push_back(WaitingCall { call, deadline });
+                QuotaVerdict::Waiting
+            }
         };
         let n_before = out.len();
         self.ask_for_needs(now, serial, out);
@@ -220,24 +238,38 @@
     /// Hands tokens to waiting requests and asks for what is missing.
     fn settle(&mut self, now: TimePoint, serial: &mut u64, out: &mut Vec<QuotaEffect>) {
         self.drop_void(now);
-        while !self.waiting.is_empty() && self.spend(now) {
-            let served = self.waiting.pop_front();
-            out.extend(served.map(|it| QuotaEffect::Admit { call: it.call }));
+        while !self.waiting.is_empty()
+            && let Some(until) = self.spend(now)
+        {
+            let Some(served) = self.waiting.pop_front() else { break };
+            self.spent.push_back(SpentToken { call: served.call, until });
+            out.push(QuotaEffect::Admit { call: served.call });
         }
         self.ask_for_needs(now, serial, out);
     }
 
-    /// Spends the usable token that becomes void first.
-    fn spend(&mut self, now: TimePoint) -> bool {
+    /// Takes back the token of a call that has not run. It stays usable only until the time at which it was to become
+    /// void, so the bound on the uses of any window holds as before.
+    pub(crate) fn take_back(&mut self, now: TimePoint, call: CallId) {
+        let spent = self.spent.iter().position(|it| it.call == call);
+        let token = spent.and_then(|idx| self.spent.remove(idx));
+        if let Some(token) = token.filter(|it| now <= it.until) {
+            self.tokens.push(HeldToken { from: now, until: token.until });
+        }
+    }
+
+    /// Spends the usable token that becomes void first, and returns when it would have become void.
+    fn spend(&mut self, now: TimePoint) -> Option<TimePoint> {
         let usable =
             self.tokens.iter().enumerate().filter(|(_, it)| it.from <= now && now <= it.until);
         let first = usable.min_by_key(|(_, it)| it.until).map(|(idx, _)| idx);
-        first.map(|idx| self.tokens.swap_remove(idx)).is_some()
+        first.map(|idx| self.tokens.swap_remove(idx).until)
     }
 
     fn drop_void(&mut self, now: TimePoint) {
         let n_before = self.tokens.len();
         self.tokens.retain(|it| now <= it.until);
+        self.spent.retain(|it| now <= it.until);
         self.n_lapsed += (n_before - self.tokens.len()) as u64;
     }
 
--- a/crates/ivytrail/src/quota/stash.rs
+++ b/crates/ivytrail/src/quota/stash.rs
@@ -121,6 +121,14 @@
         self.note_effects(&ask.account, &out[n_before..]);
     }
 
+    /// Takes back the token of a call that was refused and has not run, for the next request of its account.
+    pub fn take_back(&mut self, now: TimePoint, account: &AccountName, call: CallId) {
+        if let Some(entry) = self.accounts.get_mut(account) {
+            entry.take_back(now, call);
+            self.active.insert(account.clone());
+        }
+    }
+
     /// Forgets a waiting call whose caller has gone.
     pub fn abandon(&mut self, call: CallId) {
         let account = self.waiting.remove(&call);
--- a/crates/ivytrail/src/quota/tests.rs
+++ b/crates/ivytrail/src/quota/tests.rs
@@ -53,6 +53,38 @@
     (fleet, overrun)
 }
 
+#[test]
+fn token_of_a_call_that_has_not_run_serves_another_until_it_is_void() {
+    let account = AccountName::from("meteo");
+    let admitted = TimePoint::from_millis(5_000);
+    let used_at = |pause_ms: u64| {
+        let mut stash = stash_with_spent_token(&account, admitted);
+        let later = admitted.plus(Duration::from_millis(pause_ms));
+        stash.take_back(later, &account, CallId(1));
+        stash.request(later, &account, CallId(2), &mut Vec::new())
+    };
+
+    assert_eq!(used_at(5), QuotaVerdict::Granted);
+    assert_eq!(used_at(500), QuotaVerdict::Waiting);
+}
+
+/// Returns a stash in which call 1 has spent the only token.
+fn stash_with_spent_token(account: &AccountName, now: TimePoint) -> QuotaStash {
+    let mut stash = QuotaStash::new(QuotaOptions::default(), 1);
+    let mut home = QuotaHome::new(QuotaOptions::default());
+    stash.set_account(TimePoint::ORIGIN, account, 100.0, 50.0);
+    home.set_account(TimePoint::ORIGIN, account, 100.0, 50.0);
+    home.renew(TimePoint::ORIGIN, TimePoint::from_millis(10_000));
+    (0..MAX_SHARES).for_each(|it| home.gain(TimePoint::ORIGIN, account, it));
+    let mut out = Vec::new();
+    stash.request(now, account, CallId(1), &mut out);
+    let Some(QuotaEffect::Ask { ask, .. }) = out.pop() else { panic!("no ask in {out:?}") };
+    let grant = home.ask(now, now.plus(Duration::from_secs(1)), &ask);
+    stash.receive(now, &grant, &mut out);
+    assert_eq!(out, [QuotaEffect::Admit { call: CallId(1) }]);
+    stash
+}
+
 #[test]
 fn overrun_counts_the_busiest_window() {
     assert_eq!(overrun(&[0, 0, 0, 500_000], 2, 3), 0);
--- a/crates/ivytrail/src/reducer/call_flow.rs
+++ b/crates/ivytrail/src/reducer/call_flow.rs
@@ -323,6 +323,10 @@
         if let Some(run) = call.parent.as_ref().and_then(|it| self.guard.get_mut(it)) {
             run.purse.repay(call.purse.held());
         }
+        let is_unused = matches!(&answer, CallAnswer::Refused { outcome: CallOutcome::NotRun, .. });
+        if let Some(account) = call.template.account.as_ref().filter(|_| is_unused) {
+            self.control.stash.take_back(turn.now, account, id);
+        }
         let answer = match answer {
             CallAnswer::Refused { outcome, reason, retry_after: None } => {
                 CallAnswer::Refused { outcome, reason, retry_after: call.refuse_after }
