Measure what control costs as the fleet grows

Cause: docs/CAPACITY.md needs slopes of real daemons, not of modules alone. Change: ivytrail-scale and scripts/scale start real daemons on loopback with announced services and read their metrics, processor time, memory and the platform's counts; changes are timed until they are in force everywhere.

--- a/crates/ivytrail-fakes/src/lib.rs
+++ b/crates/ivytrail-fakes/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod operator;
 pub mod platform;
 pub mod process;
+pub mod scale;
 pub mod server;
--- a/crates/ivytrail-fakes/src/process.rs
+++ b/crates/ivytrail-fakes/src/process.rs
@@ -67,6 +67,11 @@
         &self.name
     }
 
+    /// Returns its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends `signal`.
     ///
     /// # Errors
