Take nobody's word for epochs that were missed

A member that was dropped unawares and added again asked the living member before it, whose answer says nothing of those who owned the key in between. Ruled out: asking every member (the owner in between may have ended). Change: missed epochs put a key in doubt before any member is asked. A member that does not hold its lease does not answer for others either, since it may have been fenced unawares; this was found by reading, not by a run. priors_of takes the time. The run is kept as a test; it fails without the first change.

--- a/crates/ivytrail/src/lease/history.rs
+++ b/crates/ivytrail/src/lease/history.rs
@@ -33,6 +33,8 @@
     past: Vec<PastEpoch>,
     /// End of the time of which this daemon knows nothing, unless it has been there since the first epoch.
     unknown_until: Option<TimePoint>,
+    /// End of the epochs that this daemon has missed since, in which anyone may have owned its keys.
+    missed_until: Option<TimePoint>,
 }
 
 impl EpochHistory {
@@ -44,12 +46,12 @@
     /// Records that this daemon joined a ring which others had before.
     pub(super) fn join(&mut self, before: RingDefinition) {
         self.push(before);
-        self.miss_epochs();
+        self.unknown_until = Some(TimePoint::from_micros(u64::MAX));
     }
 
     /// Records that epochs were replaced which this daemon has not seen, with owners that it does not know.
     pub(super) fn miss_epochs(&mut self) {
-        self.unknown_until = Some(TimePoint::from_micros(u64::MAX));
+        self.missed_until = Some(TimePoint::from_micros(u64::MAX));
     }
 
     /// Records the first lease in the current epoch: from now on no lease of an earlier epoch can stand.
@@ -58,6 +60,7 @@
             epoch.replaced_at = Some(now);
         }
         self.unknown_until = self.unknown_until.map(|until| until.min(now));
+        self.missed_until = self.missed_until.map(|until| until.min(now));
     }
 
     /// Returns the members of all epochs that are not closed yet.
@@ -73,6 +76,7 @@
         let is_recent = |at: TimePoint| now.since(at) <= span;
         self.past.retain(|epoch| epoch.replaced_at.is_none_or(is_recent));
         self.unknown_until = self.unknown_until.filter(|until| is_recent(*until));
+        self.missed_until = self.missed_until.filter(|until| is_recent(*until));
     }
 
     /// Returns whether a remembered epoch has `member`.
@@ -94,6 +98,8 @@
     ) where
         F: Fn(&MemberId) -> Option<TimePoint>,
     {
+        let unknown = |until| PriorOwner { member: None, until, living: false };
+        priors.extend(self.missed_until.map(unknown));
         for epoch in self.past.iter().rev() {
             let end = epoch.replaced_at.unwrap_or(TimePoint::from_micros(u64::MAX));
             for member in owners_in_order(&epoch.definition, digest) {
@@ -114,9 +120,7 @@
                 }
             }
         }
-        if let Some(until) = self.unknown_until {
-            priors.push(PriorOwner { member: None, until, living: false });
-        }
+        priors.extend(self.unknown_until.map(unknown));
     }
 }
 
--- a/crates/ivytrail/src/lease/ring.rs
+++ b/crates/ivytrail/src/lease/ring.rs
@@ -223,9 +223,18 @@
 
     /// Returns who may have owned the key before this daemon, the latest first.
     ///
-    /// The member that wants to know, where another asks, is left out by `asker`.
-    pub fn priors_of(&self, digest: &ContentDigest, asker: Option<&MemberId>) -> Vec<PriorOwner> {
+    /// The member that wants to know, where another asks, is left out by `asker`. A daemon that does not hold its lease
+    /// at `now` may have been fenced unawares, so that others have owned its keys since; it can't answer for them.
+    pub fn priors_of(
+        &self,
+        now: TimePoint,
+        digest: &ContentDigest,
+        asker: Option<&MemberId>,
+    ) -> Vec<PriorOwner> {
         let mut priors = Vec::new();
+        if asker.is_some() && !self.holds_lease(now) {
+            priors.push(PriorOwner { member: None, until: NO_END, living: false });
+        }
         let Some(definition) = self.definition.as_ref() else { return priors };
         let before =
             owners_in_order(definition, digest).into_iter().take_while(|it| **it != self.me);
--- a/crates/ivytrail/src/lease/tests.rs
+++ b/crates/ivytrail/src/lease/tests.rs
@@ -212,7 +212,7 @@
         .find(|key| rings[0].owner_of(key) == Some(member("a", 1)))
         .unwrap();
     let unknown =
-        |ring: &LeaseRing| ring.priors_of(&key, None).iter().any(|it| it.member.is_none());
+        |ring: &LeaseRing| ring.priors_of(now, &key, None).iter().any(|it| it.member.is_none());
 
     rings[0].install(now, definition(2, &["a", "b", "c", "d"]));
     assert!(!unknown(&rings[0]));
@@ -220,3 +220,19 @@
 
     assert!(unknown(&rings[0]));
 }
+
+#[test]
+fn a_member_without_its_lease_does_not_answer_for_earlier_owners() {
+    let mut rings = rings(&["a", "b", "c"]);
+    run(&mut rings, &[0, 1, 2], 0, 10);
+    let key = ContentDigest::of_parts(&[b"key"]);
+    let asker = member("d", 1);
+    let is_sure = |seconds: u64| {
+        let priors =
+            rings[0].priors_of(TimePoint::from_millis(seconds * 1_000), &key, Some(&asker));
+        priors.iter().all(|prior| prior.member.is_some())
+    };
+
+    assert!(is_sure(10));
+    assert!(!is_sure(20), "others may have owned the key while this one stood still");
+}
--- a/tests/src/fleet/guard.rs
+++ b/tests/src/fleet/guard.rs
@@ -170,7 +170,7 @@
                 self.send(&me, from, &FleetMessage::Fate { attempt, fate });
             }
             FleetMessage::Question(question) => {
-                let priors = node.ring.priors_of(&question.claim, Some(from));
+                let priors = node.ring.priors_of(now, &question.claim, Some(from));
                 let answer = node.table.answer(now, wall, from, &question, &priors);
                 self.send(&me, from, &FleetMessage::Answer(answer));
             }
@@ -205,7 +205,7 @@
         }
         let priors = match self.plan.sabotage {
             Sabotage::NoPriors => Vec::new(),
-            _ => node.ring.priors_of(&request.claim, None),
+            _ => node.ring.priors_of(now, &request.claim, None),
         };
         let offer = ClaimOffer {
             claim: request.claim,
--- a/tests/tests/ring_runs.rs
+++ b/tests/tests/ring_runs.rs
@@ -126,21 +126,14 @@
     check(Sabotage::UncheckedStart, "");
 }
 
-#[test]
-fn found_runs_stay_mended() {
-    let fault = |at, kind, guard, ms| (at, FleetFault { kind, guard, ms });
-    let plan = FleetPlan {
-        seed: 3_469_705_929_222_524_717,
-        drift_ppm: vec![984, 729, 292],
+/// Returns a plan of a run that has found a fault.
+fn found_plan(seed: u64, drift_ppm: &[i64], faults: &[(u64, FaultKind, usize, u64)]) -> FleetPlan {
+    let fault = |&(at, kind, guard, ms): &_| (at, FleetFault { kind, guard, ms });
+    FleetPlan {
+        seed,
+        drift_ppm: drift_ppm.to_vec(),
         n_founders: 1,
-        faults: vec![
-            fault(69_783, FaultKind::Pause, 0, 10_622),
-            fault(48_047, FaultKind::Pause, 1, 8_483),
-            fault(44_718, FaultKind::Restart, 1, 5_843),
-            fault(60_121, FaultKind::Leave, 0, 3_903),
-            fault(2_959, FaultKind::Silence, 1, 14_190),
-            fault(35_097, FaultKind::Restart, 1, 12_000),
-        ],
+        faults: faults.iter().map(fault).collect(),
         length_ms: LENGTH_MS,
         key_every_ms: 150,
         keys: KeyKind::Timed,
@@ -148,9 +141,46 @@
         claims: short_memory(),
         pauses_before_run: false,
         sabotage: Sabotage::Nothing,
-    };
+    }
+}
+
+#[test]
+fn a_member_that_returns_unawares_of_its_fence_is_no_second_owner() {
+    let plan = found_plan(
+        3_469_705_929_222_524_717,
+        &[984, 729, 292],
+        &[
+            (69_783, FaultKind::Pause, 0, 10_622),
+            (48_047, FaultKind::Pause, 1, 8_483),
+            (44_718, FaultKind::Restart, 1, 5_843),
+            (60_121, FaultKind::Leave, 0, 3_903),
+            (2_959, FaultKind::Silence, 1, 14_190),
+            (35_097, FaultKind::Restart, 1, 12_000),
+        ],
+    );
 
     let report = GuardFleet::run(plan);
 
     assert!(report.is_ok(), "{report:?}");
 }
+
+#[test]
+fn a_member_that_missed_epochs_takes_no_earlier_owners_word_for_them() {
+    let plan = found_plan(
+        17_369_547_229_622_235_229,
+        &[-790, -551, 842, 213, 62],
+        &[
+            (48_509, FaultKind::Pause, 2, 4_528),
+            (37_515, FaultKind::Pause, 3, 7_961),
+            (40_919, FaultKind::Outage, 3, 1_652),
+            (38_572, FaultKind::Pause, 4, 11_970),
+            (35_412, FaultKind::Pause, 2, 11_177),
+            (52_181, FaultKind::Pause, 3, 13_197),
+            (49_090, FaultKind::Pause, 2, 10_657),
+        ],
+    );
+
+    let report = GuardFleet::run(FleetPlan { n_founders: 3, pauses_before_run: true, ..plan });
+
+    assert!(report.is_ok(), "{report:?}");
+}
