--- a/tests/tests/process_faults.rs
+++ b/tests/tests/process_faults.rs
@@ -8,6 +8,7 @@
     caller::AttemptEnd, cluster::MeshCluster, platform::PlatformFaults, process::ChildSignal,
 };
 use ivytrail_tests::mesh::{BackgroundLoad, MESH_TURN, PATIENCE, TestCaller, kind, small_mesh};
+use tokio::time::Instant;
 
 /// Length of the load beside each fault.
 const LOAD_LENGTH: Duration = Duration::from_secs(8);
@@ -94,7 +95,9 @@
         })
         .collect();
     // Each request has taken effect and waits for its answer when the daemon is asked to leave.
+    let limit = Instant::now() + PATIENCE;
     while cluster.effects()?.total("launch") < 4 + effects_of_probes(&cluster)? {
+        assert!(Instant::now() < limit, "the requests don't run");
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     let mut daemon = cluster.nodes[0].daemon.take().context("the daemon runs")?;
--- a/tests/tests/whole_path.rs
+++ b/tests/tests/whole_path.rs
@@ -81,7 +81,7 @@
     assert!(matches!(late, AttemptEnd::Unknown { .. }), "ended with {late:?}");
     assert!(ends.iter().all(|end| *end != AttemptEnd::Crossed), "{ends:?}");
     assert!(ends.contains(&AttemptEnd::Whole), "{ends:?}");
-    assert_eq!(cluster.effects()?.count("booking", "late"), 1);
+    assert_eq!(cluster.effects()?.count("booking", "late"), 1, "told {late:?}");
     Ok(())
 }
 
