--- a/crates/ivytrail-daemon/src/executor.rs
+++ b/crates/ivytrail-daemon/src/executor.rs
@@ -5,13 +5,13 @@
 use bytes::Bytes;
 use ivytrail::{
     id::{AttemptId, CallId, CallToken, MemberId},
-    lease::RingDefinition,
     message::{AttemptHeader, AttemptReply, ControlMessage},
     reducer::{BreakCause, CallAnswer, DaemonEffect, DaemonEvent, RunEnd},
 };
 use tokio::sync::{Notify, mpsc::UnboundedSender};
 
 use crate::{
+    control_loop::PlatformRequest,
     metrics::DaemonMetrics,
     peer_client::{PeerClient, SendError},
     run_client::RunClient,
@@ -27,22 +27,22 @@
     shell: DaemonShell,
     peers: PeerClient,
     runs: RunClient,
-    proposals: UnboundedSender<RingDefinition>,
+    requests: UnboundedSender<PlatformRequest>,
     restart: Notify,
     metrics: Arc<DaemonMetrics>,
 }
 
 impl EffectExecutor {
-    /// Returns an executor for the shell; proposed ring definitions go to `proposals`.
+    /// Returns an executor for the shell; what the platform is asked for goes to `requests`.
     pub fn new(
         shell: DaemonShell,
         peers: PeerClient,
         runs: RunClient,
-        proposals: UnboundedSender<RingDefinition>,
+        requests: UnboundedSender<PlatformRequest>,
     ) -> EffectExecutor {
         let restart = Notify::new();
         let metrics = peers.metric_set().clone();
-        EffectExecutor(Arc::new(ExecutorParts { shell, peers, runs, proposals, restart, metrics }))
+        EffectExecutor(Arc::new(ExecutorParts { shell, peers, runs, requests, restart, metrics }))
     }
 
     /// Returns the shell.
@@ -126,7 +126,13 @@
                 }
                 DaemonEffect::ProbeBackend => self.probe_backend(),
                 // The control loop ends only with the process.
-                DaemonEffect::ProposeRing(definition) => drop(self.0.proposals.send(definition)),
+                DaemonEffect::ProposeRing(definition) => {
+                    drop(self.0.requests.send(PlatformRequest::WriteRing(definition)));
+                }
+                DaemonEffect::ReadChanges { after } => {
+                    drop(self.0.requests.send(PlatformRequest::ReadChanges { after }));
+                }
+                DaemonEffect::ReadTree => drop(self.0.requests.send(PlatformRequest::ReadTree)),
                 DaemonEffect::StartAnew => self.0.restart.notify_one(),
                 DaemonEffect::LogLine(line) => log::info!("{line}"),
             }
--- a/crates/ivytrail-daemon/src/server.rs
+++ b/crates/ivytrail-daemon/src/server.rs
@@ -70,12 +70,12 @@
         settings.decisions,
     ));
     let peers = PeerClient::new(member.clone(), secret.clone())?;
-    let (proposer, proposals) = tokio::sync::mpsc::unbounded_channel();
-    let executor = EffectExecutor::new(shell, peers, RunClient::new()?, proposer);
+    let (requester, requests) = tokio::sync::mpsc::unbounded_channel();
+    let executor = EffectExecutor::new(shell, peers, RunClient::new()?, requester);
 
     let platform = PlatformClient::new(&settings.platform, settings.intervals.platform_timeout)?;
     let handles = start_interfaces(&executor, &platform, member, &settings).await?;
-    let mut loops = control_loop::spawn(&executor, &platform, proposals);
+    let mut loops = control_loop::spawn(&executor, &platform, requests);
     loops.push(spawn_ticks(executor.clone()));
     log::info!("event=started");
     let outcome = tokio::select! {
--- a/crates/ivytrail/src/message.rs
+++ b/crates/ivytrail/src/message.rs
@@ -11,13 +11,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    authority::AuthorityMessage,
     claim::{ClaimAnswer, ClaimHandover, ClaimQuestion},
     id::{AccountName, AttemptId, ContentDigest, RootId, RouteName, ServiceName},
-    lease::LeaseMessage,
+    lease::{LeaseMessage, RingDefinition},
     membership::GossipMessage,
     quarantine::Suspicion,
     quota::{QuotaAsk, QuotaGrant},
-    settings::{PriorityClass, Revision},
+    settings::{PriorityClass, Revision, feed::FeedMessage},
 };
 
 /// What became of a request, as told to its caller. It is never more certain than the proof behind it.
@@ -187,6 +188,12 @@
     Gossip(GossipMessage),
     /// Leases of a ring.
     Lease(LeaseMessage),
+    /// Spreads settings.
+    Feed(FeedMessage),
+    /// Proves how recent settings are.
+    Authority(AuthorityMessage),
+    /// Tells of a newer definition of the control ring.
+    Ring(RingDefinition),
     /// Asks for quota tokens.
     QuotaAsk(QuotaAsk),
     /// Hands over quota tokens.
--- a/crates/ivytrail/src/reducer.rs
+++ b/crates/ivytrail/src/reducer.rs
@@ -55,6 +55,7 @@
 mod quota_flow;
 mod rings;
 mod run_flow;
+mod settings_flow;
 #[cfg(test)]
 mod tests;
 
@@ -69,28 +70,26 @@
     control_flow::ControlPlane,
     entry::EntryCalls,
     guard::{GuardRuns, RecentReplies},
+    settings_flow::SettingsDesk,
 };
 pub use self::{
     effect::{CallAnswer, DaemonEffect},
     event::{
         BackendNotice, BackendState, BreakCause, CallRequest, CallSource, DaemonEvent, LearnedFact,
-        RunEnd, TimedEvent,
+        RunEnd, SettingsReading, TimedEvent,
     },
 };
 use crate::{
-    admission::{AdmissionOptions, AdmissionQueue, EntryGate},
+    admission::{AdmissionOptions, AdmissionQueue, EntryGate, GateOptions},
     claim::{AttemptLedger, ClaimOptions, ClaimTable, LedgerOptions},
-    id::{
-        AccountName, ContentDigest, DomainName, InstanceName, MemberId, RingName, RouteName,
-        ServiceName,
-    },
+    id::{AccountName, ContentDigest, DomainName, MemberId, RingName, RouteName, ServiceName},
     lease::LeaseOptions,
     membership::MemberRecord,
     message::LoadReport,
     quarantine::CrashQuarantine,
     retry::RetryRatio,
     routing::{RoutingOptions, UpstreamPicker},
-    settings::{Revision, SettingsChange, decisions::DecisionSwitches, index::SettingsInForce},
+    settings::{decisions::DecisionSwitches, feed::FeedPeer, index::SettingsInForce},
     time::{TimePoint, WallClock},
 };
 
@@ -122,8 +121,7 @@
     identity: DaemonIdentity,
     settings: SettingsInForce,
     switches: DecisionSwitches,
-    /// End of the time for which the settings are known to be in force.
-    authority_until: TimePoint,
+    desk: SettingsDesk,
     is_leaving: bool,
     is_starting_anew: bool,
     entry: EntryCalls,
@@ -187,6 +185,8 @@
         seed: [u8; 32],
         switches: DecisionSwitches,
     ) -> DaemonReducer {
+        let feed_peer =
+            FeedPeer { member: identity.member.clone(), domain: identity.domain.clone() };
         let number = ContentDigest::of_parts(&[&seed]).prefix();
         let routing = RoutingOptions {
             load_aware: switches.load_routing,
@@ -207,7 +207,7 @@
         DaemonReducer {
             settings: SettingsInForce::default(),
             switches,
-            authority_until: TimePoint::ORIGIN,
+            desk: SettingsDesk::new(&feed_peer, number),
             is_leaving: false,
             is_starting_anew: false,
             entry: EntryCalls::new(identity.member.clone()),
@@ -217,7 +217,10 @@
             claims: ClaimTable::new(ClaimOptions::default()),
             run_window: LeaseOptions::default().run_window(),
             admission: AdmissionQueue::new(admission),
-            gate: EntryGate::new(),
+            gate: EntryGate::with_options(GateOptions {
+                cuts: switches.entry_gate,
+                fair: switches.fairness,
+            }),
             picker: UpstreamPicker::new(routing),
             ratios: HashMap::new(),
             loads: HashMap::new(),
@@ -254,9 +257,8 @@
             DaemonEvent::ControlLost { message } => self.lose_control(&mut turn, &message),
             DaemonEvent::ControlLearned(fact) => self.learn(&mut turn, fact),
             DaemonEvent::ChangesLearned(changes) => self.learn_changes(&mut turn, &changes),
-            DaemonEvent::SettingsInstalled(settings) => self.install_settings(&mut turn, settings),
-            DaemonEvent::AuthorityConfirmed { until } => {
-                self.authority_until = self.authority_until.max(until);
+            DaemonEvent::SettingsRead { sent_at, reading } => {
+                self.take_reading(&mut turn, sent_at, reading);
             }
             DaemonEvent::DrainOrdered { member } => self.order_drain(&mut turn, member),
             DaemonEvent::DrainRequested => self.start_leaving(&mut turn),
@@ -272,16 +274,6 @@
         self.entry.is_empty() && self.guard.is_empty()
     }
 
-    /// Returns the settings in force here.
-    pub fn settings(&self) -> &SettingsInForce {
-        &self.settings
-    }
-
-    /// Returns the revision of the settings in force here.
-    pub fn revision(&self) -> Revision {
-        self.settings.revision()
-    }
-
     /// Returns this daemon's own membership record.
     pub fn own_record(&self) -> &MemberRecord {
         self.control.view.own_record()
@@ -297,24 +289,6 @@
         self.control.rings.names()
     }
 
-    /// Returns whether this daemon may rely on its settings and keys at `now`.
-    pub fn is_authoritative(&self, now: TimePoint) -> bool {
-        now <= self.authority_until
-    }
-
-    /// Returns whether a change is known to be in force wherever callers are served by attestation.
-    pub fn is_confirmed(&self, revision: Revision) -> bool {
-        revision <= self.settings.revision()
-    }
-
-    /// Returns the revisions in force at other daemons, as far as they are known, with the age of the knowledge.
-    pub fn known_revisions(
-        &self,
-        _now: TimePoint,
-    ) -> Vec<(InstanceName, Option<Revision>, Duration)> {
-        Vec::new()
-    }
-
     /// Returns the last known load of a guard.
     pub fn load_of(&self, member: &MemberId) -> Option<LoadReport> {
         match *member == self.identity.member {
@@ -323,6 +297,11 @@
         }
     }
 
+    /// Returns whether this daemon knows no other one, or lacks the definition of a ring that it needs.
+    pub fn lacks_fleet(&self) -> bool {
+        self.desk.peers().is_empty() || self.control.rings.lacks_definition()
+    }
+
     /// Returns this guard's load.
     pub fn load(&self) -> LoadReport {
         self.admission.load()
@@ -333,31 +312,6 @@
         self.tick_runs(turn);
         self.tick_control(turn);
     }
-
-    /// Applies accepted changes; those that are known already are passed over.
-    fn learn_changes(&mut self, turn: &mut Turn, changes: &[SettingsChange]) {
-        let mut tree = self.settings.tree().clone();
-        for change in changes.iter().filter(|it| self.settings.revision() < it.revision) {
-            if let Err(cause) = tree.apply(change) {
-                turn.log(format!("event=change_out_of_order cause={:?}", cause.to_string()));
-                break;
-            }
-        }
-        if self.settings.revision() < tree.revision {
-            self.install_settings(turn, SettingsInForce::new(tree));
-        }
-    }
-
-    fn install_settings(&mut self, turn: &mut Turn, settings: SettingsInForce) {
-        let (before, after) = (self.settings.revision(), settings.revision());
-        if after < before {
-            turn.log(format!("event=settings_ignored revision={after} in_force={before}"));
-            return;
-        }
-        self.control.install_accounts(turn.now, &self.settings, &settings);
-        self.settings = settings;
-        turn.log(format!("event=settings_in_force revision={after}"));
-    }
 }
 
 /// Control messages of one turn that wait for their address, with those to this daemon itself.
--- a/crates/ivytrail/src/reducer/call_flow.rs
+++ b/crates/ivytrail/src/reducer/call_flow.rs
@@ -56,6 +56,7 @@
                 return refuse_at_once(turn, &request, reason, outcome);
             }
         };
+        self.control.view.subscribe(turn.now, policy.service.clone());
         let is_root = lineage.parent.is_none();
         let deadline = turn.now.plus(lineage.time_left);
         let parent = lineage.parent.clone();
@@ -83,7 +84,7 @@
         }
         let account = match key.and_then(|it| self.settings.find_key(&it)).cloned() {
             _ if policy.open => None,
-            _ if self.authority_until < turn.now => return Err(RefusalReason::StaleSettings),
+            _ if !self.is_authoritative(turn.now) => return Err(RefusalReason::StaleSettings),
             None => return Err(RefusalReason::BadKey),
             account => account,
         };
@@ -176,7 +177,7 @@
         let Some(call) = self.entry.get(id) else { return };
         let route = &call.template.route;
         let admitted = self.gate.admit(turn.now, route, call.template.level, random);
-        if let Some(wait) = admitted.err().filter(|_| self.switches.entry_gate) {
+        if let Err(wait) = admitted {
             return self.refuse_call(turn, id, RefusalReason::Overloaded, Some(wait));
         }
         let Some(account) = call.template.account.clone() else {
--- a/crates/ivytrail/src/reducer/quota_flow.rs
+++ b/crates/ivytrail/src/reducer/quota_flow.rs
@@ -18,15 +18,16 @@
 }
 
 impl ControlPlane {
-    /// Takes the accounts of newly installed settings.
+    /// Takes the accounts of newly installed settings; returns what becomes of the calls that waited for tokens.
     pub(super) fn install_accounts(
         &mut self,
         now: TimePoint,
         before: &SettingsInForce,
         after: &SettingsInForce,
-    ) {
+    ) -> Vec<QuotaEffect> {
+        let mut effects = Vec::new();
         for (name, _) in before.accounts().filter(|(name, _)| after.find_account(name).is_none()) {
-            self.stash.remove_account(name);
+            self.stash.remove_account(name, &mut effects);
             self.home.remove_account(name);
         }
         for (name, account) in after.accounts() {
@@ -36,6 +37,7 @@
             }
         }
         self.shares_due = true;
+        effects
     }
 
     /// Gains and loses shares as the control ring says.
@@ -46,6 +48,9 @@
             holds_lease: ring.holds_lease(now),
             n_fenced: self.rings.n_fenced(ring),
         };
+        if standing.holds_lease {
+            self.home.renew(now, ring.lease_end());
+        }
         let before = std::mem::replace(&mut self.standing, standing);
         if (before.epoch, before.holds_lease) != (standing.epoch, standing.holds_lease) {
             // A share that was owned under another epoch or lease starts empty.
@@ -65,9 +70,9 @@
 
     /// Hands over what the stash asks for. An ask without an owner fails at the next tick, not at once: the stash then
     /// asks for another share, and while no share has an owner that would go on without end.
-    fn route_asks(&mut self, effects: &mut Vec<QuotaEffect>) -> Vec<QuotaEffect> {
+    fn route_asks(&mut self, effects: Vec<QuotaEffect>) -> Vec<QuotaEffect> {
         let mut decided = Vec::new();
-        while let Some(effect) = effects.pop() {
+        for effect in effects {
             match effect {
                 QuotaEffect::Ask { share, ask } => {
                     let digest = share_digest(&ask.account, share);
@@ -133,8 +138,8 @@
         self.settle_quota(turn, effects);
     }
 
-    fn settle_quota(&mut self, turn: &mut Turn, mut effects: Vec<QuotaEffect>) {
-        for decision in self.control.route_asks(&mut effects) {
+    pub(super) fn settle_quota(&mut self, turn: &mut Turn, effects: Vec<QuotaEffect>) {
+        for decision in self.control.route_asks(effects) {
             match decision {
                 QuotaEffect::Admit { call } => self.quota_granted(turn, call),
                 QuotaEffect::Refuse { call, retry_after } => {
--- /dev/null
+++ b/crates/ivytrail/src/reducer/settings_flow.rs
@@ -0,0 +1,235 @@
+//! Settings: what is in force here, and whether this daemon may rely on it.
+
+use std::time::Duration;
+
+use super::{DaemonEffect, DaemonReducer, SettingsReading, Turn, rings::control_ring};
+use crate::{
+    authority::{
+        AuthorityContext, AuthorityMessage, AuthorityOptions, AuthorityWatch, ControlRing,
+    },
+    id::{InstanceName, MemberId},
+    membership::MemberView,
+    message::ControlMessage,
+    settings::{
+        Revision, SettingsChange,
+        feed::{FeedEffect, FeedMessage, FeedOptions, FeedPeer, SettingsFeed},
+        index::SettingsInForce,
+    },
+    time::TimePoint,
+};
+
+/// Daemons that are told of a newer definition of the control ring by each daemon that learns of it.
+const RING_NOTICE_FANOUT: usize = 4;
+/// Time between two looks at which other daemons there are.
+const PEER_REVIEW_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The spread of settings and the evidence for them.
+#[derive(Debug)]
+pub(super) struct SettingsDesk {
+    pub(super) feed: SettingsFeed,
+    pub(super) watch: AuthorityWatch,
+    me: MemberId,
+    peers: Vec<FeedPeer>,
+    ring: Option<ControlRing>,
+    next_review_at: TimePoint,
+}
+
+impl SettingsDesk {
+    /// Returns the desk of a daemon that knows nothing yet.
+    pub(super) fn new(me: &FeedPeer, seed: u64) -> SettingsDesk {
+        SettingsDesk {
+            feed: SettingsFeed::new(me.clone(), FeedOptions::default(), seed),
+            watch: AuthorityWatch::new(me.clone(), AuthorityOptions::default()),
+            me: me.member.clone(),
+            peers: Vec::new(),
+            ring: None,
+            next_review_at: TimePoint::ORIGIN,
+        }
+    }
+
+    /// Returns the other daemons, as last reviewed.
+    pub(super) fn peers(&self) -> &[FeedPeer] {
+        &self.peers
+    }
+
+    fn review_peers(&mut self, now: TimePoint, view: &MemberView) {
+        if now < self.next_review_at {
+            return;
+        }
+        self.next_review_at = now.plus(PEER_REVIEW_INTERVAL);
+        let others = view.members().filter(|it| !it.state.is_over() && it.member != self.me);
+        self.peers.clear();
+        self.peers.extend(
+            others.map(|it| FeedPeer { member: it.member.clone(), domain: it.domain.clone() }),
+        );
+    }
+
+    fn watch_with_context(
+        &mut self,
+        now: TimePoint,
+        holds_lease: bool,
+    ) -> (&mut AuthorityWatch, AuthorityContext<'_>) {
+        let context = AuthorityContext {
+            now,
+            revision: self.feed.revision(),
+            peers: &self.peers,
+            ring: self.ring.as_ref(),
+            holds_lease,
+        };
+        (&mut self.watch, context)
+    }
+}
+
+impl DaemonReducer {
+    /// Returns the settings in force here.
+    pub fn settings(&self) -> &SettingsInForce {
+        &self.settings
+    }
+
+    /// Returns the revision of the settings in force here.
+    pub fn revision(&self) -> Revision {
+        self.settings.revision()
+    }
+
+    /// Returns whether this daemon may rely on its settings and keys at `now`.
+    pub fn is_authoritative(&self, now: TimePoint) -> bool {
+        self.desk.watch.is_fresh(now, self.settings.revision())
+    }
+
+    /// Returns whether a change is known to be in force wherever callers are served by attestation.
+    pub fn is_confirmed(&self, revision: Revision) -> bool {
+        self.desk.watch.is_confirmed(revision)
+    }
+
+    /// Returns the revisions in force at other daemons, as last heard, with the age of the knowledge.
+    pub fn known_revisions(
+        &self,
+        now: TimePoint,
+    ) -> Vec<(InstanceName, Option<Revision>, Duration)> {
+        let heard = self.desk.feed.heard();
+        heard
+            .map(|(it, revision, at)| (it.instance.clone(), Some(revision), now.since(at)))
+            .collect()
+    }
+
+    /// Takes what was read from the platform's table.
+    pub(super) fn take_reading(
+        &mut self,
+        turn: &mut Turn,
+        sent_at: TimePoint,
+        reading: SettingsReading,
+    ) {
+        match reading {
+            SettingsReading::Changes { head, changes } => {
+                self.desk.feed.on_changes(&changes);
+                self.desk.watch.on_head(sent_at, head);
+            }
+            SettingsReading::Tree(tree) => {
+                let head = tree.revision;
+                self.desk.feed.on_snapshot(*tree);
+                self.desk.feed.on_changes(&[]);
+                self.desk.watch.on_head(sent_at, head);
+            }
+        }
+        self.put_in_force(turn);
+    }
+
+    /// Takes changes that an operator stored through this daemon; those that are known already are passed over.
+    pub(super) fn learn_changes(&mut self, turn: &mut Turn, changes: &[SettingsChange]) {
+        self.desk.feed.on_changes(changes);
+        if let Some(last) = changes.last() {
+            self.desk.watch.await_confirmation(last.revision);
+        }
+        self.put_in_force(turn);
+    }
+
+    pub(super) fn receive_feed(&mut self, turn: &mut Turn, from: &MemberId, message: FeedMessage) {
+        let effects = self.desk.feed.on_message(turn.now, from, message);
+        self.follow_feed(turn, effects);
+    }
+
+    pub(super) fn receive_authority(
+        &mut self,
+        turn: &mut Turn,
+        from: &MemberId,
+        message: &AuthorityMessage,
+    ) {
+        let holds_lease = self.control.rings.control().holds_lease(turn.now);
+        let (watch, context) = self.desk.watch_with_context(turn.now, holds_lease);
+        let answer = watch.on_message(&context, from, message);
+        if let Some(answer) = answer {
+            self.control.outbox.push_back((from.clone(), ControlMessage::Authority(answer)));
+        }
+    }
+
+    pub(super) fn tick_settings(&mut self, turn: &mut Turn) {
+        self.desk.review_peers(turn.now, &self.control.view);
+        let ring = self.control.rings.control();
+        let holds_lease = ring.holds_lease(turn.now);
+        let definition = ring.definition();
+        if definition.map(|it| it.epoch) != self.desk.ring.as_ref().map(|it| it.epoch) {
+            self.desk.ring = definition.map(|it| ControlRing {
+                epoch: it.epoch,
+                members: it.members.iter().map(|member| member.member.clone()).collect(),
+            });
+        }
+        let is_member = definition.is_some_and(|it| it.contains(&self.identity.member));
+        let desk = &mut self.desk;
+        let effects = desk.feed.tick(turn.now, &desk.peers, is_member);
+        let (watch, context) = desk.watch_with_context(turn.now, holds_lease);
+        let questions = watch.tick(&context);
+        let questions = questions.into_iter().map(|(to, it)| (to, ControlMessage::Authority(it)));
+        self.control.outbox.extend(questions);
+        self.follow_feed(turn, effects);
+    }
+
+    fn follow_feed(&mut self, turn: &mut Turn, effects: Vec<FeedEffect>) {
+        for effect in effects {
+            match effect {
+                FeedEffect::Send { to, message } => {
+                    self.control.outbox.push_back((to, ControlMessage::Feed(message)));
+                }
+                FeedEffect::ReadChanges { after } => {
+                    turn.out.push(DaemonEffect::ReadChanges { after });
+                }
+                FeedEffect::ReadTree => turn.out.push(DaemonEffect::ReadTree),
+            }
+        }
+        self.put_in_force(turn);
+    }
+
+    /// Puts the feed's tree in force when it is newer.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the feed's revision is lower than the one in force: settings never revert.
+    fn put_in_force(&mut self, turn: &mut Turn) {
+        let (before, after) = (self.settings.revision(), self.desk.feed.revision());
+        assert!(before <= after, "settings would revert from revision {before} to {after}");
+        if before == after {
+            return;
+        }
+        let settings = SettingsInForce::new(self.desk.feed.tree().clone());
+        let effects = self.control.install_accounts(turn.now, &self.settings, &settings);
+        self.settings = settings;
+        self.settle_quota(turn, effects);
+        turn.log(format!("event=settings_in_force revision={after}"));
+    }
+
+    /// Tells some other daemons of a newer definition of the control ring. Each daemon passes on what is news to it,
+    /// so that all learn of it within seconds without reading the table.
+    pub(super) fn spread_ring(&mut self) {
+        let Some(definition) = self.control.rings.control().definition().cloned() else { return };
+        assert_eq!(definition.name, control_ring(), "the control ring has one name");
+        let receivers = self.draw_peers(RING_NOTICE_FANOUT);
+        let notices =
+            receivers.into_iter().map(|to| (to, ControlMessage::Ring(definition.clone())));
+        self.control.outbox.extend(notices);
+    }
+
+    fn draw_peers(&mut self, count: usize) -> Vec<MemberId> {
+        let peers = self.desk.peers();
+        let indices = rand::seq::index::sample(&mut self.rng, peers.len(), count.min(peers.len()));
+        indices.into_iter().map(|idx| peers[idx].member.clone()).collect()
+    }
+}
