--- a/crates/ivytrail-fakes/src/lib.rs
+++ b/crates/ivytrail-fakes/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cluster;
 pub mod demo;
 pub mod direct;
+pub mod measure;
 pub mod mesh;
 pub mod operator;
 pub mod platform;
