--- a/crates/ivytrail/src/reducer/control_flow.rs
+++ b/crates/ivytrail/src/reducer/control_flow.rs
@@ -1,5 +1,7 @@
 //! Control: membership, the backend server's announcements, leaving.
 
+use std::time::Duration;
+
 use super::{
     BackendNotice, BackendState, ControlOutbox, DaemonEffect, DaemonIdentity, DaemonReducer,
     LearnedFact, Turn,
@@ -14,8 +16,13 @@
     quarantine::Suspicion,
     quota::{QuotaAsk, QuotaHome, QuotaOptions, QuotaStash},
     routing::UpstreamInfo,
+    time::TimePoint,
 };
 
+/// Time between two looks at membership, rings and settings. Calls and quotas are looked after at each tick; these cost
+/// more the more members there are, and nothing in them is due more often.
+const CONTROL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What this daemon shares with others, and the messages that wait to be sent.
 #[derive(Debug)]
 pub(super) struct ControlPlane {
@@ -25,6 +32,8 @@
     pub(super) home: QuotaHome,
     pub(super) standing: ShareStanding,
     pub(super) shares_due: bool,
+    /// When membership, rings and settings are looked after next.
+    next_tick_at: TimePoint,
     /// Asks for tokens that found no owner.
     pub(super) lost_asks: Vec<QuotaAsk>,
     pub(super) outbox: ControlOutbox,
@@ -49,6 +58,7 @@
             home: QuotaHome::new(QuotaOptions::default()),
             standing: ShareStanding::default(),
             shares_due: true,
+            next_tick_at: TimePoint::ORIGIN,
             lost_asks: Vec::new(),
             outbox: ControlOutbox::new(),
         }
@@ -169,6 +179,11 @@
     }
 
     pub(super) fn tick_control(&mut self, turn: &mut Turn) {
+        self.tick_quota(turn);
+        if turn.now < self.control.next_tick_at {
+            return;
+        }
+        self.control.next_tick_at = turn.now.plus(CONTROL_INTERVAL);
         let mut out = Vec::new();
         self.control.view.tick(turn.now, &mut out);
         self.queue_gossip(out);
@@ -177,7 +192,6 @@
         self.queue_leases(out);
         self.review_rings(turn);
         self.tick_settings(turn);
-        self.tick_quota(turn);
         for record in self.control.view.take_changes() {
             self.take_member(turn, record);
         }
