Bound the backend server's answers and read its refusals as they are meant

Cause: a negative retry-after of a backend server would have panicked the daemon, an endless answer would have filled its memory, and a refusal that came from a call further down was retried as if the server itself had no room. Change: bounded bodies with a reason of their own, checked waits, and a final refusal for nested ones.

--- a/crates/ivytrail-daemon/src/caller_desk.rs
+++ b/crates/ivytrail-daemon/src/caller_desk.rs
@@ -224,9 +224,10 @@
         RefusalReason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::BadRequest => StatusCode::BAD_REQUEST,
         RefusalReason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-        RefusalReason::ConnectionLost | RefusalReason::BrokenAnswer | RefusalReason::AnswerGone => {
-            StatusCode::BAD_GATEWAY
-        }
+        RefusalReason::ConnectionLost
+        | RefusalReason::BrokenAnswer
+        | RefusalReason::AnswerGone
+        | RefusalReason::AnswerTooLarge => StatusCode::BAD_GATEWAY,
         RefusalReason::ClaimInDoubt | RefusalReason::KeyReused => StatusCode::CONFLICT,
         RefusalReason::Overloaded
         | RefusalReason::NoUpstream
--- a/crates/ivytrail-daemon/src/run_client.rs
+++ b/crates/ivytrail-daemon/src/run_client.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use ivytrail::{id::CallToken, message::AttemptHeader, reducer::RunEnd};
 use parking_lot::RwLock;
 use reqwest::{Client, Method, Response, StatusCode};
@@ -15,6 +15,8 @@
 pub const REQUEST_HEADER: &str = "ivytrail-request";
 /// Header by which a backend server says that it refused a request before starting it.
 pub const SHED_HEADER: &str = "ivytrail-shed";
+/// Value of [`SHED_HEADER`] when the backend server itself has refused; other values tell of calls further down.
+const OWN_SHED: &str = "1";
 /// Time limit for opening a connection to the backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle connections kept to the backend server.
@@ -25,15 +27,17 @@
 pub struct RunClient {
     client: Client,
     address: RwLock<Option<String>>,
+    max_body_bytes: usize,
 }
 
 impl RunClient {
-    /// Returns a client; it knows no backend server until one has announced itself.
+    /// Returns a client that takes answers of up to `max_body_bytes`; it knows no backend server until one has announced
+    /// itself.
     ///
     /// # Errors
     ///
     /// Returns an error when the HTTP client can't be set up.
-    pub fn new() -> anyhow::Result<RunClient> {
+    pub fn new(max_body_bytes: usize) -> anyhow::Result<RunClient> {
         let client = Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
             .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
@@ -41,7 +45,7 @@
             .no_proxy()
             .redirect(reqwest::redirect::Policy::none())
             .build()?;
-        Ok(RunClient { client, address: RwLock::new(None) })
+        Ok(RunClient { client, address: RwLock::new(None), max_body_bytes })
     }
 
     /// Sets the address that the backend server has announced.
@@ -83,7 +87,7 @@
             request = request.header(name, value);
         }
         match request.body(body).send().await {
-            Ok(response) => whole_answer(response, &request_id).await,
+            Ok(response) => whole_answer(response, &request_id, self.max_body_bytes).await,
             Err(cause) if cause.is_connect() => RunEnd::NotSent,
             Err(cause) if cause.is_timeout() => RunEnd::TimedOut,
             Err(_) => RunEnd::Broken,
@@ -91,7 +95,7 @@
     }
 }
 
-async fn whole_answer(response: Response, request_id: &str) -> RunEnd {
+async fn whole_answer(response: Response, request_id: &str, max_body_bytes: usize) -> RunEnd {
     let status = response.status();
     let headers = response.headers().clone();
     let text_of = |name: &str| headers.get(name).and_then(|it| it.to_str().ok());
@@ -99,10 +103,12 @@
     if text_of(REQUEST_HEADER).is_some_and(|it| it != request_id) {
         return RunEnd::Broken;
     }
-    if status == StatusCode::SERVICE_UNAVAILABLE && text_of(SHED_HEADER).is_some() {
-        let retry_after =
-            text_of("retry-after").and_then(|it| it.parse().ok()).map(Duration::from_secs_f64);
-        return RunEnd::Shed { retry_after };
+    let shed = text_of(SHED_HEADER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+    if let Some(shed) = shed {
+        let seconds = text_of("retry-after").and_then(|it| it.parse().ok());
+        // A negative or endless wait is no wait that could be passed on.
+        let retry_after = seconds.and_then(|it| Duration::try_from_secs_f64(it).ok());
+        return RunEnd::Shed { retry_after, is_own: shed == OWN_SHED };
     }
     let kept = headers
         .iter()
@@ -110,13 +116,34 @@
         .filter(|(name, _)| !is_connection_header(name.as_str()) && !is_own_header(name.as_str()))
         .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_string())))
         .collect();
-    match response.bytes().await {
-        Ok(body) => RunEnd::Answered { status: status.as_u16(), headers: kept, body },
+    match bounded_body(response, max_body_bytes).await {
+        Ok(Some(body)) => RunEnd::Answered { status: status.as_u16(), headers: kept, body },
+        Ok(None) => RunEnd::TooLarge,
         Err(cause) if cause.is_timeout() => RunEnd::TimedOut,
         Err(_) => RunEnd::Broken,
     }
 }
 
+/// Reads a whole body; returns `None` when it is larger than `max_body_bytes`.
+async fn bounded_body(
+    mut response: Response,
+    max_body_bytes: usize,
+) -> Result<Option<Bytes>, reqwest::Error> {
+    let Some(first) = response.chunk().await? else { return Ok(Some(Bytes::new())) };
+    if first.len() <= max_body_bytes && response.content_length() == Some(first.len() as u64) {
+        // Most answers come in one piece and are not copied.
+        return Ok(response.chunk().await?.is_none().then_some(first));
+    }
+    let mut body = BytesMut::from(&first[..]);
+    while let Some(chunk) = response.chunk().await? {
+        if max_body_bytes < body.len() + chunk.len() {
+            return Ok(None);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok((body.len() <= max_body_bytes).then(|| body.freeze()))
+}
+
 /// Returns whether a header is one of the system's own.
 pub fn is_own_header(name: &str) -> bool {
     name.starts_with("ivytrail-")
--- a/crates/ivytrail-daemon/src/server.rs
+++ b/crates/ivytrail-daemon/src/server.rs
@@ -71,7 +71,12 @@
     ));
     let peers = PeerClient::new(member.clone(), secret.clone())?;
     let (requester, requests) = tokio::sync::mpsc::unbounded_channel();
-    let executor = EffectExecutor::new(shell, peers, RunClient::new()?, requester);
+    let executor = EffectExecutor::new(
+        shell,
+        peers,
+        RunClient::new(settings.limits.max_body_bytes)?,
+        requester,
+    );
 
     let platform = PlatformClient::new(&settings.platform, settings.intervals.platform_timeout)?;
     let handles = start_interfaces(&executor, &platform, member, &settings).await?;
--- a/crates/ivytrail/src/message.rs
+++ b/crates/ivytrail/src/message.rs
@@ -69,6 +69,8 @@
     ClaimInDoubt,
     /// The request ran before, and its answer is no longer stored.
     AnswerGone,
+    /// The request ran, and its answer is larger than a daemon holds.
+    AnswerTooLarge,
     /// The idempotency key was used with another request.
     KeyReused,
     /// The caller went away.
--- a/crates/ivytrail/src/reducer/event.rs
+++ b/crates/ivytrail/src/reducer/event.rs
@@ -184,11 +184,15 @@
     Shed {
         /// When to come back, where the backend server said so.
         retry_after: Option<Duration>,
+        /// Whether the backend server itself had no room; otherwise a call further down was refused.
+        is_own: bool,
     },
     /// No connection to the backend server could be opened.
     NotSent,
     /// The connection broke, or the answer was cut.
     Broken,
+    /// The answer was larger than this daemon holds.
+    TooLarge,
     /// The deadline passed.
     TimedOut,
 }
--- a/crates/ivytrail/src/reducer/run_flow.rs
+++ b/crates/ivytrail/src/reducer/run_flow.rs
@@ -137,7 +137,7 @@
         match &end {
             RunEnd::Answered { .. } => self.quarantine.note_whole(&header.fingerprint),
             RunEnd::Broken => self.suspect_crash(turn),
-            RunEnd::NotSent | RunEnd::Shed { .. } | RunEnd::TimedOut => {}
+            RunEnd::NotSent | RunEnd::Shed { .. } | RunEnd::TooLarge | RunEnd::TimedOut => {}
         }
         let (result, body) = result_of(end);
         self.end_attempt(turn, attempt, result.clone(), body.clone());
@@ -288,8 +288,9 @@
 
 fn sample_of(end: &RunEnd, latency: Duration) -> RunSample {
     match end {
-        RunEnd::Answered { .. } => RunSample::Whole { latency },
-        RunEnd::Shed { .. } => RunSample::Overloaded,
+        RunEnd::Answered { .. } | RunEnd::TooLarge => RunSample::Whole { latency },
+        RunEnd::Shed { is_own: true, .. } => RunSample::Overloaded,
+        RunEnd::Shed { is_own: false, .. } => RunSample::Cancelled,
         RunEnd::NotSent | RunEnd::Broken | RunEnd::TimedOut => RunSample::Failed { latency },
     }
 }
@@ -299,7 +300,12 @@
         RunEnd::Answered { status, headers, body } => {
             return (AttemptResult::Answered { status, headers }, body);
         }
-        RunEnd::Shed { retry_after } => not_run(RefusalReason::Overloaded, retry_after),
+        RunEnd::Shed { retry_after, is_own: true } => {
+            not_run(RefusalReason::Overloaded, retry_after)
+        }
+        RunEnd::Shed { retry_after, is_own: false } => {
+            final_refusal(CallOutcome::NotRun, RefusalReason::Overloaded, retry_after)
+        }
         RunEnd::NotSent => not_run(RefusalReason::ConnectionLost, None),
         RunEnd::Broken => AttemptResult::Refused {
             outcome: CallOutcome::Unknown,
@@ -307,6 +313,7 @@
             retry_after: None,
             local: true,
         },
+        RunEnd::TooLarge => final_refusal(CallOutcome::Ran, RefusalReason::AnswerTooLarge, None),
         RunEnd::TimedOut => {
             final_refusal(CallOutcome::Unknown, RefusalReason::DeadlineExceeded, None)
         }
