--- /dev/null
+++ b/tests/src/fleet/caller.rs
@@ -0,0 +1,252 @@
+//! Callers: they send requests, and send them again elsewhere with the same idempotency key.
+
+use ivytrail::{
+    id::{AccountName, AttemptId, CallId, CallToken, ContentDigest, RootId},
+    message::{AttemptHeader, RefusalReason},
+    reducer::{CallAnswer, CallRequest, CallSource, DaemonEvent},
+    settings::credential::secret_digest,
+};
+
+use super::{Delivery, Fleet, MS, NodePlace, node::true_wall_ms};
+use crate::firms::secret_of;
+
+/// Time after which a caller sends its request again, in microseconds.
+const RESEND_US: u64 = 300 * MS;
+
+/// How a caller marks its request for resends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyKind {
+    /// It gives no idempotency key and sends nothing again.
+    Absent,
+    /// A UUID of version 7, which carries its time.
+    Timed,
+    /// A word, which carries no time.
+    Plain,
+}
+
+/// A request that a caller will send.
+#[derive(Clone, Debug)]
+pub struct CallerScript {
+    /// When it is sent.
+    pub at: u64,
+    /// Number of the request; resends have the same.
+    pub request: u64,
+    /// Name of the route.
+    pub route: &'static str,
+    /// Daemon that it is sent to.
+    pub entry: usize,
+    /// Position of the client account whose key is shown.
+    pub account: Option<usize>,
+    /// Its idempotency key.
+    pub key: KeyKind,
+    /// How often the caller sends it again.
+    pub n_resends: u8,
+    /// Whether running it crashes the backend server.
+    pub is_poison: bool,
+    /// The idempotency key of the first sending.
+    pub first_key: Option<String>,
+}
+
+impl CallerScript {
+    /// Returns a request to the daemon `entry` that is sent once at `at`, with the first account's key.
+    pub fn new(at: u64, request: u64, route: &'static str, entry: usize) -> CallerScript {
+        CallerScript {
+            at,
+            request,
+            route,
+            entry,
+            account: Some(0),
+            key: KeyKind::Absent,
+            n_resends: 0,
+            is_poison: false,
+            first_key: None,
+        }
+    }
+}
+
+/// A call and what its caller was told.
+#[derive(Clone, Debug)]
+pub struct CallFact {
+    /// Path of the request.
+    pub path: String,
+    /// The entry daemon.
+    pub place: NodePlace,
+    /// Account of the key that was shown.
+    pub account: Option<AccountName>,
+    /// When it was sent.
+    pub sent_at: u64,
+    /// When its answer is due.
+    pub deadline: u64,
+    /// The idempotency key, on a route that is not idempotent.
+    pub claim: Option<String>,
+    /// The running attempt that made it, for a nested call.
+    pub parent: Option<AttemptId>,
+    /// Its attempts that could run, with the times when they were sent.
+    pub attempts: Vec<u64>,
+    /// The answers, of which there may be one.
+    pub answers: Vec<(u64, CallAnswer)>,
+    /// The root request, once an attempt was made.
+    pub root: Option<RootId>,
+    /// Whether the entry ended before its answer.
+    pub is_lost: bool,
+    script: Option<CallerScript>,
+}
+
+impl Fleet {
+    pub(super) fn call(&mut self, mut script: CallerScript) {
+        let n_nodes = self.nodes.len();
+        let mut entries = (0..n_nodes).map(|it| (script.entry + it) % n_nodes);
+        let Some(entry) = entries.find(|it| self.nodes[*it].is_up) else { return };
+        let policy = self.firm.policy(script.route);
+        let suffix = if script.is_poison { "/poison" } else { "" };
+        let path = format!("{}/{}{suffix}", policy.path, script.request);
+        let account = script.account.map(|it| self.firm.accounts[it].name);
+        if script.first_key.is_none() {
+            script.first_key = idempotency_key(self.now, &script);
+        }
+        let key = script.first_key.clone();
+        let place = self.place(entry);
+        let source = CallSource::Caller(account.map(|it| secret_digest(&secret_of(it))));
+        let fact = CallFact {
+            path,
+            place,
+            account: account.map(AccountName::from),
+            sent_at: self.now,
+            deadline: self.now + policy.deadline_ms * MS,
+            claim: key.clone().filter(|_| !policy.idempotent),
+            parent: None,
+            attempts: Vec::new(),
+            answers: Vec::new(),
+            root: None,
+            is_lost: false,
+            script: Some(script),
+        };
+        self.receive(fact, source, &policy.method, key);
+    }
+
+    /// Returns whether the route of `path` is open to all.
+    pub fn is_open(&self, path: &str) -> bool {
+        let route = path.split('/').nth(1).unwrap_or_default();
+        self.firm.policy(route).open
+    }
+
+    /// Lets a run call another route; returns whether it does.
+    pub(super) fn call_nested(
+        &mut self,
+        place: NodePlace,
+        attempt: &AttemptId,
+        header: &AttemptHeader,
+        token: CallToken,
+    ) -> bool {
+        let (outer, inner) = self.firm.nested;
+        let Some(request) = header.path.strip_prefix(&format!("/{outer}/")) else { return false };
+        let policy = self.firm.policy(inner);
+        let key = Some(format!("{request} of {}", header.root));
+        let fact = CallFact {
+            path: format!("{}/{request}", policy.path),
+            place,
+            account: header.account.clone(),
+            sent_at: self.now,
+            deadline: self.now + header.time_left.as_micros() as u64,
+            claim: key.clone(),
+            parent: Some(attempt.clone()),
+            attempts: Vec::new(),
+            answers: Vec::new(),
+            root: None,
+            is_lost: false,
+            script: None,
+        };
+        self.receive(fact, CallSource::Nested(token), &policy.method, key);
+        true
+    }
+
+    fn receive(
+        &mut self,
+        fact: CallFact,
+        source: CallSource,
+        method: &str,
+        idempotency_key: Option<String>,
+    ) {
+        let call = CallId(self.calls.len() as u64 + 1);
+        let request = CallRequest {
+            call,
+            source,
+            method: method.to_string(),
+            path: fact.path.clone(),
+            headers: Vec::new(),
+            idempotency_key,
+            body_digest: ContentDigest::of_parts(&[]),
+            time_limit: None,
+        };
+        let place = fact.place;
+        self.calls.insert(call, fact);
+        self.push_event(0, place, DaemonEvent::CallReceived(request));
+    }
+
+    pub(super) fn note_attempt(&mut self, call: CallId, header: &AttemptHeader) {
+        self.attempts.insert(header.attempt.clone(), call);
+        let now = self.now;
+        if let Some(fact) = self.calls.get_mut(&call).filter(|_| header.refuse_as.is_none()) {
+            fact.attempts.push(now);
+            fact.root = Some(header.root.clone());
+        }
+    }
+
+    pub(super) fn answer_call(&mut self, call: CallId, answer: &CallAnswer) {
+        let now = self.now;
+        let Some(fact) = self.calls.get_mut(&call) else { return };
+        fact.answers.push((now, answer.clone()));
+        let (place, parent, script) = (fact.place, fact.parent.clone(), fact.script.take());
+        match (parent, script) {
+            (Some(parent), _) => self.end_parent(place, parent, answer),
+            (None, Some(script)) if is_resent(answer) => self.resend(script),
+            _ => {}
+        }
+    }
+
+    /// Breaks the connections of the callers of a daemon that ends.
+    pub(super) fn drop_calls_at(&mut self, idx: usize) {
+        let place = self.place(idx);
+        let open = self.calls.values_mut().filter(|it| it.place == place && it.answers.is_empty());
+        let mut scripts = Vec::new();
+        for fact in open {
+            fact.is_lost = true;
+            scripts.extend(fact.script.take());
+        }
+        for script in scripts {
+            self.resend(script);
+        }
+    }
+
+    fn resend(&mut self, script: CallerScript) {
+        if 0 < script.n_resends && script.key != KeyKind::Absent {
+            let entry = (script.entry + 1) % self.nodes.len();
+            let n_resends = script.n_resends - 1;
+            let at = self.now + RESEND_US;
+            let script = CallerScript { at, entry, n_resends, ..script };
+            self.push(at, Delivery::Call(Box::new(script)));
+        }
+    }
+}
+
+fn is_resent(answer: &CallAnswer) -> bool {
+    match answer {
+        CallAnswer::Whole { .. } => false,
+        CallAnswer::Refused { reason, .. } => {
+            !matches!(reason, RefusalReason::BadKey | RefusalReason::NoRoute)
+        }
+    }
+}
+
+fn idempotency_key(now: u64, script: &CallerScript) -> Option<String> {
+    let mut bytes = [0; 10];
+    bytes[2..].copy_from_slice(&script.request.to_be_bytes());
+    match script.key {
+        KeyKind::Absent => None,
+        KeyKind::Timed => {
+            let key = uuid::Builder::from_unix_timestamp_millis(true_wall_ms(now), &bytes);
+            Some(key.into_uuid().to_string())
+        }
+        KeyKind::Plain => Some(format!("request {}", script.request)),
+    }
+}
--- /dev/null
+++ b/tests/src/fleet/faults.rs
@@ -0,0 +1,129 @@
+//! What goes wrong in a fleet, and what operators do meanwhile.
+
+use ivytrail::settings::TreeEdit;
+
+use super::{BackendMode, Delivery, Fleet, MS, NodePlace, QueueOdds};
+use crate::firms::key_name;
+
+/// Something that goes wrong, or that an operator does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FleetFault {
+    /// A daemon stops for some milliseconds: at once, or just before it carries out its next run or attempt.
+    Pause(usize, u64, bool),
+    /// A daemon is replaced: empty hands and a new incarnation.
+    Restart(usize),
+    /// A daemon leaves gracefully.
+    Leave(usize),
+    /// Two daemons can't reach each other for some milliseconds.
+    Cut(usize, usize, u64),
+    /// The odds of all messages change for some milliseconds.
+    Queue(QueueOdds, u64),
+    /// A backend server changes its manners.
+    Backend(usize, BackendMode),
+    /// The platform is down for some milliseconds.
+    PlatformDown(u64),
+    /// The platform answers late and loses one answer in three, for some milliseconds.
+    PlatformLossy(u64),
+    /// An operator withdraws the key of an account.
+    Withdraw(usize),
+    /// An operator replaces the team's subtree with the same content.
+    Resubmit,
+}
+
+impl FleetFault {
+    /// Returns the kind, for counts.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            FleetFault::Pause(..) => "pause",
+            FleetFault::Restart(_) => "restart",
+            FleetFault::Leave(_) => "leave",
+            FleetFault::Cut(..) => "cut",
+            FleetFault::Queue(..) => "queue",
+            FleetFault::Backend(..) => "backend",
+            FleetFault::PlatformDown(_) => "platform_down",
+            FleetFault::PlatformLossy(_) => "platform_lossy",
+            FleetFault::Withdraw(_) => "withdraw",
+            FleetFault::Resubmit => "resubmit",
+        }
+    }
+}
+
+impl Fleet {
+    pub(super) fn inject(&mut self, fault: &FleetFault) {
+        *self.n_faults.entry(fault.kind()).or_default() += 1;
+        let now = self.now;
+        match *fault {
+            FleetFault::Pause(idx, ms, true) => self.nodes[idx].pause_armed = Some(ms * MS),
+            FleetFault::Pause(idx, ms, false) => self.nodes[idx].pause(now, ms * MS),
+            FleetFault::Restart(idx) => self.restart(idx),
+            FleetFault::Leave(idx) => {
+                let place = self.place(idx);
+                self.push(now, Delivery::Leave(place, 0));
+            }
+            FleetFault::Cut(from, to, ms) => {
+                self.cuts.insert((from.min(to), from.max(to)), now + ms * MS);
+            }
+            FleetFault::Queue(odds, ms) => {
+                self.odds = odds;
+                self.odds_until = now + ms * MS;
+            }
+            FleetFault::Backend(idx, mode) => self.set_backend(idx, mode),
+            FleetFault::PlatformDown(ms) => self.platform.down_until = now + ms * MS,
+            FleetFault::PlatformLossy(ms) => self.platform.lossy_until = now + ms * MS,
+            FleetFault::Withdraw(idx) => {
+                let account = self.firm.accounts[idx].name;
+                let is_first = !self.withdrawals.contains_key(account);
+                let edit = TreeEdit::WithdrawKey { name: key_name(account).as_str().into() };
+                if is_first && self.platform.accept(now, edit) {
+                    self.withdrawals.insert(account, now);
+                }
+            }
+            FleetFault::Resubmit => {
+                let edit = self.firm.changes().swap_remove(0);
+                self.platform.accept(now, edit);
+            }
+        }
+    }
+
+    /// Replaces a daemon: the next run starts a moment later with empty hands.
+    pub(super) fn restart(&mut self, idx: usize) {
+        self.stop_node(idx);
+        let delay = 20 * MS;
+        self.push(self.now + delay, Delivery::Start(idx));
+    }
+
+    /// Ends a daemon's run; its connections break.
+    pub(super) fn stop_node(&mut self, idx: usize) {
+        let node = &mut self.nodes[idx];
+        node.is_up = false;
+        node.backend.in_flight.clear();
+        for exchange in std::mem::take(&mut node.waiting).into_values().flatten() {
+            self.break_exchange(MS, &exchange, false);
+        }
+        self.drop_calls_at(idx);
+    }
+
+    /// Takes a graceful leave one step further.
+    pub(super) fn leave(&mut self, place: NodePlace, step: u8) {
+        use ivytrail::reducer::DaemonEvent;
+        const LAST_TRY: u8 = 100;
+        const END: u8 = u8::MAX;
+        let wait = match step {
+            0 => {
+                self.leavings.entry(place.idx).or_insert(self.now);
+                self.apply(place, DaemonEvent::DrainRequested);
+                500 * MS
+            }
+            END => {
+                self.platform.remove_member(self.now, &self.nodes[place.idx].member);
+                return self.stop_node(place.idx);
+            }
+            _ if step < LAST_TRY && !self.nodes[place.idx].reducer.is_idle() => 100 * MS,
+            _ => {
+                self.apply(place, DaemonEvent::HandOverRequested);
+                return self.push(self.now + 500 * MS, Delivery::Leave(place, END));
+            }
+        };
+        self.push(self.now + wait, Delivery::Leave(place, step + 1));
+    }
+}
--- /dev/null
+++ b/tests/src/fleet/node.rs
@@ -0,0 +1,152 @@
+//! One daemon of a fleet.
+
+use std::collections::BTreeMap;
+
+use ivytrail::{
+    id::{AttemptId, MemberId},
+    reducer::{DaemonEvent, DaemonIdentity, DaemonReducer, TimedEvent},
+    settings::Revision,
+    time::{TimePoint, WallClock},
+};
+
+use super::{Delivery, FakeBackend, Fleet, MS, POLL_US, TICK_US, effects::PeerExchange};
+
+/// Wall clock time at the start of every run, in milliseconds since the Unix epoch.
+const WALL_START_MS: u64 = 1_790_000_000_000;
+
+/// One run of a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct NodePlace {
+    /// Position of the daemon in the fleet.
+    pub idx: usize,
+    /// Number of the run, from 1.
+    pub run: u32,
+}
+
+/// A daemon, with the backend server beside it.
+#[derive(Debug)]
+pub struct DaemonNode {
+    /// Its member identifier in this run.
+    pub member: MemberId,
+    /// Its decisions.
+    pub reducer: DaemonReducer,
+    /// The backend server.
+    pub backend: FakeBackend,
+    /// Whether it runs.
+    pub is_up: bool,
+    /// Number of its run.
+    pub run: u32,
+    /// Pauses so far, each with its start and end.
+    pub pauses: Vec<(u64, u64)>,
+    pub(super) paused_until: u64,
+    pub(super) pause_armed: Option<u64>,
+    pub(super) waiting: BTreeMap<AttemptId, Vec<PeerExchange>>,
+    pub(super) has_joined: bool,
+    pub(super) domain: &'static str,
+    skew_ms: u64,
+    started_at: u64,
+}
+
+impl DaemonNode {
+    pub(super) fn new(idx: usize, service: &str, domain: &'static str, skew_ms: u64) -> DaemonNode {
+        let member =
+            MemberId { instance: format!("{service}-{idx}").as_str().into(), incarnation: 0 };
+        let identity = DaemonIdentity::new(member.clone(), domain, member.instance.as_str());
+        DaemonNode {
+            reducer: DaemonReducer::new(identity, [0; 32]),
+            member,
+            backend: FakeBackend::new(service),
+            is_up: false,
+            run: 0,
+            pauses: Vec::new(),
+            paused_until: 0,
+            pause_armed: None,
+            waiting: BTreeMap::new(),
+            has_joined: false,
+            domain,
+            skew_ms,
+            started_at: 0,
+        }
+    }
+
+    /// Returns the wall clock's reading; it is ahead of true time by a constant below the stated bound.
+    pub fn wall(&self, now: u64) -> WallClock {
+        WallClock::from_millis(WALL_START_MS + now / MS + self.skew_ms)
+    }
+
+    /// Returns the reading of the monotonic clock, whose origin lies a second before the start.
+    pub fn clock(&self, now: u64) -> TimePoint {
+        TimePoint::from_micros(now + 1_000 * MS - self.started_at)
+    }
+
+    pub(super) fn place_at(&self, idx: usize) -> NodePlace {
+        NodePlace { idx, run: self.run }
+    }
+
+    pub(super) fn pause(&mut self, now: u64, length: u64) {
+        if self.paused_until <= now {
+            self.paused_until = now + length;
+            self.pauses.push((now, now + length));
+        }
+    }
+}
+
+/// Returns the true time in milliseconds since the Unix epoch.
+pub(super) fn true_wall_ms(now: u64) -> u64 {
+    WALL_START_MS + now / MS
+}
+
+impl Fleet {
+    /// Returns the daemon's current run.
+    pub fn place(&self, idx: usize) -> NodePlace {
+        self.nodes[idx].place_at(idx)
+    }
+
+    /// Starts the next run of a daemon.
+    pub(super) fn start_node(&mut self, idx: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[idx];
+        node.started_at = now;
+        node.run += 1;
+        node.is_up = true;
+        node.has_joined = false;
+        node.paused_until = 0;
+        node.member.incarnation = node.wall(now).as_millis();
+        let address = node.member.instance.as_str();
+        let identity = DaemonIdentity::new(node.member.clone(), node.domain, address);
+        let mut seed = [idx as u8 + 1; 32];
+        seed[0] = node.run as u8;
+        node.reducer = DaemonReducer::new(identity, seed);
+        let place = self.place(idx);
+        let offset = MS * (1 + idx as u64);
+        self.push(now + offset % TICK_US, Delivery::Tick(place));
+        self.push(now + offset % POLL_US, Delivery::Poll(place));
+        self.push(now + offset, Delivery::Announce(place));
+    }
+
+    /// Applies an event at a daemon and schedules its effects.
+    pub(super) fn apply(&mut self, place: NodePlace, event: DaemonEvent) {
+        if !self.is_up(place) {
+            return;
+        }
+        let node = &mut self.nodes[place.idx];
+        let before: Revision = node.reducer.revision();
+        let name = node.member.instance.clone();
+        let event = TimedEvent { now: node.clock(self.now), wall: node.wall(self.now), event };
+        let mut lines = self.trace.as_mut().map(|it| it.begin(self.now, name.as_str(), &event));
+        let effects = node.reducer.apply(event);
+        self.n_events += 1;
+        if node.reducer.revision() < before {
+            self.violations.push(format!("revision fell at {name}"));
+        }
+        for effect in effects {
+            if let Some(lines) = &mut lines {
+                lines.note(&effect);
+            }
+            self.push(self.now, Delivery::Effect(place, effect));
+        }
+        if let (Some(trace), Some(lines)) = (self.trace.as_mut(), lines) {
+            trace.end(lines);
+        }
+    }
+}
--- /dev/null
+++ b/tests/src/fleet/platform.rs
@@ -0,0 +1,161 @@
+//! The platform: rows with compare-and-set, which can be down, slow, or lose answers.
+
+use ivytrail::{
+    id::MemberId,
+    lease::RingDefinition,
+    membership::MemberView,
+    platform::{RowWrite, TableRead, TableTransaction, TransactionResult, VersionCheck},
+    reducer::{DaemonEvent, LearnedFact},
+    settings::{
+        TreeEdit,
+        rows::{CHANGES_PER_READ, change_key, changes_in, changes_read, decode_row},
+    },
+};
+use ivytrail_fakes::platform::MemoryTable;
+use rand::RngExt;
+
+use super::{Delivery, Fleet, MS, NodePlace, POLL_US};
+use crate::firms::{FirmPlan, change};
+
+/// Time for which a reading confirms the settings.
+const CONFIRMATION_MS: u64 = 3_000;
+/// Rows of members that are read.
+const MEMBER_ROWS: usize = 16;
+
+/// The platform's table.
+#[derive(Debug, Default)]
+pub struct FakePlatform {
+    pub(super) down_until: u64,
+    pub(super) lossy_until: u64,
+    /// Revision of the last accepted change.
+    pub revision: u64,
+    table: MemoryTable,
+}
+
+impl FakePlatform {
+    pub(super) fn new(firm: &FirmPlan) -> FakePlatform {
+        let mut platform = FakePlatform::default();
+        for edit in firm.changes() {
+            platform.accept(0, edit);
+        }
+        platform
+    }
+
+    /// Accepts a change, unless the platform is down.
+    pub(super) fn accept(&mut self, now: u64, edit: TreeEdit) -> bool {
+        if now < self.down_until {
+            return false;
+        }
+        self.revision += 1;
+        let change = change(self.revision, edit);
+        let value = serde_json::to_value(&change).expect("a change is JSON");
+        self.write(change_key(change.revision), value, Vec::new());
+        true
+    }
+
+    pub(super) fn remove_member(&mut self, now: u64, member: &MemberId) {
+        if self.down_until <= now {
+            let key = MemberView::row_key(&member.instance);
+            self.write(key, serde_json::Value::Null, Vec::new());
+        }
+    }
+
+    fn write(&mut self, key: String, value: serde_json::Value, checks: Vec<VersionCheck>) -> bool {
+        let writes = vec![RowWrite { key, value }];
+        let result = self.table.transact(TableTransaction { checks, writes });
+        result == TransactionResult::Applied
+    }
+}
+
+impl Fleet {
+    pub(super) fn poll(&mut self, place: NodePlace) {
+        self.push(self.now + POLL_US, Delivery::Poll(place));
+        let asked_at = self.nodes[place.idx].clock(self.now).as_micros();
+        let delay = self.platform_delay();
+        self.push(self.now + delay, Delivery::PollRead(place, asked_at));
+    }
+
+    pub(super) fn read_platform(&mut self, place: NodePlace, asked_at: u64) {
+        let node = &mut self.nodes[place.idx];
+        if self.now < self.platform.down_until {
+            return;
+        }
+        let instance = node.member.instance.clone();
+        if !node.has_joined {
+            let record = serde_json::to_value(node.reducer.own_record()).expect("it is JSON");
+            self.platform.write(MemberView::row_key(&instance), record, Vec::new());
+            node.has_joined = true;
+        }
+        let mut ranges = MemberView::first_peer_ranges(&instance, MEMBER_ROWS).to_vec();
+        ranges.extend(changes_read(node.reducer.revision(), CHANGES_PER_READ).ranges);
+        let names: Vec<_> = node.reducer.ring_names().cloned().collect();
+        let keys = names.iter().map(|it| format!("ring/{it}")).collect();
+        let rows = self.platform.table.read(&TableRead { keys, ranges });
+        if self.loses_answer() {
+            return;
+        }
+        let mut events = Vec::new();
+        for name in names {
+            if !rows.rows.iter().any(|it| it.key == format!("ring/{name}")) {
+                events.push(DaemonEvent::ControlLearned(LearnedFact::RingAbsent(name)));
+            }
+        }
+        for row in &rows.rows {
+            if row.key.starts_with("member/") {
+                let record = decode_row(row).expect("a row of a member");
+                events.push(DaemonEvent::ControlLearned(LearnedFact::Member(record)));
+            } else if row.key.starts_with("ring/") {
+                let definition = decode_row(row).expect("a row of a ring");
+                events.push(DaemonEvent::ControlLearned(LearnedFact::Ring(definition)));
+            }
+        }
+        let changes = changes_in(&rows).expect("rows of changes");
+        events.push(DaemonEvent::ChangesLearned(changes));
+        let until = asked_at + CONFIRMATION_MS * MS;
+        let until = ivytrail::time::TimePoint::from_micros(until);
+        events.push(DaemonEvent::AuthorityConfirmed { until });
+        let delay = self.platform_delay();
+        for event in events {
+            self.push_event(delay, place, event);
+        }
+    }
+
+    /// Writes a ring's next definition if the epoch before it is current.
+    pub(super) fn write_ring(&mut self, place: NodePlace, definition: RingDefinition) {
+        if self.now < self.platform.down_until {
+            return;
+        }
+        let key = format!("ring/{}", definition.name);
+        let read = TableRead { keys: vec![key.clone()], ranges: Vec::new() };
+        let row = self.platform.table.read(&read).rows.pop();
+        let version = row.as_ref().map_or(0, |it| it.version);
+        let current: Option<RingDefinition> =
+            row.map(|it| decode_row(&it).expect("a row of a ring"));
+        let mut learned = current.clone();
+        if current.map_or(0, |it| it.epoch) + 1 == definition.epoch {
+            let value = serde_json::to_value(&definition).expect("a definition is JSON");
+            let checks = vec![VersionCheck { key: key.clone(), version }];
+            self.platform.write(key, value, checks);
+            learned = Some(definition);
+        }
+        if self.loses_answer() {
+            return;
+        }
+        let delay = self.platform_delay();
+        if let Some(definition) = learned {
+            let fact = LearnedFact::Ring(definition);
+            self.push_event(delay, place, DaemonEvent::ControlLearned(fact));
+        }
+    }
+
+    fn platform_delay(&mut self) -> u64 {
+        match self.now < self.platform.lossy_until {
+            true => self.rng.random_range(MS..2_000 * MS),
+            false => 2 * MS,
+        }
+    }
+
+    fn loses_answer(&mut self) -> bool {
+        self.now < self.platform.lossy_until && self.rng.random_range(0..3) == 0
+    }
+}
