--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -32,6 +32,9 @@
 /// Time between two announcements or readings of the platform, in microseconds.
 const POLL_US: u64 = 500 * MS;
 
+/// Deliveries after which a run counts as one that never ends.
+const MAX_DELIVERIES: u64 = 300_000;
+
 /// Odds, in permille of all messages between daemons, of each misbehaviour.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct QueueOdds {
@@ -165,6 +168,10 @@
             let ((at, _), delivery) = entry.remove_entry();
             self.now = at;
             self.deliver(delivery);
+            if MAX_DELIVERIES < self.n_deliveries {
+                self.violations.push(format!("messages without end at {at}"));
+                break;
+            }
         }
         self.now = until;
     }
--- /dev/null
+++ b/tests/tests/replay.rs
@@ -0,0 +1,46 @@
+//! A session is a function of its events: run twice, it gives the same text.
+
+use ivytrail_tests::{
+    firms::{RouteRole, stratolift},
+    fleet::{CallerScript, Fleet, FleetFault, KeyKind, MS},
+    session::SessionTrace,
+};
+
+/// Runs one session with quotas, a crash of several requests at once, a handover and a restart.
+fn session_text() -> String {
+    let firm = stratolift();
+    let services = [RouteRole::InnerWriting, RouteRole::InnerWriting, RouteRole::KeyedReading];
+    let services = services.map(|it| firm.service(it));
+    let (writing, reading) =
+        (firm.route(RouteRole::InnerWriting), firm.route(RouteRole::KeyedReading));
+    let mut fleet = Fleet::new(firm, &services, 3);
+    fleet.trace = Some(SessionTrace::default());
+    for request in 1..200 {
+        let at = 12_000 * MS + request * 13 * MS;
+        let entry = request as usize % 3;
+        let mut script = CallerScript::new(at, request, writing, entry);
+        script.key = KeyKind::Timed;
+        script.account = Some(entry % 2);
+        fleet.schedule_call(script);
+        let is_poison = request % 60 == 0;
+        let script = CallerScript::new(at, 1_000 + request, reading, entry);
+        fleet.schedule_call(CallerScript { is_poison, ..script });
+    }
+    fleet.schedule_fault(13_000 * MS, FleetFault::Restart(2));
+    fleet.schedule_fault(13_500 * MS, FleetFault::Leave(0));
+    fleet.run_until(18_000 * MS);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+    fleet.trace.as_ref().map_or("", |it| it.text()).to_string()
+}
+
+#[test]
+fn the_same_events_give_the_same_effects() {
+    let first = session_text();
+    assert!(first.contains("claim handover of"));
+    for _ in 0..5 {
+        let again = session_text();
+        let diff = similar::TextDiff::from_lines(&first, &again);
+        let diff = diff.unified_diff().context_radius(1).to_string();
+        assert!(diff.is_empty(), "{}", diff.chars().take(2_000).collect::<String>());
+    }
+}
