Make the reducer's effects a function of its events alone

Cause: accounts were gone through in the order of a hash map when settings are installed, and each draws the share that it asks first; claims in a handover, fingerprints at a crash and the oldest suspect likewise. Ruled out: an ordered map for calls and attempts, which are only looked up. Change: these four are gone through in the order of their keys.

--- a/crates/ivytrail/src/claim/handover.rs
+++ b/crates/ivytrail/src/claim/handover.rs
@@ -59,7 +59,10 @@
     {
         let mut by_owner: BTreeMap<MemberId, Vec<HandedClaim>> =
             receivers.iter().map(|it| (it.clone(), Vec::new())).collect();
-        for (digest, claim) in &self.claims {
+        let mut claims: Vec<_> = self.claims.iter().collect();
+        // The effects of an event must not depend on the order of a hash map.
+        claims.sort_unstable_by_key(|(digest, _)| *digest);
+        for (digest, claim) in claims {
             let Some(handed) = hand(now, digest, claim) else { continue };
             if let Some(claims) = owner_of(digest).and_then(|it| by_owner.get_mut(&it)) {
                 claims.push(handed);
--- a/crates/ivytrail/src/quarantine.rs
+++ b/crates/ivytrail/src/quarantine.rs
@@ -254,7 +254,8 @@
         if self.suspects.len() < MAX_SUSPECTS {
             return;
         }
-        let first = self.suspects.iter().min_by_key(|(_, it)| it.expiry).map(|(key, _)| *key);
+        let first =
+            self.suspects.iter().min_by_key(|(key, it)| (it.expiry, **key)).map(|(key, _)| *key);
         if let Some(fingerprint) = first {
             self.suspects.remove(&fingerprint);
         }
--- a/crates/ivytrail/src/reducer/guard.rs
+++ b/crates/ivytrail/src/reducer/guard.rs
@@ -126,13 +126,12 @@
         Some(run)
     }
 
-    /// Returns the fingerprints of the attempts that run now.
+    /// Returns the fingerprints of the attempts that run now, in order.
     pub fn running_fingerprints(&self) -> Vec<ContentDigest> {
-        self.runs
-            .values()
-            .filter(|it| matches!(it.state, RunState::Running { .. }))
-            .map(|it| it.header.fingerprint)
-            .collect()
+        let running = self.runs.values().filter(|it| matches!(it.state, RunState::Running { .. }));
+        let mut fingerprints: Vec<_> = running.map(|it| it.header.fingerprint).collect();
+        fingerprints.sort_unstable();
+        fingerprints
     }
 }
 
--- a/crates/ivytrail/src/settings/index.rs
+++ b/crates/ivytrail/src/settings/index.rs
@@ -56,7 +56,7 @@
         self.0.accounts.find(account)
     }
 
-    /// Returns all client accounts, in no particular order.
+    /// Returns all client accounts in the order of their names.
     pub fn accounts(&self) -> impl Iterator<Item = (&AccountName, &ClientAccount)> {
         self.0.accounts.iter()
     }
--- a/crates/ivytrail/src/settings/lookup.rs
+++ b/crates/ivytrail/src/settings/lookup.rs
@@ -1,6 +1,6 @@
 //! Lookups on the hot path, built once for each revision of the settings tree.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use smol_str::SmolStr;
 
@@ -90,7 +90,7 @@
 /// Client accounts of all teams by name.
 #[derive(Clone, Debug, Default)]
 pub struct AccountIndex {
-    accounts: HashMap<AccountName, ClientAccount>,
+    accounts: BTreeMap<AccountName, ClientAccount>,
 }
 
 impl AccountIndex {
@@ -106,7 +106,7 @@
         self.accounts.get(name)
     }
 
-    /// Returns all accounts, in no particular order.
+    /// Returns all accounts in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = (&AccountName, &ClientAccount)> {
         self.accounts.iter()
     }
