--- a/tests/tests/reducer_faults.rs
+++ b/tests/tests/reducer_faults.rs
@@ -4,9 +4,7 @@
 
 use ivytrail::{
     id::{CallId, ContentDigest, MemberId},
-    reducer::{
-        CallRequest, CallSource, DaemonEvent, DaemonIdentity, DaemonReducer, TimedEvent,
-    },
+    reducer::{CallRequest, CallSource, DaemonEvent, DaemonIdentity, DaemonReducer, TimedEvent},
     settings::{SettingsTree, credential::secret_digest, index::SettingsInForce},
     time::{TimePoint, WallClock},
 };
