Say "not run" only of what all attempts of a request prove

A call whose first attempt may have run was told the last attempt's "not run" (seen: /quotes/2 ran at 12.044 s, told not run at 12.063 s). A resend with an idempotency key whose attempt was late was told "not run" by the attempt ledger, which knows one attempt, not the claim (seen: /launches/1 ran at 12.001 s, its resend was told not run at 13.413 s). Ruled out: asking the claim table at an inquiry, since the inquiry doesn't carry the claim. Change: an entry remembers that an attempt may have run; for a claimed request, connection-lost is not proof, and a full ledger answers unknown. Conclusion: a claimed run that could not be sent to its backend server is now told as unknown too; a reason of its own would keep it as not run.

--- a/crates/ivytrail/src/reducer/call_flow.rs
+++ b/crates/ivytrail/src/reducer/call_flow.rs
@@ -323,9 +323,14 @@
             run.purse.repay(call.purse.held());
         }
         let answer = match answer {
-            CallAnswer::Refused { outcome, reason, retry_after: None } => {
-                CallAnswer::Refused { outcome, reason, retry_after: call.refuse_after }
-            }
+            CallAnswer::Refused { outcome, reason, retry_after } => CallAnswer::Refused {
+                outcome: match outcome {
+                    CallOutcome::NotRun if call.may_have_run => CallOutcome::Unknown,
+                    outcome => outcome,
+                },
+                reason,
+                retry_after: retry_after.or(call.refuse_after),
+            },
             answer => answer,
         };
         turn.out.push(DaemonEffect::AnswerCall { call: id, answer });
--- a/crates/ivytrail/src/reducer/entry.rs
+++ b/crates/ivytrail/src/reducer/entry.rs
@@ -38,10 +38,19 @@
     pub tried: Vec<MemberId>,
     /// When to come back, for a call that the entry itself refuses.
     pub refuse_after: Option<Duration>,
+    /// Whether an earlier attempt may have run, so that a refusal of the last one proves nothing. Of a claimed request
+    /// its owner tells what became of all attempts.
+    pub may_have_run: bool,
     outstanding: Option<OutstandingAttempt>,
     inquiry_at: Option<TimePoint>,
 }
 
+impl EntryCall {
+    fn note_outcome(&mut self, outcome: CallOutcome) {
+        self.may_have_run |= self.template.claim.is_none() && outcome != CallOutcome::NotRun;
+    }
+}
+
 #[derive(Clone, Debug)]
 struct OutstandingAttempt {
     serial: u64,
@@ -142,6 +151,7 @@
             parent,
             tried: Vec::new(),
             refuse_after: None,
+            may_have_run: false,
             outstanding: None,
             inquiry_at: None,
         };
@@ -212,8 +222,10 @@
                 answer: CallAnswer::Whole { status: *status, headers: headers.clone(), body },
             },
             AttemptResult::Refused { outcome, reason, retry_after, local } => {
+                call.note_outcome(*outcome);
+                let is_unproved = call.template.claim.is_some() && is_lost(*reason);
                 let answer = CallAnswer::Refused {
-                    outcome: *outcome,
+                    outcome: if is_unproved { CallOutcome::Unknown } else { *outcome },
                     reason: *reason,
                     retry_after: *retry_after,
                 };
@@ -283,6 +295,7 @@
         let not_sent_claim = !was_sent && call.template.claim.is_some();
         let attempt = call.outstanding.take().expect("the caller looked it up");
         call.tried.push(attempt.to);
+        call.note_outcome(outcome);
         self.attempts.remove(&attempt.serial);
         let answer = CallAnswer::Refused {
             outcome,
@@ -370,6 +383,12 @@
     )
 }
 
+/// Returns whether a refusal tells of one attempt only: the guard did not ask its claim table whether an earlier copy
+/// of the request ran.
+fn is_lost(reason: RefusalReason) -> bool {
+    reason == RefusalReason::ConnectionLost
+}
+
 /// Returns whether a refusal says that another guard may own the claim. All other refusals of a claimed request come
 /// from its owner and are final.
 fn is_from_other_owner(reason: RefusalReason) -> bool {
--- a/crates/ivytrail/src/reducer/run_flow.rs
+++ b/crates/ivytrail/src/reducer/run_flow.rs
@@ -29,6 +29,9 @@
             // The reply to the first copy goes to this connection too.
             AttemptOutcome::Duplicate => return,
             AttemptOutcome::Buried => Some(not_run(RefusalReason::ConnectionLost, None)),
+            AttemptOutcome::Full if header.claim.is_some() => {
+                Some(final_refusal(CallOutcome::Unknown, RefusalReason::Overloaded, None))
+            }
             AttemptOutcome::Full => Some(not_run(RefusalReason::Overloaded, None)),
             AttemptOutcome::Stale => {
                 Some(final_refusal(CallOutcome::Unknown, RefusalReason::ConnectionLost, None))
--- a/tests/tests/reducer_faults.rs
+++ b/tests/tests/reducer_faults.rs
@@ -8,7 +8,11 @@
     settings::{SettingsTree, credential::secret_digest, index::SettingsInForce},
     time::{TimePoint, WallClock},
 };
-use ivytrail_tests::firms::{change, secret_of, stratolift};
+use ivytrail_tests::{
+    firms::{RouteRole, change, secret_of, stratolift},
+    fleet::{BackendMode, CallerScript, Fleet, FleetFault, KeyKind, MS, QueueOdds},
+    verdict::check_fleet,
+};
 
 /// Time within which a step of the reducer ends, also on a busy machine.
 const STEP_PATIENCE: Duration = Duration::from_secs(20);
@@ -20,7 +24,7 @@
     let mut reducer = DaemonReducer::new(identity, [7; 32]);
     let mut tree = SettingsTree::default();
     for (revision, edit) in (1..).zip(stratolift().changes()) {
-        tree.apply(&change(revision, edit)).unwrap();
+        tree.apply(&change(revision, edit)).expect("changes in order");
     }
     let until = TimePoint::from_millis(3_000);
     reducer.apply(at(0, DaemonEvent::SettingsInstalled(SettingsInForce::new(tree))));
@@ -58,3 +62,46 @@
     let n_answers = receiver.recv_timeout(STEP_PATIENCE);
     assert_eq!(n_answers, Ok(1), "the reducer has to end each step");
 }
+
+/// Runs a request to its end and its resend to another entry, while all messages are late that are sent in one certain
+/// millisecond of the resend.
+fn resent_while_late(late_ms: u64) -> Vec<String> {
+    let firm = stratolift();
+    let services = [RouteRole::InnerWriting, RouteRole::OpenReading].map(|it| firm.service(it));
+    let route = firm.route(RouteRole::InnerWriting);
+    let mut fleet = Fleet::new(firm, &services, 7);
+    for at in [12_000, 13_000] {
+        let mut script = CallerScript::new(at * MS, 1, route, 1);
+        script.key = KeyKind::Plain;
+        fleet.schedule_call(script);
+    }
+    let odds = QueueOdds { late: 1_000, ..QueueOdds::default() };
+    fleet.schedule_fault((13_000 + late_ms) * MS, FleetFault::Queue(odds, 1));
+    fleet.run_until(18_000 * MS);
+    assert_eq!(fleet.runs.len(), 1);
+    check_fleet(&fleet)
+}
+
+#[test]
+fn a_resend_whose_attempt_was_buried_is_not_said_to_have_not_run() {
+    for late_ms in 0..8 {
+        assert_eq!(resent_while_late(late_ms), Vec::<String>::new(), "late at {late_ms} ms");
+    }
+}
+
+#[test]
+fn a_refused_retry_proves_nothing_about_the_first_attempt() {
+    let firm = stratolift();
+    let services = [RouteRole::KeyedReading, RouteRole::KeyedReading].map(|it| firm.service(it));
+    let route = firm.route(RouteRole::KeyedReading);
+    let mut fleet = Fleet::new(firm, &services, 7);
+    fleet.schedule_fault(11_990 * MS, FleetFault::Backend(0, BackendMode::Cutting));
+    fleet.schedule_fault(11_990 * MS, FleetFault::Backend(1, BackendMode::Shedding));
+    for request in 1..10 {
+        let at = (12_000 + request * 20) * MS;
+        fleet.schedule_call(CallerScript::new(at, request, route, request as usize % 2));
+    }
+    fleet.run_until(16_000 * MS);
+    assert_ne!(fleet.runs.len(), 0);
+    assert_eq!(check_fleet(&fleet), Vec::<String>::new());
+}
