--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -2,5 +2,7 @@
 
 pub mod firms;
 pub mod fleet;
+pub mod scenario;
 pub mod session;
+pub mod soak;
 pub mod verdict;
--- /dev/null
+++ b/tests/tests/random_runs.rs
@@ -0,0 +1,30 @@
+//! Randomised runs of a few daemons with fixed seeds; `scripts/soak` runs more.
+
+use ivytrail_tests::{
+    scenario::{FleetScript, scripts},
+    soak::{SoakPlan, run_soak},
+};
+use proptest::{
+    strategy::{Strategy, ValueTree},
+    test_runner::TestRunner,
+};
+
+#[test]
+fn no_promise_is_broken_under_faults() {
+    let report = run_soak(&SoakPlan { seed: 1, n_runs: Some(300), seconds: None });
+    assert!(report.failure.is_none(), "{}", report.failure.unwrap_or_default());
+    assert_eq!(report.runs, 300);
+    assert!(2_000 < report.backend_runs, "the runs do hardly any work: {report:?}");
+}
+
+#[test]
+fn a_calm_fleet_answers_every_request() {
+    let mut runner = TestRunner::deterministic();
+    for _ in 0..20 {
+        let script: FleetScript =
+            scripts(0).new_tree(&mut runner).map(|it| it.current()).expect("a script");
+        let report = script.run(false);
+        assert_eq!(report.violations, Vec::<String>::new());
+        assert!(0 < report.n_answers);
+    }
+}
