Say of a resend to a daemon without settings that its run is unknown

Ruled out: another reason than no-route in this commit; whether it should be stale-settings is left to the lead. Change: without a route, a request with an idempotency key is told as unknown. Figures: a_daemon_without_settings_does_not_say_that_a_resend_has_not_run fails before and passes after.

--- a/crates/ivytrail/src/reducer/call_flow.rs
+++ b/crates/ivytrail/src/reducer/call_flow.rs
@@ -43,7 +43,10 @@
     pub(super) fn receive_call(&mut self, turn: &mut Turn, request: CallRequest) {
         let settings = self.settings.clone();
         let Some((route, policy)) = settings.find_route(&request.method, &request.path) else {
-            return refuse_at_once(turn, &request, RefusalReason::NoRoute, CallOutcome::NotRun);
+            // Earlier settings, or those of another daemon, may have had a route.
+            let is_claimable = request.idempotency_key.is_some();
+            let outcome = if is_claimable { CallOutcome::Unknown } else { CallOutcome::NotRun };
+            return refuse_at_once(turn, &request, RefusalReason::NoRoute, outcome);
         };
         let lineage = match request.source {
             CallSource::Caller(key) => self.root_lineage(turn, &request, policy, key),
--- a/tests/src/fleet/backend.rs
+++ b/tests/src/fleet/backend.rs
@@ -186,6 +186,14 @@
         self.push_event(0, place, DaemonEvent::RunEnded { attempt: attempt.clone(), end });
     }
 
+    /// Takes a crashed backend server back towards service, unless something else became of it.
+    pub(super) fn return_backend(&mut self, idx: usize, mode: BackendMode) {
+        let backend = &mut self.nodes[idx].backend;
+        if matches!(backend.mode, BackendMode::Dead | BackendMode::Starting) {
+            backend.mode = mode;
+        }
+    }
+
     fn crash(&mut self, idx: usize) {
         let place = self.place(idx);
         let backend = &mut self.nodes[idx].backend;
--- a/tests/src/fleet/node.rs
+++ b/tests/src/fleet/node.rs
@@ -111,12 +111,14 @@
         node.is_up = true;
         node.has_joined = false;
         node.paused_until = 0;
+        node.backend.mode = super::BackendMode::Serving;
         node.member.incarnation = node.wall(now).as_millis();
         let address = node.member.instance.as_str();
         let identity = DaemonIdentity::new(node.member.clone(), node.domain, address);
         let mut seed = [idx as u8 + 1; 32];
         seed[0] = node.run as u8;
         node.reducer = DaemonReducer::new(identity, seed);
+        self.leavings.remove(&idx);
         let place = self.place(idx);
         let offset = MS * (1 + idx as u64);
         self.push(now + offset % TICK_US, Delivery::Tick(place));
--- a/tests/tests/reducer_faults.rs
+++ b/tests/tests/reducer_faults.rs
@@ -105,3 +105,15 @@
     assert_ne!(fleet.runs.len(), 0);
     assert_eq!(check_fleet(&fleet), Vec::<String>::new());
 }
+
+#[test]
+fn a_daemon_without_settings_does_not_say_that_a_resend_has_not_run() {
+    let member = MemberId { instance: "booking-1".into(), incarnation: 2 };
+    let identity = DaemonIdentity::new(member, "kolkata", "booking-1");
+    let mut reducer = DaemonReducer::new(identity, [7; 32]);
+    let DaemonEvent::CallReceived(mut request) = keyed_call() else { return };
+    request.idempotency_key = Some("request 1".to_string());
+    let effects = reducer.apply(at(10, DaemonEvent::CallReceived(request)));
+    let text = format!("{effects:?}");
+    assert!(text.contains("outcome: Unknown"), "{text}");
+}
