Fail an own ask for tokens at the next tick also when the lease has ended

Cause: between the end of the control ring's lease and the next tick a daemon still has its shares' mints. Ruled out: losing the shares at each ask, which reviews all accounts. Change: an own ask needs the lease too, else it fails at the next tick.

--- a/crates/ivytrail/src/reducer/quota_flow.rs
+++ b/crates/ivytrail/src/reducer/quota_flow.rs
@@ -107,7 +107,9 @@
 
     pub(super) fn receive_ask(&mut self, turn: &mut Turn, from: &MemberId, ask: &QuotaAsk) {
         let is_own = *from == self.identity.member;
-        if is_own && !self.control.home.owns(&ask.account, ask.share) {
+        let ring = self.control.rings.control();
+        let is_home = ring.holds_lease(turn.now) && self.control.home.owns(&ask.account, ask.share);
+        if is_own && !is_home {
             // The ring says that the share is this daemon's, and its home will take it over at a tick.
             return self.control.lost_asks.push(ask.clone());
         }
