--- a/tests/tests/reducer_faults.rs
+++ b/tests/tests/reducer_faults.rs
@@ -4,7 +4,11 @@
 
 use ivytrail::{
     id::{CallId, ContentDigest, MemberId},
-    reducer::{CallRequest, CallSource, DaemonEvent, DaemonIdentity, DaemonReducer, TimedEvent},
+    lease::{RingDefinition, RingMember},
+    reducer::{
+        CallRequest, CallSource, DaemonEvent, DaemonIdentity, DaemonReducer, LearnedFact,
+        TimedEvent,
+    },
     settings::{SettingsTree, credential::secret_digest, index::SettingsInForce},
     time::{TimePoint, WallClock},
 };
@@ -15,7 +19,7 @@
 };
 
 /// Time within which a step of the reducer ends, also on a busy machine.
-const STEP_PATIENCE: Duration = Duration::from_secs(20);
+const STEP_PATIENCE: Duration = Duration::from_secs(10);
 
 /// Returns a daemon that knows the firm's settings and no ring.
 fn ringless_daemon() -> DaemonReducer {
@@ -50,17 +54,57 @@
     })
 }
 
-#[test]
-fn a_keyed_call_before_any_ring_is_founded_is_refused_in_time() {
+/// Returns how many over-quota answers a keyed call gets; fails when the reducer does not end a step.
+fn over_quota_answers(mut reducer: DaemonReducer, is_ticked: bool) -> usize {
     let (sender, receiver) = mpsc::channel();
     thread::spawn(move || {
-        let mut reducer = ringless_daemon();
-        reducer.apply(at(10, keyed_call()));
-        let answers = (2..200).flat_map(|it| reducer.apply(at(it * 10, DaemonEvent::Tick)));
-        sender.send(answers.filter(|it| format!("{it:?}").contains("OverQuota")).count())
+        let mut effects = reducer.apply(at(10, keyed_call()));
+        if is_ticked {
+            effects.extend((2..200).flat_map(|it| reducer.apply(at(it * 10, DaemonEvent::Tick))));
+        }
+        sender.send(effects.iter().filter(|it| format!("{it:?}").contains("OverQuota")).count())
     });
-    let n_answers = receiver.recv_timeout(STEP_PATIENCE);
-    assert_eq!(n_answers, Ok(1), "the reducer has to end each step");
+    receiver.recv_timeout(STEP_PATIENCE).expect("the reducer has to end each step")
+}
+
+#[test]
+fn a_keyed_call_before_any_ring_is_founded_is_refused_in_time() {
+    assert_eq!(over_quota_answers(ringless_daemon(), true), 1);
+}
+
+#[test]
+fn a_keyed_call_at_an_owner_that_has_no_shares_yet_ends() {
+    let mut reducer = ringless_daemon();
+    let member = reducer.own_record().member.clone();
+    let members = vec![RingMember { member, domain: "kolkata".into() }];
+    let definition = RingDefinition { name: "control".into(), epoch: 1, members };
+    reducer.apply(at(5, DaemonEvent::ControlLearned(LearnedFact::Ring(definition))));
+    assert_eq!(over_quota_answers(reducer, false), 0);
+}
+
+/// Runs calls at the daemon that owns all shares of their account while its lease ends, cut off from the other member.
+fn violations_at_lease_end() -> Vec<String> {
+    let firm = stratolift();
+    let services = [RouteRole::KeyedReading, RouteRole::KeyedReading].map(|it| firm.service(it));
+    let route = firm.route(RouteRole::KeyedReading);
+    let mut fleet = Fleet::new(firm, &services, 7);
+    fleet.schedule_fault(12_000 * MS, FleetFault::Cut(0, 1, 8_000));
+    for request in 0..500 {
+        let at = 14_800 * MS + request * 3 * MS;
+        let mut script = CallerScript::new(at, request, route, 1);
+        script.account = Some(1);
+        fleet.schedule_call(script);
+    }
+    fleet.run_until(20_000 * MS);
+    check_fleet(&fleet)
+}
+
+#[test]
+fn a_keyed_call_at_an_owner_whose_lease_has_just_ended_ends() {
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || sender.send(violations_at_lease_end()));
+    let violations = receiver.recv_timeout(STEP_PATIENCE);
+    assert_eq!(violations, Ok(Vec::new()), "the reducer has to end each step");
 }
 
 /// Runs a request to its end and its resend to another entry, while all messages are late that are sent in one certain
