--- a/crates/ivytrail/src/claim/handover.rs
+++ b/crates/ivytrail/src/claim/handover.rs
@@ -78,7 +78,10 @@
     ) -> Vec<(MemberId, ClaimHandover)> {
         let mut shares: BTreeMap<&MemberId, Vec<HandedClaim>> =
             heirs.iter().map(|it| (it, Vec::new())).collect();
-        for (digest, claim) in &self.claims {
+        let mut claims: Vec<_> = self.claims.iter().collect();
+        // The effects of an event must not depend on the order of a hash map.
+        claims.sort_unstable_by_key(|(digest, _)| *digest);
+        for (digest, claim) in claims {
             let share = first_heir(heirs, digest).and_then(|it| shares.get_mut(it));
             if let (Some(share), Some(handed)) = (share, hand(now, digest, claim)) {
                 share.push(handed);
--- a/crates/ivytrail/src/reducer/call_flow.rs
+++ b/crates/ivytrail/src/reducer/call_flow.rs
@@ -43,7 +43,10 @@
     pub(super) fn receive_call(&mut self, turn: &mut Turn, request: CallRequest) {
         let settings = self.settings.clone();
         let Some((route, policy)) = settings.find_route(&request.method, &request.path) else {
-            return refuse_at_once(turn, &request, RefusalReason::NoRoute, CallOutcome::NotRun);
+            // Earlier settings, or those of another daemon, may have had a route.
+            let is_claimable = request.idempotency_key.is_some();
+            let outcome = if is_claimable { CallOutcome::Unknown } else { CallOutcome::NotRun };
+            return refuse_at_once(turn, &request, RefusalReason::NoRoute, outcome);
         };
         let lineage = match request.source {
             CallSource::Caller(key) => self.root_lineage(turn, &request, policy, key),
@@ -328,9 +331,14 @@
             self.control.stash.take_back(turn.now, account, id);
         }
         let answer = match answer {
-            CallAnswer::Refused { outcome, reason, retry_after: None } => {
-                CallAnswer::Refused { outcome, reason, retry_after: call.refuse_after }
-            }
+            CallAnswer::Refused { outcome, reason, retry_after } => CallAnswer::Refused {
+                outcome: match outcome {
+                    CallOutcome::NotRun if call.may_have_run => CallOutcome::Unknown,
+                    outcome => outcome,
+                },
+                reason,
+                retry_after: retry_after.or(call.refuse_after),
+            },
             answer => answer,
         };
         turn.out.push(DaemonEffect::AnswerCall { call: id, answer });
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,5 +1,11 @@
 //! Golden sessions, randomised runs and process tests.
 
+pub mod daemons;
+pub mod firms;
 pub mod fleet;
 pub mod mesh;
 pub mod queue;
+pub mod scenario;
+pub mod session;
+pub mod soak;
+pub mod verdict;
