--- a/crates/ivytrail-daemon/src/peer_client.rs
+++ b/crates/ivytrail-daemon/src/peer_client.rs
@@ -21,6 +21,9 @@
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// What an attempt's request may take beyond the time that the call has left.
 const PATIENCE_MARGIN: Duration = Duration::from_millis(20);
+/// Time for which an idle connection is kept. Control traffic goes to ever other daemons, and each connection holds
+/// some tens of kilobytes at both ends.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Idle connections kept to each daemon.
 const MAX_IDLE_PER_PEER: usize = 64;
 
@@ -56,6 +59,7 @@
         let pooled = Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
             .pool_max_idle_per_host(MAX_IDLE_PER_PEER)
+            .pool_idle_timeout(IDLE_TIMEOUT)
             .tcp_nodelay(true)
             .no_proxy()
             .build()?;
--- a/crates/ivytrail-fakes/src/bin/ivytrail-measure.rs
+++ b/crates/ivytrail-fakes/src/bin/ivytrail-measure.rs
@@ -16,6 +16,8 @@
     seed: u64,
     #[options(no_short, meta = "NAME", help = "only this measure")]
     only: Option<String>,
+    #[options(no_short, meta = "NAMES", help = "decisions to switch off, with commas between")]
+    off: Option<String>,
 }
 
 #[tokio::main]
@@ -31,7 +33,9 @@
 }
 
 async fn run(options: &MeasureOptions) -> Result<()> {
-    let bench = BenchOptions { length: Duration::from_secs(options.seconds), seed: options.seed };
+    let off = options.off.iter().flat_map(|it| it.split(',')).map(str::to_string).collect();
+    let length = Duration::from_secs(options.seconds);
+    let bench = BenchOptions { length, seed: options.seed, off };
     let wants = |name: &str| options.only.as_deref().is_none_or(|only| only == name);
     if wants("added_latency_us") {
         for n_connections in [1, 100, 1_000] {
@@ -41,15 +45,15 @@
     if wants("goodput_ratio") {
         for depth in [1, 3, 6] {
             for factor in [1.0, 2.0, 4.0, 10.0] {
-                print(&measure::measure_goodput(depth, factor, bench).await?)?;
+                print(&measure::measure_goodput(depth, factor, &bench).await?)?;
             }
         }
     }
     if wants("critical_share") {
-        print(&measure::measure_critical_share(bench).await?)?;
+        print(&measure::measure_critical_share(&bench).await?)?;
     }
     if wants("recovery_ms") {
-        print(&measure::measure_recovery(bench).await?)?;
+        print(&measure::measure_recovery(&bench).await?)?;
     }
     Ok(())
 }
--- a/crates/ivytrail-fakes/src/measure.rs
+++ b/crates/ivytrail-fakes/src/measure.rs
@@ -46,12 +46,14 @@
 }
 
 /// How long and with which seed benches run.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct BenchOptions {
     /// Length of the load of one run.
     pub length: Duration,
     /// Seed of the load.
     pub seed: u64,
+    /// Decisions that are switched off in what is measured; the baseline has all of them off.
+    pub off: Vec<String>,
 }
 
 /// Measures whole answers within their deadlines over what the slots could do, for a chain of `depth` services under
@@ -63,7 +65,7 @@
 pub async fn measure_goodput(
     depth: usize,
     factor: f64,
-    bench: BenchOptions,
+    bench: &BenchOptions,
 ) -> Result<MeasureLine> {
     let ratio = async |options: ClusterOptions| {
         let cluster = MeshCluster::start(mesh::chain(depth), options).await?;
@@ -75,9 +77,9 @@
     Ok(MeasureLine {
         measure: "goodput_ratio",
         case: format!("chain {depth}, load {factor}x"),
-        value: Some(ratio(ClusterOptions::default()).await?),
+        value: Some(ratio(switched_off(&bench.off)).await?),
         unit: "ratio",
-        baseline: Some(ratio(without_decisions()).await?),
+        baseline: Some(ratio(switched_off(&OVERLOAD_DECISIONS)).await?),
         runs: 1,
     })
 }
@@ -87,7 +89,7 @@
 /// # Errors
 ///
 /// Returns an error when the mesh can't be started.
-pub async fn measure_critical_share(bench: BenchOptions) -> Result<MeasureLine> {
+pub async fn measure_critical_share(bench: &BenchOptions) -> Result<MeasureLine> {
     const FACTOR: f64 = 4.0;
     let share = async |options: ClusterOptions| {
         let cluster = MeshCluster::start(overloaded_reads(FACTOR), options).await?;
@@ -100,9 +102,9 @@
     Ok(MeasureLine {
         measure: "critical_share",
         case: format!("stratolift, other kinds at {FACTOR}x, critical within rate"),
-        value: Some(share(ClusterOptions::default()).await?),
+        value: Some(share(switched_off(&bench.off)).await?),
         unit: "ratio",
-        baseline: Some(share(without_decisions()).await?),
+        baseline: Some(share(switched_off(&OVERLOAD_DECISIONS)).await?),
         runs: 1,
     })
 }
@@ -113,7 +115,7 @@
 /// # Errors
 ///
 /// Returns an error when the mesh can't be started.
-pub async fn measure_recovery(bench: BenchOptions) -> Result<MeasureLine> {
+pub async fn measure_recovery(bench: &BenchOptions) -> Result<MeasureLine> {
     const SLOW_FACTOR: f64 = 10.0;
     const LOAD: f64 = 0.7;
     let recover = async |options: ClusterOptions| {
@@ -133,9 +135,9 @@
     Ok(MeasureLine {
         measure: "recovery_ms",
         case: "chain 3, deepest service 10x slower, hard resends".to_string(),
-        value: recover(ClusterOptions::default()).await?,
+        value: recover(switched_off(&bench.off)).await?,
         unit: "ms",
-        baseline: recover(without_decisions()).await?,
+        baseline: recover(switched_off(&OVERLOAD_DECISIONS)).await?,
         runs: 1,
     })
 }
@@ -191,9 +193,13 @@
     run_load(Arc::clone(plan), Arc::new(LoadProgress::default())).await
 }
 
-fn without_decisions() -> ClusterOptions {
+/// Returns a cluster whose daemons don't take the decisions in `names`.
+fn switched_off<N>(names: &[N]) -> ClusterOptions
+where
+    N: AsRef<str>,
+{
     let switches: BTreeMap<&str, Value> =
-        OVERLOAD_DECISIONS.iter().map(|name| (*name, json!("off"))).collect();
+        names.iter().map(|name| (name.as_ref(), json!("off"))).collect();
     ClusterOptions {
         daemon_settings: [("decisions".to_string(), json!(switches))].into(),
         ..ClusterOptions::default()
