--- a/crates/ivytrail/src/lib.rs
+++ b/crates/ivytrail/src/lib.rs
@@ -9,7 +9,7 @@
 //!                 +------- nested calls ---------+   (through the backend server's own daemon)
 //! ```
 //!
-//! All behaviour is in [`DaemonReducer`]: events go in, effects come out as data. Time, randomness and I/O
+//! All behaviour is in [`reducer::DaemonReducer`]: events go in, effects come out as data. Time, randomness and I/O
 //! enter as events, so a whole session can be replayed and compared with a golden file.
 //!
 //! # Example
--- a/crates/ivytrail/src/reducer.rs
+++ b/crates/ivytrail/src/reducer.rs
@@ -6,9 +6,11 @@
 //!
 //! # Example
 //!
-//! A request that no route takes is refused at once, and the refusal says that it has not run:
+//! A daemon that has no settings yet refuses a request at once, and says that it has not run and when to come back:
 //!
 //! ```
+//! use std::time::Duration;
+//!
 //! use ivytrail::{
 //!     id::{CallId, ContentDigest, MemberId},
 //!     message::{CallOutcome, RefusalReason},
@@ -39,8 +41,8 @@
 //! });
 //! let answer = CallAnswer::Refused {
 //!     outcome: CallOutcome::NotRun,
-//!     reason: RefusalReason::NoRoute,
-//!     retry_after: None,
+//!     reason: RefusalReason::StaleSettings,
+//!     retry_after: Some(Duration::from_secs(1)),
 //! };
 //! assert_eq!(effects, [DaemonEffect::AnswerCall { call: CallId(1), answer }]);
 //! ```
--- a/crates/ivytrail/src/reducer/call_flow.rs
+++ b/crates/ivytrail/src/reducer/call_flow.rs
@@ -15,7 +15,7 @@
     id::{AccountName, AttemptId, CallId, CallToken, ContentDigest, MemberId, RootId},
     message::{AttemptHeader, AttemptReply, AttemptResult, CallOutcome, RefusalReason},
     quota::QuotaVerdict,
-    settings::{PriorityClass, RoutePolicy},
+    settings::{PriorityClass, Revision, RoutePolicy},
 };
 
 /// Greatest depth of a call chain; the root call has depth 0.
@@ -46,7 +46,13 @@
             // Earlier settings, or those of another daemon, may have had a route.
             let is_claimable = request.idempotency_key.is_some();
             let outcome = if is_claimable { CallOutcome::Unknown } else { CallOutcome::NotRun };
-            return refuse_at_once(turn, &request, RefusalReason::NoRoute, outcome);
+            // A daemon without settings can't know; it must not sound final.
+            let is_empty_handed = settings.revision() == Revision::default();
+            let reason = match is_empty_handed {
+                true => RefusalReason::StaleSettings,
+                false => RefusalReason::NoRoute,
+            };
+            return refuse_at_once(turn, &request, reason, outcome);
         };
         let lineage = match request.source {
             CallSource::Caller(key) => self.root_lineage(turn, &request, policy, key),
