--- a/crates/ivytrail-daemon/src/executor.rs
+++ b/crates/ivytrail-daemon/src/executor.rs
@@ -28,6 +28,7 @@
     peers: PeerClient,
     runs: RunClient,
     requests: UnboundedSender<PlatformRequest>,
+    me: MemberId,
     restart: Notify,
     metrics: Arc<DaemonMetrics>,
 }
@@ -42,7 +43,16 @@
     ) -> EffectExecutor {
         let restart = Notify::new();
         let metrics = peers.metric_set().clone();
-        EffectExecutor(Arc::new(ExecutorParts { shell, peers, runs, requests, restart, metrics }))
+        let me = peers.me().clone();
+        EffectExecutor(Arc::new(ExecutorParts {
+            shell,
+            peers,
+            runs,
+            requests,
+            me,
+            restart,
+            metrics,
+        }))
     }
 
     /// Returns the shell.
@@ -162,29 +172,49 @@
         tokio::spawn(async move {
             let serial = header.attempt.serial;
             let patience = header.time_left;
-            let event =
-                match executor.0.peers.send_attempt(&address, &header, &body, patience).await {
-                    Ok((reply, body)) if reply.attempt == header.attempt => {
-                        DaemonEvent::AttemptAnswered { reply, body }
-                    }
-                    Ok(_) => {
-                        log::warn!("event=crossed_answer guard={to} attempt={}", header.attempt);
-                        DaemonEvent::AttemptBroken { serial, cause: BreakCause::Lost }
-                    }
-                    Err(SendError::NotSent(cause)) => {
-                        log::info!("event=attempt_not_sent guard={to} cause={cause:?}");
-                        DaemonEvent::AttemptBroken { serial, cause: BreakCause::NotSent }
-                    }
-                    Err(SendError::Lost(cause)) => {
-                        executor.metric_set().note_lost_attempt();
-                        log::info!("event=attempt_lost guard={to} cause={cause:?}");
-                        DaemonEvent::AttemptBroken { serial, cause: BreakCause::Lost }
-                    }
-                };
+            let exchange = match to == executor.0.me {
+                // The own guard needs no connection.
+                true => executor.attempt_here(&header, body, patience).await,
+                false => executor.0.peers.send_attempt(&address, &header, &body, patience).await,
+            };
+            let event = match exchange {
+                Ok((reply, body)) if reply.attempt == header.attempt => {
+                    DaemonEvent::AttemptAnswered { reply, body }
+                }
+                Ok(_) => {
+                    log::warn!("event=crossed_answer guard={to} attempt={}", header.attempt);
+                    DaemonEvent::AttemptBroken { serial, cause: BreakCause::Lost }
+                }
+                Err(SendError::NotSent(cause)) => {
+                    log::info!("event=attempt_not_sent guard={to} cause={cause:?}");
+                    DaemonEvent::AttemptBroken { serial, cause: BreakCause::NotSent }
+                }
+                Err(SendError::Lost(cause)) => {
+                    executor.metric_set().note_lost_attempt();
+                    log::info!("event=attempt_lost guard={to} cause={cause:?}");
+                    DaemonEvent::AttemptBroken { serial, cause: BreakCause::Lost }
+                }
+            };
             executor.apply(event);
         });
     }
 
+    /// Hands an attempt to this daemon's own guard and waits for its reply.
+    async fn attempt_here(
+        &self,
+        header: &AttemptHeader,
+        body: Bytes,
+        patience: Duration,
+    ) -> Result<(AttemptReply, Bytes), SendError> {
+        let receiver = self.shell().add_attempt(header.attempt.clone(), Some(body));
+        self.apply(DaemonEvent::AttemptReceived(Box::new(header.clone())));
+        match tokio::time::timeout(patience, receiver).await {
+            Ok(Ok(exchange)) => Ok(exchange),
+            Ok(Err(_)) => Err(SendError::Lost("the guard dropped the attempt".to_string())),
+            Err(_) => Err(SendError::Lost("the guard did not reply in time".to_string())),
+        }
+    }
+
     fn send_inquiry(&self, address: String, attempt: AttemptId, patience: Duration) {
         let executor = self.clone();
         tokio::spawn(async move {
--- a/crates/ivytrail-daemon/src/peer_client.rs
+++ b/crates/ivytrail-daemon/src/peer_client.rs
@@ -72,6 +72,11 @@
         Ok(PeerClient { me, secret, pooled, fresh, metrics: Arc::new(DaemonMetrics::new()) })
     }
 
+    /// Returns the daemon that this client belongs to.
+    pub fn me(&self) -> &MemberId {
+        &self.me
+    }
+
     /// Returns what this daemon counts.
     pub fn metric_set(&self) -> &Arc<DaemonMetrics> {
         &self.metrics
