--- a/crates/ivytrail-daemon/src/lib.rs
+++ b/crates/ivytrail-daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod executor;
 mod local_desk;
 pub mod log_setup;
+pub mod mesh;
 mod metrics;
 pub mod operator;
 mod operator_backend;
--- a/crates/ivytrail-daemon/src/main.rs
+++ b/crates/ivytrail-daemon/src/main.rs
@@ -4,7 +4,7 @@
 
 use ivytrail::settings::file::DaemonSettings;
 use ivytrail_daemon::{
-    log_setup,
+    log_setup, mesh,
     options::{DaemonOptions, StartMode},
     server::{self, RunOutcome},
 };
@@ -15,20 +15,25 @@
 fn main() -> ExitCode {
     match DaemonOptions::from_arguments() {
         StartMode::Exit { code } => ExitCode::from(code),
-        StartMode::Run(settings) => {
-            log_setup::start();
-            abort_on_panic();
-            match start(*settings) {
-                Ok(()) => ExitCode::SUCCESS,
-                Err(cause) => {
-                    log::error!("event=daemon_failed cause={:?}", format!("{cause:#}"));
-                    ExitCode::FAILURE
-                }
-            }
-        }
+        StartMode::Run(settings) => run_to_end(|| start(*settings)),
+        StartMode::RunMesh { path, settings } => run_to_end(|| mesh::run(path, *settings)),
     }
 }
 
+fn run_to_end<R>(run: R) -> ExitCode
+where
+    R: FnOnce() -> anyhow::Result<()>,
+{
+    log_setup::start();
+    abort_on_panic();
+    let ended = run();
+    if let Err(cause) = &ended {
+        log::error!("event=daemon_failed cause={:?}", format!("{cause:#}"));
+    }
+    log_setup::flush();
+    if ended.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 /// Ends the process on a panic: a daemon whose invariant broke must not go on with half of its tasks.
 fn abort_on_panic() {
     let report = std::panic::take_hook();
--- a/crates/ivytrail-daemon/src/options.rs
+++ b/crates/ivytrail-daemon/src/options.rs
@@ -1,7 +1,9 @@
 //! The daemon's command line.
 
+use std::path::PathBuf;
+
 use gumdrop::Options;
-use ivytrail::settings::file::DaemonSettings;
+use ivytrail::{error::Findings, mesh::file::MeshSettings, settings::file::DaemonSettings};
 
 /// Exit status for bad input: an unreadable or wrong settings file, or unknown arguments.
 const BAD_INPUT: u8 = 2;
@@ -15,6 +17,12 @@
     version: bool,
     #[options(meta = "FILE", help = "start with these settings")]
     settings: Option<String>,
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "start with these settings on a platform with a table"
+    )]
+    mesh: Option<String>,
     #[options(meta = "FILE", help = "check these settings and exit")]
     check: Option<String>,
 }
@@ -29,6 +37,13 @@
     },
     /// Run the daemon.
     Run(Box<DaemonSettings>),
+    /// Run the daemon of a mesh on a platform with a table.
+    RunMesh {
+        /// The settings file.
+        path: PathBuf,
+        /// What it says.
+        settings: Box<MeshSettings>,
+    },
 }
 
 impl DaemonOptions {
@@ -45,10 +60,10 @@
     }
 
     fn start_mode(&self) -> StartMode {
-        match (&self.check, &self.settings) {
+        match (&self.check, self.settings.as_ref().or(self.mesh.as_ref())) {
             _ if self.help => {
                 println!(
-                    "Usage: ivytraild --settings FILE\n\nThe ivytrail daemon, one beside each backend server.\n"
+                    "Usage: ivytraild --settings FILE | --mesh FILE\n\nThe ivytrail daemon, one beside each backend server.\n"
                 );
                 println!(
                     "{}\n\nIVYTRAIL_LOG=error|warn|info|debug sets the log level.",
@@ -60,14 +75,23 @@
                 println!("ivytraild {}", env!("CARGO_PKG_VERSION"));
                 StartMode::Exit { code: 0 }
             }
-            (Some(path), _) => match read_settings(path) {
-                Ok(_) => {
+            (Some(path), _) => match check_file(path) {
+                Ok(()) => {
                     println!("{path}: no findings");
                     StartMode::Exit { code: 0 }
                 }
                 Err(code) => StartMode::Exit { code },
             },
-            (None, Some(path)) => match read_settings(path) {
+            (None, Some(path)) if self.settings.is_none() => {
+                match read_settings(path, MeshSettings::parse) {
+                    Ok(settings) => StartMode::RunMesh {
+                        path: PathBuf::from(path),
+                        settings: Box::new(settings),
+                    },
+                    Err(code) => StartMode::Exit { code },
+                }
+            }
+            (None, Some(path)) => match read_settings(path, DaemonSettings::parse) {
                 Ok(settings) => StartMode::Run(Box::new(settings)),
                 Err(code) => StartMode::Exit { code },
             },
@@ -79,12 +103,27 @@
     }
 }
 
-fn read_settings(path: &str) -> Result<DaemonSettings, u8> {
+/// Field that only the settings of a mesh have.
+const MESH_FIELD: &str = "\"table_address\"";
+
+/// Checks a settings file of either kind.
+fn check_file(path: &str) -> Result<(), u8> {
+    let is_mesh = std::fs::read_to_string(path).is_ok_and(|text| text.contains(MESH_FIELD));
+    match is_mesh {
+        true => read_settings(path, MeshSettings::parse).map(drop),
+        false => read_settings(path, DaemonSettings::parse).map(drop),
+    }
+}
+
+fn read_settings<S, P>(path: &str, parse: P) -> Result<S, u8>
+where
+    P: FnOnce(&str) -> Result<S, Findings>,
+{
     let text = std::fs::read_to_string(path).map_err(|cause| {
         eprintln!("ivytraild: {path}: {cause}");
         BAD_INPUT
     })?;
-    DaemonSettings::parse(&text).map_err(|findings| {
+    parse(&text).map_err(|findings| {
         for finding in findings.iter() {
             eprintln!("{path}: {finding}");
         }
--- a/crates/ivytrail/src/lib.rs
+++ b/crates/ivytrail/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod id;
 pub mod lease;
 pub mod membership;
+pub mod mesh;
 pub mod message;
 pub mod platform;
 pub mod quarantine;
--- /dev/null
+++ b/crates/ivytrail/src/mesh.rs
@@ -0,0 +1,268 @@
+//! The mesh of daemons beside backend servers, on a platform that keeps a table and nothing else.
+//!
+//! Each daemon is the entry for the clients and the backend server on its own instance, and the guard in front of that
+//! backend server: every run of a request passes the guard beside the server that runs it. What must hold for one
+//! server (slots, drain, identity, at most one run) is enforced there, in one place; the entry only chooses.
+//!
+//! Daemons find each other in the platform's table, open one link to each other and tell each other what changes.
+//! Nothing that runs depends on the platform: settings and members in force stay in force while it is away.
+//!
+//! [`MeshReducer::apply`] takes events and returns effects; it reads no clock and does no I/O.
+
+pub mod budget;
+mod entry;
+pub mod event;
+pub mod file;
+pub mod frame;
+mod guard;
+mod links;
+mod log_budget;
+pub mod picker;
+pub mod policy;
+pub mod queue;
+pub mod quota;
+pub mod split;
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+use self::{
+    budget::{RepeatBudget, RepeatPolicy},
+    entry::EntryCalls,
+    event::{MeshEffect, MeshEvent, PeerAddress},
+    frame::{PeerCard, PeerFrame, ServerCard, ServerLoad},
+    guard::GuardRuns,
+    links::PeerLinks,
+    log_budget::LogBudget,
+    picker::ServerPicker,
+    policy::FleetSettings,
+    quota::QuotaBuckets,
+    split::WeightedSplit,
+};
+use crate::{
+    id::{DomainName, InstanceName, MemberId, RouteName, ServiceName},
+    quarantine::CrashQuarantine,
+    time::TimePoint,
+};
+
+/// Who a daemon is, and what its operators allow.
+#[derive(Clone, Debug)]
+pub struct MeshOptions {
+    /// This run of the daemon.
+    pub member: MemberId,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Address on which it takes links.
+    pub address: String,
+    /// Service of the backend server beside it.
+    pub service: ServiceName,
+    /// Bound on repeated sends.
+    pub repeats: RepeatPolicy,
+    /// Feeds every random choice.
+    pub seed: u64,
+}
+
+/// All decisions of one daemon of a mesh.
+#[derive(Debug)]
+pub struct MeshReducer {
+    options: MeshOptions,
+    settings: Option<Arc<FleetSettings>>,
+    /// The settings in force as they lie in the platform's table, for peers that lack them.
+    document: Bytes,
+    is_leaving: bool,
+    links: PeerLinks,
+    picker: ServerPicker,
+    entry: EntryCalls,
+    guard: GuardRuns,
+    quotas: QuotaBuckets,
+    budgets: HashMap<ServiceName, RepeatBudget>,
+    splits: HashMap<RouteName, WeightedSplit>,
+    quarantine: CrashQuarantine,
+    log: LogBudget,
+    rng: SmallRng,
+}
+
+/// One step of the reducer.
+struct Turn<'o> {
+    now: TimePoint,
+    out: &'o mut Vec<MeshEffect>,
+}
+
+impl Turn<'_> {
+    fn log(&mut self, line: String) {
+        self.out.push(MeshEffect::Log(line));
+    }
+
+    fn send(&mut self, peer: &InstanceName, frame: PeerFrame, body: Bytes) {
+        self.out.push(MeshEffect::Send { peer: peer.clone(), frame, body });
+    }
+
+    fn send_back(&mut self, peer: &InstanceName, frame: PeerFrame, body: Bytes) {
+        self.out.push(MeshEffect::SendBack { peer: peer.clone(), frame, body });
+    }
+}
+
+impl MeshReducer {
+    /// Returns the reducer of a daemon that has just started and knows nothing yet.
+    pub fn new(options: MeshOptions) -> MeshReducer {
+        MeshReducer {
+            settings: None,
+            document: Bytes::new(),
+            is_leaving: false,
+            links: PeerLinks::default(),
+            picker: ServerPicker::new(options.domain.clone()),
+            entry: EntryCalls::default(),
+            guard: GuardRuns::default(),
+            quotas: QuotaBuckets::default(),
+            budgets: HashMap::new(),
+            splits: HashMap::new(),
+            quarantine: CrashQuarantine::new(options.member.clone()),
+            log: LogBudget::default(),
+            rng: SmallRng::seed_from_u64(options.seed),
+            options,
+        }
+    }
+
+    /// Applies one event; what has to be done is added to `out`.
+    pub fn apply(&mut self, now: TimePoint, event: MeshEvent, out: &mut Vec<MeshEffect>) {
+        let mut turn = Turn { now, out };
+        match event {
+            MeshEvent::CallReceived(request) => self.receive_call(&mut turn, *request),
+            MeshEvent::CallerGone { call } => self.drop_call(&mut turn, call),
+            MeshEvent::LinkOpened(card) => self.open_link(&mut turn, &card),
+            MeshEvent::LinkClosed { peer } => self.close_link(&mut turn, &peer),
+            MeshEvent::PeerAccepted(card) => self.accept_peer(&mut turn, &card),
+            MeshEvent::PeerLost { peer } => self.lose_peer(&mut turn, &peer),
+            MeshEvent::FrameReceived { peer, frame, body } => {
+                self.receive_frame(&mut turn, &peer, frame, body);
+            }
+            MeshEvent::RunEnded { run, end } => self.end_run(&mut turn, run, end),
+            MeshEvent::ServerAnnounced { card, sequence } => {
+                self.hear_server(&mut turn, card, sequence);
+            }
+            MeshEvent::ServerLeft { id } => self.hear_server_leave(&mut turn, &id),
+            MeshEvent::SettingsLearned { settings, document } => {
+                self.learn_settings(&mut turn, settings, document);
+            }
+            MeshEvent::PeersLearned(peers) => self.learn_peers(&mut turn, peers),
+            MeshEvent::StopRequested => self.start_leaving(&mut turn),
+            MeshEvent::Tick => self.tick(&mut turn),
+        }
+    }
+
+    /// Returns whether the daemon can serve clients.
+    pub fn is_ready(&self) -> bool {
+        self.settings.is_some() && !self.is_leaving
+    }
+
+    /// Returns whether nothing is left that an exit would cut.
+    pub fn is_idle(&self) -> bool {
+        self.entry.is_empty() && self.guard.is_idle()
+    }
+
+    /// Returns whether the daemon is about to exit.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Returns the settings in force.
+    pub fn settings(&self) -> Option<&Arc<FleetSettings>> {
+        self.settings.as_ref()
+    }
+
+    /// Returns the own backend server, while one is known.
+    pub fn server(&self) -> Option<&ServerCard> {
+        self.guard.server()
+    }
+
+    /// Returns the load of the own backend server.
+    pub fn load(&self) -> ServerLoad {
+        self.guard.load()
+    }
+
+    /// Returns the number of calls that wait for their answer.
+    pub fn n_calls(&self) -> usize {
+        self.entry.len()
+    }
+
+    /// Returns the number of other daemons that this one has an open link to.
+    pub fn n_open_links(&self) -> usize {
+        self.links.n_open()
+    }
+
+    /// Returns what this daemon tells others about itself.
+    pub fn card(&self) -> PeerCard {
+        PeerCard {
+            member: self.options.member.clone(),
+            domain: self.options.domain.clone(),
+            address: self.options.address.clone(),
+            server: self.guard.server().cloned(),
+            settings_version: self.settings.as_ref().map_or(0, |it| it.version()),
+            is_leaving: self.is_leaving,
+            load: self.guard.load(),
+        }
+    }
+
+    fn learn_settings(
+        &mut self,
+        turn: &mut Turn<'_>,
+        settings: Arc<FleetSettings>,
+        document: Bytes,
+    ) {
+        let current = self.settings.as_ref().map_or(0, |it| it.version());
+        if settings.version() <= current {
+            return;
+        }
+        turn.log(format!(
+            "event=settings_in_force version={} before={current} routes={}",
+            settings.version(),
+            settings.n_routes(),
+        ));
+        self.settings = Some(settings);
+        self.document = document;
+        self.tell_peers(turn);
+    }
+
+    fn learn_peers(&mut self, turn: &mut Turn<'_>, peers: Vec<PeerAddress>) {
+        for peer in peers {
+            if peer.instance != self.options.member.instance {
+                self.links.add(turn, peer);
+            }
+        }
+    }
+
+    fn start_leaving(&mut self, turn: &mut Turn<'_>) {
+        if !self.is_leaving {
+            self.is_leaving = true;
+            turn.log("event=leaving".to_string());
+            self.tell_peers(turn);
+        }
+    }
+
+    /// Tells all daemons what has changed here.
+    fn tell_peers(&mut self, turn: &mut Turn<'_>) {
+        let card = self.card();
+        self.picker.note_card(turn.now, &card);
+        let frame = PeerFrame::Card(Box::new(card));
+        for peer in self.links.open_peers() {
+            turn.send(peer, frame.clone(), Bytes::new());
+        }
+        self.links.note_told(turn.now);
+    }
+
+    fn tick(&mut self, turn: &mut Turn<'_>) {
+        self.tick_calls(turn);
+        self.tick_runs(turn);
+        self.tick_links(turn);
+        if let Some(n_dropped) = self.log.take_dropped(turn.now) {
+            turn.log(format!("event=log_lines_dropped count={n_dropped}"));
+        }
+    }
+
+    /// Returns `span` varied by up to a quarter either way, so that what waits for it doesn't come back at once.
+    fn jitter(&mut self, span: Duration) -> Duration {
+        span.mul_f64(self.rng.random_range(0.75..1.25))
+    }
+}
--- /dev/null
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -0,0 +1,626 @@
+//! Calls at their entry daemon, from the request to its one answer.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+
+use super::{
+    MeshReducer, Turn,
+    event::{CallAnswer, CallRequest, MeshEffect},
+    frame::{AttemptOrder, AttemptResult, PeerFrame, QuotaVerdict, ServerLoad},
+    log_budget::LineWeight,
+    picker::AttemptNews,
+    policy::{AccountPolicy, RoutePolicy},
+    queue::QueueRank,
+    quota::home_of,
+    split::WeightedSplit,
+};
+use crate::{
+    id::{AccountName, CallId, ContentDigest, InstanceName, MemberId, ServiceName},
+    message::{CallOutcome, RefusalReason},
+    time::TimePoint,
+};
+
+/// When to come back to a daemon that knows no settings yet.
+const NO_SETTINGS_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// When to come back while no backend server of a service can be reached.
+const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Longest wait for the answer of an account's home.
+const QUOTA_PATIENCE: Duration = Duration::from_millis(100);
+/// Part of the target latency that a client's request may wait for a slot.
+const ROOT_WAIT_SHARE: f64 = 0.125;
+/// Part of the time left that a nested call may wait for a slot.
+const NESTED_WAIT_SHARE: f64 = 0.6;
+/// Guards that are asked for a slot before a request is refused.
+const MAX_REDIRECTS: usize = 3;
+/// Run times that must be left for a repeated send.
+const REPEAT_ROOM: f64 = 1.3;
+/// Part of the time left that the answer needs to travel back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(4);
+
+/// Where a call stands.
+#[derive(Clone, Debug, PartialEq)]
+enum CallStage {
+    /// The account's home has been asked.
+    Quota { ask: u64, until: TimePoint },
+    /// An attempt is at a guard.
+    Sent { serial: u64, peer: InstanceName, sent_at: TimePoint },
+    /// A decision is being taken.
+    Deciding,
+}
+
+/// A call without an answer.
+#[derive(Debug)]
+struct EntryCall {
+    order: AttemptOrder,
+    body: Bytes,
+    route: Arc<RoutePolicy>,
+    account: Option<Arc<AccountPolicy>>,
+    received_at: TimePoint,
+    deadline: TimePoint,
+    stage: CallStage,
+    tried: Vec<InstanceName>,
+    /// Attempts that may have begun to run.
+    n_runs: u32,
+    may_have_run: bool,
+    /// A backend server's failure, in case that no repeat does better.
+    fallback: Option<CallAnswer>,
+    retry_after: Option<Duration>,
+}
+
+impl EntryCall {
+    fn is_nested(&self) -> bool {
+        QueueRank(self.order.rank) == QueueRank::NESTED
+    }
+}
+
+/// All calls without an answer at this daemon.
+#[derive(Debug, Default)]
+pub(super) struct EntryCalls {
+    calls: HashMap<CallId, EntryCall>,
+    attempts: HashMap<u64, CallId>,
+    asks: HashMap<u64, CallId>,
+    timers: BinaryHeap<Reverse<(TimePoint, CallId)>>,
+    next_serial: u64,
+}
+
+impl EntryCalls {
+    pub(super) fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns the daemons that owe a reply for longer than `patience`.
+    pub(super) fn awaited_peers(&self, now: TimePoint, patience: Duration) -> Vec<InstanceName> {
+        let mut peers: Vec<InstanceName> = self
+            .calls
+            .values()
+            .filter_map(|call| match &call.stage {
+                CallStage::Sent { peer, sent_at, .. } if patience <= now.since(*sent_at) => {
+                    Some(peer.clone())
+                }
+                _ => None,
+            })
+            .collect();
+        peers.sort_unstable();
+        peers.dedup();
+        peers
+    }
+
+    fn sent_to(&self, peer: &InstanceName) -> Vec<(CallId, u64)> {
+        self.calls
+            .iter()
+            .filter_map(|(id, call)| match &call.stage {
+                CallStage::Sent { serial, peer: to, .. } if to == peer => Some((*id, *serial)),
+                _ => None,
+            })
+            .collect()
+    }
+}
+
+impl MeshReducer {
+    pub(super) fn receive_call(&mut self, turn: &mut Turn<'_>, request: CallRequest) {
+        let id = request.call;
+        let Some(settings) = self.settings.clone() else {
+            let retry_after = Some(self.jitter(NO_SETTINGS_RETRY_AFTER));
+            return self.refuse_early(turn, &request, RefusalReason::StaleSettings, retry_after);
+        };
+        let Some(route) = settings.route_of(&request.host, &request.target) else {
+            return self.refuse_early(turn, &request, RefusalReason::NoRoute, None);
+        };
+        let account = match (route.is_public, &request.key) {
+            (true, _) => None,
+            (false, Some(key)) => match settings.account_of(key) {
+                Some(account) => Some(account),
+                None => return self.refuse_early(turn, &request, RefusalReason::BadKey, None),
+            },
+            (false, None) => {
+                return self.refuse_early(turn, &request, RefusalReason::BadKey, None);
+            }
+        };
+        if request.request_id.is_empty() {
+            return self.refuse_early(turn, &request, RefusalReason::BadRequest, None);
+        }
+        let fingerprint = fingerprint_of(&request, account.map(|it| &it.name));
+        if let Some(span) = self.quarantine.blocks(turn.now, &fingerprint) {
+            return self.refuse_early(turn, &request, RefusalReason::Quarantined, Some(span));
+        }
+        let Some(service) = self.target_of(route) else {
+            return self.refuse_early(turn, &request, RefusalReason::NoRoute, None);
+        };
+        let time_limit = request.time_limit.unwrap_or(route.timeout).min(route.timeout);
+        let rank = match account {
+            Some(account) => QueueRank::of_priority(account.priority.unwrap_or(route.priority)),
+            None => QueueRank::NESTED,
+        };
+        let order = AttemptOrder {
+            serial: 0,
+            service: service.clone(),
+            route: route.name.clone(),
+            request_id: request.request_id,
+            method: request.method,
+            target: request.target,
+            headers: request.headers,
+            account: account.map(|it| it.name.clone()),
+            caller_service: self.options.service.clone(),
+            is_idempotent: route.is_idempotent,
+            rank: rank.0,
+            time_left_us: 0,
+            max_wait_us: 0,
+            fingerprint,
+        };
+        let call = EntryCall {
+            order,
+            body: request.body,
+            route: Arc::clone(route),
+            account: account.cloned(),
+            received_at: turn.now,
+            deadline: turn.now.plus(time_limit),
+            stage: CallStage::Deciding,
+            tried: Vec::new(),
+            n_runs: 0,
+            may_have_run: false,
+            fallback: None,
+            retry_after: None,
+        };
+        if rank != QueueRank::NESTED {
+            self.budgets.entry(service).or_default().note_request(&self.options.repeats);
+        }
+        self.entry.timers.push(Reverse((call.deadline, id)));
+        self.entry.calls.insert(id, call);
+        self.check_quota(turn, id);
+    }
+
+    fn refuse_early(
+        &mut self,
+        turn: &mut Turn<'_>,
+        request: &CallRequest,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+    ) {
+        if self.log.allows(turn.now, LineWeight::Notable) {
+            turn.log(format!(
+                "event=call_refused request={} host={} target={} reason={reason} settings={} outcome=not-run",
+                request.request_id,
+                request.host,
+                request.target,
+                self.settings.as_ref().map_or(0, |it| it.version()),
+            ));
+        }
+        let answer = CallAnswer::Refused { outcome: CallOutcome::NotRun, reason, retry_after };
+        turn.out.push(MeshEffect::Answer { call: request.call, answer });
+    }
+
+    fn target_of(&mut self, route: &RoutePolicy) -> Option<ServiceName> {
+        if let [target] = route.targets.as_slice() {
+            return Some(target.service.clone());
+        }
+        let phase = rand::RngExt::random_range(&mut self.rng, 0.0..1.0);
+        let split = self.splits.entry(route.name.clone()).or_default();
+        if !split.fits(&route.targets) {
+            *split = WeightedSplit::new(&route.targets, phase);
+        }
+        split.next_target().cloned()
+    }
+
+    /// Asks the account's home for one request, where the account has a rate.
+    fn check_quota(&mut self, turn: &mut Turn<'_>, id: CallId) {
+        let Some(call) = self.entry.calls.get_mut(&id) else { return };
+        let Some(account) = call.account.clone().filter(|it| 0.0 < it.rate_per_s) else {
+            return self.dispatch(turn, id);
+        };
+        let me = &self.options.member.instance;
+        let home = home_of(&account.name, self.links.open_peers().chain([me]));
+        match home {
+            Some(home) if home != me => {
+                let home = home.clone();
+                let ask = self.entry.next_serial;
+                self.entry.next_serial += 1;
+                let until = turn.now.plus(QUOTA_PATIENCE);
+                call.stage = CallStage::Quota { ask, until };
+                self.entry.asks.insert(ask, id);
+                self.entry.timers.push(Reverse((until, id)));
+                let frame = PeerFrame::QuotaAsk { ask, account: account.name.clone() };
+                turn.send(&home, frame, Bytes::new());
+            }
+            _ => {
+                let verdict = self.take_as_home(turn.now, &account);
+                self.settle_quota(turn, id, verdict, "home");
+            }
+        }
+    }
+
+    fn take_as_home(&mut self, now: TimePoint, account: &AccountPolicy) -> QuotaVerdict {
+        let (n_daemons, n_unreachable) = self.links.n_daemons(now);
+        self.quotas.take_as_home(now, account, n_unreachable, n_daemons)
+    }
+
+    pub(super) fn answer_quota(&mut self, now: TimePoint, name: &AccountName) -> QuotaVerdict {
+        let account = self.settings.as_ref().and_then(|it| it.account(name)).cloned();
+        match account.filter(|it| 0.0 < it.rate_per_s) {
+            Some(account) => self.take_as_home(now, &account),
+            // The asking daemon has checked the key; settings here may be older.
+            None => QuotaVerdict::Granted,
+        }
+    }
+
+    pub(super) fn receive_quota(&mut self, turn: &mut Turn<'_>, ask: u64, verdict: QuotaVerdict) {
+        if let Some(id) = self.entry.asks.remove(&ask) {
+            self.settle_quota(turn, id, verdict, "peer");
+        }
+    }
+
+    fn settle_quota(
+        &mut self,
+        turn: &mut Turn<'_>,
+        id: CallId,
+        verdict: QuotaVerdict,
+        decided_by: &str,
+    ) {
+        let Some(call) = self.entry.calls.get_mut(&id) else { return };
+        call.stage = CallStage::Deciding;
+        match verdict {
+            QuotaVerdict::Granted => self.dispatch(turn, id),
+            QuotaVerdict::Denied { retry_after } => {
+                if self.log.allows(turn.now, LineWeight::Notable) {
+                    turn.log(format!(
+                        "event=quota_denied request={} account={} decided_by={decided_by}",
+                        call.order.request_id,
+                        call.account.as_ref().map_or("", |it| it.name.as_str()),
+                    ));
+                }
+                let retry_after = Some(self.jitter(retry_after.max(Duration::from_millis(100))));
+                self.refuse(turn, id, RefusalReason::OverQuota, retry_after);
+            }
+        }
+    }
+
+    /// Sends the call to the guard that is expected to answer first.
+    fn dispatch(&mut self, turn: &mut Turn<'_>, id: CallId) {
+        let me = self.options.member.clone();
+        let Some(call) = self.entry.calls.get_mut(&id) else { return };
+        if call.deadline <= turn.now {
+            return self.refuse(turn, id, RefusalReason::DeadlineExceeded, None);
+        }
+        let picked =
+            self.picker.pick(turn.now, &call.order.service, &call.order.route, &call.tried);
+        let Some(peer) = picked.cloned() else {
+            let retry_after = call.retry_after;
+            let reason = match call.tried.is_empty() {
+                true => RefusalReason::NoUpstream,
+                false => RefusalReason::Overloaded,
+            };
+            let retry_after = retry_after.unwrap_or_else(|| self.jitter(NO_SERVER_RETRY_AFTER));
+            return self.give_up(turn, id, reason, Some(retry_after));
+        };
+        let serial = self.entry.next_serial;
+        self.entry.next_serial += 1;
+        let time_left = call.deadline.since(turn.now).saturating_sub(ANSWER_MARGIN);
+        let max_wait = match call.is_nested() {
+            true => time_left.mul_f64(NESTED_WAIT_SHARE),
+            false => call.route.target_latency.mul_f64(ROOT_WAIT_SHARE),
+        };
+        call.stage = CallStage::Sent { serial, peer: peer.clone(), sent_at: turn.now };
+        let mut order = call.order.clone();
+        order.serial = serial;
+        order.time_left_us = u64::try_from(time_left.as_micros()).unwrap_or(u64::MAX);
+        order.max_wait_us = u64::try_from(max_wait.as_micros()).unwrap_or(u64::MAX);
+        let body = call.body.clone();
+        self.entry.attempts.insert(serial, id);
+        self.picker.note_sent(&peer);
+        if peer == me.instance {
+            return self.receive_attempt(turn, &me, order, body);
+        }
+        turn.send(&peer, PeerFrame::Attempt(Box::new(order)), body);
+    }
+
+    pub(super) fn receive_reply(
+        &mut self,
+        turn: &mut Turn<'_>,
+        peer: &InstanceName,
+        serial: u64,
+        result: AttemptResult,
+        load: Option<ServerLoad>,
+        body: Bytes,
+    ) {
+        let Some(id) = self.entry.attempts.remove(&serial) else { return };
+        let Some(call) = self.entry.calls.get_mut(&id) else { return };
+        let route = call.order.route.clone();
+        call.stage = CallStage::Deciding;
+        let news = news_of(&result);
+        self.picker.note_end(turn.now, peer, &route, news, load);
+        match result {
+            AttemptResult::Answered { status, headers, is_call_failed, .. } => {
+                call.n_runs += 1;
+                call.may_have_run = true;
+                let answer = CallAnswer::Whole { status, headers, body };
+                let is_repeatable = is_server_fault(status) && !is_call_failed;
+                if is_repeatable && call.order.is_idempotent {
+                    call.tried.push(peer.clone());
+                    call.fallback = Some(answer.clone());
+                    if self.may_repeat(turn, id) {
+                        return self.dispatch(turn, id);
+                    }
+                }
+                self.finish(turn, id, answer);
+            }
+            AttemptResult::Refused { outcome, reason, retry_after, is_sent } => {
+                call.tried.push(peer.clone());
+                call.retry_after = match (call.retry_after, retry_after) {
+                    (Some(a), Some(b)) => Some(a.min(b)),
+                    (a, b) => a.or(b),
+                };
+                if outcome == CallOutcome::NotRun {
+                    return self.redirect(turn, id, reason, is_sent);
+                }
+                call.n_runs += 1;
+                call.may_have_run = true;
+                if call.order.is_idempotent && self.may_repeat(turn, id) {
+                    return self.dispatch(turn, id);
+                }
+                self.give_up(turn, id, reason, None);
+            }
+        }
+    }
+
+    /// Sends a call that has not run to another guard, if one may take it.
+    fn redirect(&mut self, turn: &mut Turn<'_>, id: CallId, reason: RefusalReason, is_sent: bool) {
+        let Some(call) = self.entry.calls.get(&id) else { return };
+        let is_final = reason == RefusalReason::Quarantined || MAX_REDIRECTS < call.tried.len();
+        if !is_final && (!is_sent || self.may_repeat(turn, id)) {
+            return self.dispatch(turn, id);
+        }
+        let Some(call) = self.entry.calls.get(&id) else { return };
+        let retry_after = call.retry_after.unwrap_or_else(|| self.jitter(NO_SERVER_RETRY_AFTER));
+        self.give_up(turn, id, reason, Some(retry_after));
+    }
+
+    /// Returns whether a call may be sent to a backend server once more, and spends the repeat.
+    fn may_repeat(&mut self, turn: &mut Turn<'_>, id: CallId) -> bool {
+        let Some(call) = self.entry.calls.get(&id) else { return false };
+        let needed = self.picker.route_run(&call.order.route).mul_f64(REPEAT_ROOM);
+        let (n_daemons, _) = self.links.n_daemons(turn.now);
+        let has_room = needed < call.deadline.since(turn.now);
+        let has_attempts = call.n_runs < call.route.max_attempts;
+        let has_server = self
+            .picker
+            .pick(turn.now, &call.order.service, &call.order.route, &call.tried)
+            .is_some();
+        has_room
+            && has_attempts
+            && has_server
+            && self.budgets.entry(call.order.service.clone()).or_default().try_spend(
+                turn.now,
+                &self.options.repeats,
+                n_daemons,
+            )
+    }
+
+    /// Answers with the failure that a backend server gave, or else with a refusal.
+    fn give_up(
+        &mut self,
+        turn: &mut Turn<'_>,
+        id: CallId,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+    ) {
+        let fallback = self.entry.calls.get_mut(&id).and_then(|it| it.fallback.take());
+        match fallback {
+            Some(answer) => self.finish(turn, id, answer),
+            None => self.refuse(turn, id, reason, retry_after),
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        turn: &mut Turn<'_>,
+        id: CallId,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+    ) {
+        let Some(call) = self.entry.calls.get(&id) else { return };
+        let outcome = match call.may_have_run {
+            true => CallOutcome::Unknown,
+            false => CallOutcome::NotRun,
+        };
+        self.finish(turn, id, CallAnswer::Refused { outcome, reason, retry_after });
+    }
+
+    /// Gives a call its one answer.
+    fn finish(&mut self, turn: &mut Turn<'_>, id: CallId, answer: CallAnswer) {
+        let Some(call) = self.entry.calls.remove(&id) else { return };
+        let is_good = matches!(&answer, CallAnswer::Whole { status, .. } if *status < 500);
+        if call.is_nested() && !is_good {
+            self.guard.call_failed_at = Some(turn.now);
+        }
+        let weight = if is_good { LineWeight::Routine } else { LineWeight::Notable };
+        if self.log.allows(turn.now, weight) {
+            turn.log(format!(
+                "event=call_answered request={} route={} service={} account={} tried={} took_ms={} {}",
+                call.order.request_id,
+                call.order.route,
+                call.order.service,
+                call.order.account.as_ref().map_or("-", |it| it.as_str()),
+                call.tried.len(),
+                turn.now.since(call.received_at).as_millis(),
+                summary_of(&answer),
+            ));
+        }
+        turn.out.push(MeshEffect::Answer { call: id, answer });
+    }
+
+    pub(super) fn drop_call(&mut self, turn: &mut Turn<'_>, id: CallId) {
+        let Some(call) = self.entry.calls.remove(&id) else { return };
+        if self.log.allows(turn.now, LineWeight::Routine) {
+            turn.log(format!(
+                "event=caller_gone request={} waited_ms={}",
+                call.order.request_id,
+                turn.now.since(call.received_at).as_millis(),
+            ));
+        }
+        self.abandon(turn, &call);
+    }
+
+    /// Gives up what a call waits for.
+    fn abandon(&mut self, turn: &mut Turn<'_>, call: &EntryCall) {
+        match &call.stage {
+            CallStage::Quota { ask, .. } => {
+                self.entry.asks.remove(ask);
+            }
+            CallStage::Sent { serial, peer, .. } => {
+                self.entry.attempts.remove(serial);
+                self.picker.note_end(turn.now, peer, &call.order.route, AttemptNews::Neutral, None);
+                let me = self.options.member.clone();
+                match *peer == me.instance {
+                    true => self.cancel_attempt(turn, &me, *serial),
+                    false => {
+                        turn.send(peer, PeerFrame::Cancel { serial: *serial }, Bytes::new());
+                    }
+                }
+            }
+            CallStage::Deciding => {}
+        }
+    }
+
+    pub(super) fn tick_calls(&mut self, turn: &mut Turn<'_>) {
+        while let Some(Reverse((due, id))) = self.entry.timers.peek().copied() {
+            if turn.now < due {
+                return;
+            }
+            self.entry.timers.pop();
+            let Some(call) = self.entry.calls.get(&id) else { continue };
+            match &call.stage {
+                _ if call.deadline <= turn.now => self.time_out(turn, id),
+                CallStage::Quota { ask, until } if *until <= turn.now => {
+                    self.entry.asks.remove(ask);
+                    let Some(account) = call.account.clone() else { continue };
+                    let (n_daemons, _) = self.links.n_daemons(turn.now);
+                    let verdict = self.quotas.take_fallback(turn.now, &account, n_daemons);
+                    self.settle_quota(turn, id, verdict, "fallback");
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn time_out(&mut self, turn: &mut Turn<'_>, id: CallId) {
+        let Some(mut call) = self.entry.calls.remove(&id) else { return };
+        if matches!(call.stage, CallStage::Sent { .. }) {
+            call.may_have_run = true;
+            self.abandon(turn, &call);
+        }
+        call.stage = CallStage::Deciding;
+        self.entry.calls.insert(id, call);
+        self.give_up(turn, id, RefusalReason::DeadlineExceeded, None);
+    }
+
+    /// Takes the end of a link: what may be sent again is, the rest waits for the link to come back.
+    pub(super) fn suspend_attempts(&mut self, turn: &mut Turn<'_>, peer: &InstanceName) {
+        for (id, serial) in self.entry.sent_to(peer) {
+            let is_idempotent =
+                self.entry.calls.get(&id).is_some_and(|call| call.order.is_idempotent);
+            if is_idempotent {
+                self.lose_attempt(turn, id, serial, peer);
+            }
+        }
+    }
+
+    /// Asks on a new link what became of the attempts that were sent on the old one.
+    pub(super) fn resume_attempts(&mut self, turn: &mut Turn<'_>, member: &MemberId) {
+        let peer = &member.instance;
+        for (id, serial) in self.entry.sent_to(peer) {
+            let Some(call) = self.entry.calls.get_mut(&id) else { continue };
+            if let CallStage::Sent { sent_at, .. } = &mut call.stage {
+                *sent_at = turn.now;
+            }
+            turn.send(peer, PeerFrame::Resume { serial }, Bytes::new());
+        }
+    }
+
+    /// Takes an attempt as lost: nobody can tell any more whether it ran.
+    fn lose_attempt(&mut self, turn: &mut Turn<'_>, id: CallId, serial: u64, peer: &InstanceName) {
+        self.entry.attempts.remove(&serial);
+        let Some(call) = self.entry.calls.get_mut(&id) else { return };
+        call.stage = CallStage::Deciding;
+        call.n_runs += 1;
+        call.may_have_run = true;
+        call.tried.push(peer.clone());
+        if call.order.is_idempotent && self.may_repeat(turn, id) {
+            return self.dispatch(turn, id);
+        }
+        self.give_up(turn, id, RefusalReason::ConnectionLost, None);
+    }
+
+    /// Takes it that a daemon has started anew: what its earlier run had is lost.
+    pub(super) fn lose_attempts(&mut self, turn: &mut Turn<'_>, peer: &InstanceName) {
+        for (id, serial) in self.entry.sent_to(peer) {
+            self.lose_attempt(turn, id, serial, peer);
+        }
+    }
+}
+
+fn is_server_fault(status: u16) -> bool {
+    (500..600).contains(&status) && status != 504
+}
+
+fn news_of(result: &AttemptResult) -> AttemptNews {
+    match result {
+        AttemptResult::Answered { status, run_us, .. } if *status < 500 => {
+            AttemptNews::Answered { run: Duration::from_micros(*run_us) }
+        }
+        AttemptResult::Answered { is_call_failed: true, .. } => AttemptNews::Neutral,
+        AttemptResult::Answered { .. } => AttemptNews::Failed,
+        AttemptResult::Refused { is_sent: true, .. } => AttemptNews::Failed,
+        AttemptResult::Refused { reason: RefusalReason::NoUpstream, .. } => AttemptNews::Failed,
+        AttemptResult::Refused { .. } => AttemptNews::Neutral,
+    }
+}
+
+fn summary_of(answer: &CallAnswer) -> String {
+    match answer {
+        CallAnswer::Whole { status, body, .. } => {
+            format!("outcome=ran status={status} bytes={}", body.len())
+        }
+        CallAnswer::Refused { outcome, reason, retry_after } => format!(
+            "outcome={outcome} reason={reason} retry_after_ms={}",
+            retry_after.map_or(0, |it| it.as_millis()),
+        ),
+    }
+}
+
+fn fingerprint_of(request: &CallRequest, account: Option<&AccountName>) -> ContentDigest {
+    ContentDigest::of_parts(&[
+        account.map_or(&[], |it| it.as_str().as_bytes()),
+        request.host.as_bytes(),
+        request.target.as_bytes(),
+        &request.body,
+    ])
+}
--- /dev/null
+++ b/crates/ivytrail/src/mesh/file.rs
@@ -0,0 +1,133 @@
+//! The settings file that a daemon of a mesh starts with.
+//!
+//! It holds what a daemon can't learn from others: its own name and addresses, where the platform's table is, and what
+//! operators allow of repeats. Each field with its unit, default and bounds is listed in `docs/CONFIGURATION.md`.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde_json::Value;
+
+use crate::{
+    error::Findings,
+    id::{DomainName, InstanceName, ServiceName},
+    mesh::budget::RepeatPolicy,
+    settings::{
+        document::parse_document,
+        reader::{NAME_ALLOWED, ObjectReader, ROOT_PLACE, name_in},
+    },
+};
+
+const ADDRESS_ALLOWED: &str = "an IP address and a port, e.g. \"10.0.0.7:7100\"";
+const SECONDS_ALLOWED: &str = "a number of seconds from 0 to 600";
+const RATIO_ALLOWED: &str = "a number from 0 to 1";
+const SLACK_ALLOWED: &str = "a number from 0 to 100000";
+
+/// The settings that a daemon of a mesh starts with.
+///
+/// # Example
+///
+/// ```
+/// use ivytrail::mesh::file::MeshSettings;
+///
+/// let findings = MeshSettings::parse(r#"{"name": "booking-1"}"#).unwrap_err();
+/// assert!(findings.iter().any(|it| it.place == "$.service"));
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct MeshSettings {
+    /// Name of the instance, unique in the fleet.
+    pub name: InstanceName,
+    /// Failure domain that the instance is in.
+    pub failure_domain: DomainName,
+    /// Service of the backend server on the instance.
+    pub service: ServiceName,
+    /// Address on which clients and the own backend server send requests.
+    pub caller_address: SocketAddr,
+    /// Address on which the own backend server announces itself.
+    pub local_address: SocketAddr,
+    /// Address on which the platform asks whether the daemon is ready.
+    pub health_address: SocketAddr,
+    /// Address on which other daemons open links.
+    pub peer_address: SocketAddr,
+    /// Address on which metrics are served.
+    pub metrics_address: SocketAddr,
+    /// Address of the own backend server.
+    pub server_address: SocketAddr,
+    /// Address of the platform's table.
+    pub table_address: SocketAddr,
+    /// Longest time from the signal to leave until the daemon exits.
+    pub shutdown_grace: Duration,
+    /// Bound on repeated sends.
+    pub repeats: RepeatPolicy,
+}
+
+impl MeshSettings {
+    /// Reads the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns everything that is wrong with the file, each finding with its JSON path, what was found and what is
+    /// allowed.
+    pub fn parse(text: &str) -> Result<MeshSettings, Findings> {
+        let document = parse_document(text)?;
+        let mut findings = Findings::default();
+        match read_settings(&document, &mut findings) {
+            Some(settings) => findings.into_result(settings),
+            None => Err(findings),
+        }
+    }
+}
+
+fn read_settings(document: &Value, findings: &mut Findings) -> Option<MeshSettings> {
+    let mut reader = ObjectReader::new(document, ROOT_PLACE, findings);
+    let name = reader.required("name", NAME_ALLOWED, name_in);
+    let failure_domain = reader.required("failure_domain", NAME_ALLOWED, name_in);
+    let service = reader.required("service", NAME_ALLOWED, name_in);
+    let mut address = |field| reader.required(field, ADDRESS_ALLOWED, address_in);
+    let caller_address = address("caller_address");
+    let local_address = address("local_address");
+    let health_address = address("health_address");
+    let peer_address = address("peer_address");
+    let metrics_address = address("metrics_address");
+    let server_address = address("server_address");
+    let table_address = address("table_address");
+    let grace_s = reader.required("shutdown_grace_s", SECONDS_ALLOWED, |it| number_in(it, 600.0));
+    let repeats = read_repeats(&mut reader);
+    reader.finish();
+    Some(MeshSettings {
+        name: name?.into(),
+        failure_domain: failure_domain?.into(),
+        service: service?.into(),
+        caller_address: caller_address?,
+        local_address: local_address?,
+        health_address: health_address?,
+        peer_address: peer_address?,
+        metrics_address: metrics_address?,
+        server_address: server_address?,
+        table_address: table_address?,
+        shutdown_grace: Duration::from_secs_f64(grace_s?),
+        repeats,
+    })
+}
+
+fn read_repeats(reader: &mut ObjectReader<'_, '_>) -> RepeatPolicy {
+    let default = RepeatPolicy::default();
+    let mut section = reader.section("repeats");
+    let ratio = section.optional("ratio", RATIO_ALLOWED, |it| number_in(it, 1.0));
+    let window_s = section.optional("window_s", SECONDS_ALLOWED, |it| number_in(it, 600.0));
+    let slack = section.optional("slack", SLACK_ALLOWED, |it| number_in(it, 100_000.0));
+    section.finish();
+    RepeatPolicy {
+        ratio: ratio.unwrap_or(default.ratio),
+        window_s: window_s.filter(|it| 0.0 < *it).unwrap_or(default.window_s),
+        slack: slack.unwrap_or(default.slack),
+    }
+}
+
+fn address_in(value: &Value) -> Option<SocketAddr> {
+    let address = value.as_str()?.parse::<SocketAddr>().ok()?;
+    (address.port() != 0).then_some(address)
+}
+
+fn number_in(value: &Value, greatest: f64) -> Option<f64> {
+    value.as_f64().filter(|number| (0.0..=greatest).contains(number))
+}
--- /dev/null
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -0,0 +1,584 @@
+//! The guard in front of the own backend server: attempts from their arrival to their reply.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use smol_str::SmolStr;
+
+use super::{
+    MeshReducer, Turn,
+    event::{MeshEffect, RunEnd, RunId},
+    frame::{AttemptOrder, AttemptResult, PeerFrame, ServerCard, ServerLoad, ServerPhase},
+    log_budget::LineWeight,
+    queue::{QueueRank, SlotQueue, SlotTicket, SlotVerdict},
+};
+use crate::{
+    id::{AttemptId, ContentDigest, MemberId},
+    message::{CallOutcome, RefusalReason},
+    quarantine::Suspicion,
+    time::TimePoint,
+};
+
+/// Share of the announced slots that is used; some servers slow down when their last slots fill.
+const USED_SLOTS: f64 = 0.95;
+/// Time for which a reply is kept for an entry whose link broke before it could read it.
+const REPLY_LIFE: Duration = Duration::from_millis(2_500);
+/// Bytes of bodies that kept replies may hold.
+const MAX_KEPT_BYTES: usize = 2 << 20;
+/// Time for which an attempt that must never run is remembered.
+const BURIAL_LIFE: Duration = Duration::from_secs(30);
+/// Time without the entry's link after which what it waits for is given up.
+const LOST_ENTRY_PATIENCE: Duration = Duration::from_millis(1_000);
+/// Time for which a backend server that takes no connection gets no work.
+const REFUSED_CONNECTION_PAUSE: Duration = Duration::from_millis(300);
+/// Time before a refused connection in which broken runs count as the work of the same crash.
+const CRASH_WINDOW: Duration = Duration::from_millis(1_000);
+/// Most broken runs that are remembered for that.
+const MAX_BROKEN: usize = 512;
+
+/// An attempt that waits or runs here.
+#[derive(Debug)]
+struct GuardAttempt {
+    attempt: AttemptId,
+    order: Arc<AttemptOrder>,
+    body: Bytes,
+    deadline: TimePoint,
+    arrived_at: TimePoint,
+    started_at: Option<TimePoint>,
+    /// Whether the entry has given it up.
+    is_abandoned: bool,
+}
+
+/// An attempt that has ended here.
+#[derive(Debug)]
+enum EndedAttempt {
+    Replied {
+        result: AttemptResult,
+        body: Bytes,
+    },
+    /// It never came, and must not run if it comes now.
+    Buried,
+}
+
+/// Attempts at the own backend server.
+#[derive(Debug, Default)]
+pub(super) struct GuardRuns {
+    server: Option<ServerCard>,
+    sequence: u64,
+    queue: SlotQueue<RunId>,
+    attempts: HashMap<RunId, GuardAttempt>,
+    runs: HashMap<AttemptId, RunId>,
+    ended: HashMap<AttemptId, EndedAttempt>,
+    ended_order: VecDeque<(TimePoint, AttemptId)>,
+    n_kept_bytes: usize,
+    next_run: u64,
+    /// Until when no run is started, since the backend server took no connection.
+    paused_until: TimePoint,
+    broken: VecDeque<(TimePoint, ContentDigest)>,
+    /// When a call that the own backend server made last failed.
+    pub(super) call_failed_at: Option<TimePoint>,
+}
+
+impl GuardRuns {
+    pub(super) fn server(&self) -> Option<&ServerCard> {
+        self.server.as_ref()
+    }
+
+    pub(super) fn load(&self) -> ServerLoad {
+        ServerLoad {
+            running: self.queue.n_running() as u32,
+            queued: self.queue.n_waiting() as u32,
+            limit: self.queue.limit(),
+            mean_run_us: u32::try_from(self.queue.mean_run().as_micros()).unwrap_or(u32::MAX),
+            pressure: (self.queue.pressure() * 1_000.0) as u16,
+        }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.attempts.is_empty()
+    }
+
+    /// Returns the number of attempts that may run at once now.
+    fn wanted_limit(&self, now: TimePoint) -> u32 {
+        match &self.server {
+            Some(server) if server.phase == ServerPhase::Ready && self.paused_until <= now => {
+                ((f64::from(server.slots) * USED_SLOTS) as u32).max(1)
+            }
+            _ => 0,
+        }
+    }
+
+    fn keep(&mut self, now: TimePoint, attempt: AttemptId, ended: EndedAttempt) {
+        let life = match &ended {
+            EndedAttempt::Replied { body, .. } => {
+                self.n_kept_bytes += body.len();
+                REPLY_LIFE
+            }
+            EndedAttempt::Buried => BURIAL_LIFE,
+        };
+        self.ended_order.push_back((now.plus(life), attempt.clone()));
+        self.ended.insert(attempt, ended);
+    }
+
+    fn forget_ended(&mut self, now: TimePoint) {
+        while let Some((expiry, _)) = self.ended_order.front() {
+            if now < *expiry && self.n_kept_bytes <= MAX_KEPT_BYTES {
+                return;
+            }
+            let Some((expiry, attempt)) = self.ended_order.pop_front() else { return };
+            match self.ended.get(&attempt) {
+                // Burials are short; only replies are dropped early.
+                Some(EndedAttempt::Buried) if now < expiry => {
+                    self.ended_order.push_back((expiry, attempt));
+                    return;
+                }
+                Some(EndedAttempt::Replied { body, .. }) => self.n_kept_bytes -= body.len(),
+                _ => {}
+            }
+            self.ended.remove(&attempt);
+        }
+    }
+}
+
+impl MeshReducer {
+    pub(super) fn hear_server(&mut self, turn: &mut Turn<'_>, card: ServerCard, sequence: u64) {
+        if let Some(current) = &self.guard.server {
+            let is_same_run = current.id == card.id && current.born_ms == card.born_ms;
+            let is_old = card.born_ms < current.born_ms
+                || (is_same_run && (sequence <= self.guard.sequence));
+            // A server that has said that it leaves does not come back in the same run.
+            let is_back = is_same_run
+                && current.phase == ServerPhase::Draining
+                && card.phase == ServerPhase::Ready;
+            if is_old || is_back {
+                turn.log(format!(
+                    "event=announcement_ignored server={} sequence={sequence} known_sequence={} born_ms={}",
+                    card.id, self.guard.sequence, card.born_ms,
+                ));
+                return;
+            }
+        }
+        self.guard.sequence = sequence;
+        let is_changed = self.guard.server.as_ref().is_none_or(|it| {
+            it.id != card.id
+                || it.born_ms != card.born_ms
+                || it.phase != card.phase
+                || it.slots != card.slots
+                || it.service != card.service
+        });
+        if !is_changed {
+            return;
+        }
+        turn.log(format!(
+            "event=server_announced server={} service={} phase={:?} slots={} born_ms={} sequence={sequence}",
+            card.id, card.service, card.phase, card.slots, card.born_ms,
+        ));
+        self.guard.server = Some(card);
+        self.guard.paused_until = TimePoint::ORIGIN;
+        self.fit_limit(turn);
+        self.tell_peers(turn);
+    }
+
+    pub(super) fn hear_server_leave(&mut self, turn: &mut Turn<'_>, id: &SmolStr) {
+        let Some(server) = self.guard.server.as_mut().filter(|it| it.id == *id) else { return };
+        if server.phase == ServerPhase::Draining {
+            return;
+        }
+        server.phase = ServerPhase::Draining;
+        turn.log(format!("event=server_leaving server={id}"));
+        self.fit_limit(turn);
+        self.tell_peers(turn);
+    }
+
+    /// Sets the limit to what the backend server takes now; without slots, what waits is refused.
+    fn fit_limit(&mut self, turn: &mut Turn<'_>) {
+        let limit = self.guard.wanted_limit(turn.now);
+        let mut verdicts = Vec::new();
+        if limit == 0 {
+            self.guard.queue.clear_waiting(&mut verdicts);
+        }
+        if limit != self.guard.queue.limit() {
+            self.guard.queue.set_limit(turn.now, limit, &mut verdicts);
+        }
+        self.carry_out(turn, verdicts);
+    }
+
+    pub(super) fn receive_attempt(
+        &mut self,
+        turn: &mut Turn<'_>,
+        from: &MemberId,
+        order: AttemptOrder,
+        body: Bytes,
+    ) {
+        let attempt = AttemptId { entry: from.clone(), serial: order.serial };
+        if self.guard.runs.contains_key(&attempt) {
+            return;
+        }
+        match self.guard.ended.get(&attempt) {
+            Some(EndedAttempt::Buried) => {
+                let result = not_run(RefusalReason::ConnectionLost, None);
+                return self.reply(turn, &attempt, result, Bytes::new());
+            }
+            Some(EndedAttempt::Replied { .. }) => return,
+            None => {}
+        }
+        if let Some(reason) = self.reason_against(turn.now, &order) {
+            return self.reply(turn, &attempt, not_run(reason, None), Bytes::new());
+        }
+        let run = RunId(self.guard.next_run);
+        self.guard.next_run += 1;
+        let deadline = turn.now.plus(Duration::from_micros(order.time_left_us));
+        let max_wait = Duration::from_micros(order.max_wait_us);
+        let ticket = SlotTicket {
+            key: run,
+            rank: QueueRank(order.rank),
+            start_by: turn.now.plus(max_wait).min(deadline),
+        };
+        self.guard.runs.insert(attempt.clone(), run);
+        let waiting = GuardAttempt {
+            attempt,
+            order: Arc::new(order),
+            body,
+            deadline,
+            arrived_at: turn.now,
+            started_at: None,
+            is_abandoned: false,
+        };
+        self.guard.attempts.insert(run, waiting);
+        let mut verdicts = Vec::new();
+        self.guard.queue.offer(turn.now, ticket, &mut verdicts);
+        self.carry_out(turn, verdicts);
+    }
+
+    /// Returns why the own backend server can't run the attempt now, if so.
+    fn reason_against(&self, now: TimePoint, order: &AttemptOrder) -> Option<RefusalReason> {
+        match &self.guard.server {
+            None => Some(RefusalReason::NoUpstream),
+            Some(server) if server.service != order.service => Some(RefusalReason::NoUpstream),
+            Some(server) if server.phase == ServerPhase::Draining => Some(RefusalReason::Draining),
+            Some(_) if now < self.guard.paused_until => Some(RefusalReason::NoUpstream),
+            Some(_) if self.quarantine.blocks(now, &order.fingerprint).is_some() => {
+                Some(RefusalReason::Quarantined)
+            }
+            Some(_) => None,
+        }
+    }
+
+    fn carry_out(&mut self, turn: &mut Turn<'_>, verdicts: Vec<SlotVerdict<RunId>>) {
+        for verdict in verdicts {
+            match verdict {
+                SlotVerdict::Start(run) => self.start_run(turn, run),
+                SlotVerdict::Refuse { key, retry_after } => {
+                    let retry_after = self.jitter(retry_after);
+                    let reason = match &self.guard.server {
+                        Some(it) if it.phase == ServerPhase::Ready => RefusalReason::Overloaded,
+                        _ => RefusalReason::Draining,
+                    };
+                    self.refuse_run(turn, key, not_run(reason, Some(retry_after)));
+                }
+            }
+        }
+    }
+
+    fn start_run(&mut self, turn: &mut Turn<'_>, run: RunId) {
+        let Some(server) = &self.guard.server else { return };
+        let server_id = server.id.clone();
+        let Some(attempt) = self.guard.attempts.get_mut(&run) else { return };
+        attempt.started_at = Some(turn.now);
+        turn.out.push(MeshEffect::StartRun {
+            run,
+            order: Arc::clone(&attempt.order),
+            server_id,
+            body: std::mem::take(&mut attempt.body),
+            time_left: attempt.deadline.since(turn.now),
+        });
+    }
+
+    fn refuse_run(&mut self, turn: &mut Turn<'_>, run: RunId, result: AttemptResult) {
+        let Some(ended) = self.guard.attempts.remove(&run) else { return };
+        self.guard.runs.remove(&ended.attempt);
+        if self.log.allows(turn.now, LineWeight::Notable) {
+            turn.log(format!(
+                "event=attempt_refused request={} attempt={} route={} rank={} waited_ms={} running={} queued={} limit={} result={result:?}",
+                ended.order.request_id,
+                ended.attempt,
+                ended.order.route,
+                ended.order.rank,
+                turn.now.since(ended.arrived_at).as_millis(),
+                self.guard.queue.n_running(),
+                self.guard.queue.n_waiting(),
+                self.guard.queue.limit(),
+            ));
+        }
+        self.reply(turn, &ended.attempt, result, Bytes::new());
+    }
+
+    pub(super) fn end_run(&mut self, turn: &mut Turn<'_>, run: RunId, end: RunEnd) {
+        let Some(ended) = self.guard.attempts.remove(&run) else { return };
+        self.guard.runs.remove(&ended.attempt);
+        let started = ended.started_at.unwrap_or(ended.arrived_at);
+        let is_whole = matches!(end, RunEnd::Answered { .. });
+        let weight = if is_whole { LineWeight::Routine } else { LineWeight::Notable };
+        if self.log.allows(turn.now, weight) {
+            turn.log(format!(
+                "event=run_ended request={} attempt={} route={} waited_ms={} ran_ms={} end={}",
+                ended.order.request_id,
+                ended.attempt,
+                ended.order.route,
+                started.since(ended.arrived_at).as_millis(),
+                turn.now.since(started).as_millis(),
+                name_of(&end),
+            ));
+        }
+        let mut verdicts = Vec::new();
+        self.guard.queue.release(turn.now, &run, is_whole, &mut verdicts);
+        self.note_evidence(turn, &ended, &end);
+        self.carry_out(turn, verdicts);
+        let (result, body) = self.result_of(started, turn.now, end);
+        match ended.is_abandoned {
+            true => {}
+            false => self.reply(turn, &ended.attempt, result, body),
+        }
+    }
+
+    fn result_of(&self, started: TimePoint, now: TimePoint, end: RunEnd) -> (AttemptResult, Bytes) {
+        let refused = |outcome, reason, is_sent| AttemptResult::Refused {
+            outcome,
+            reason,
+            retry_after: None,
+            is_sent,
+        };
+        let result = match end {
+            RunEnd::Answered { status, headers, body } => {
+                let run_us = u64::try_from(now.since(started).as_micros()).unwrap_or(u64::MAX);
+                let is_call_failed = self.guard.call_failed_at.is_some_and(|at| started <= at);
+                let result = AttemptResult::Answered { status, headers, run_us, is_call_failed };
+                return (result, body);
+            }
+            RunEnd::Rejected { .. } => {
+                refused(CallOutcome::NotRun, RefusalReason::Overloaded, true)
+            }
+            RunEnd::NotSent => refused(CallOutcome::NotRun, RefusalReason::NoUpstream, false),
+            RunEnd::Broken => refused(CallOutcome::Unknown, RefusalReason::BrokenAnswer, true),
+            RunEnd::TimedOut => {
+                refused(CallOutcome::Unknown, RefusalReason::DeadlineExceeded, true)
+            }
+        };
+        (result, Bytes::new())
+    }
+
+    /// Draws conclusions about the backend server and the request from the end of a run.
+    fn note_evidence(&mut self, turn: &mut Turn<'_>, ended: &GuardAttempt, end: &RunEnd) {
+        let fingerprint = ended.order.fingerprint;
+        match end {
+            RunEnd::Answered { .. } => {
+                self.quarantine.note_whole(&fingerprint);
+                let clearances = self.quarantine.take_clearances();
+                self.spread(turn, clearances);
+            }
+            RunEnd::Broken => {
+                self.guard.broken.push_back((turn.now, fingerprint));
+                if MAX_BROKEN < self.guard.broken.len() {
+                    self.guard.broken.pop_front();
+                }
+            }
+            RunEnd::NotSent => self.note_refused_connection(turn),
+            RunEnd::Rejected { is_misdirected: true } => {
+                turn.log(format!(
+                    "event=server_replaced request={} service={}",
+                    ended.order.request_id, ended.order.service
+                ));
+                self.guard.paused_until = turn.now.plus(REFUSED_CONNECTION_PAUSE);
+                self.fit_limit(turn);
+            }
+            RunEnd::Rejected { .. } | RunEnd::TimedOut => {}
+        }
+    }
+
+    /// Takes a refused connection as the end of the backend server, and what broke just before as its last requests.
+    fn note_refused_connection(&mut self, turn: &mut Turn<'_>) {
+        let now = turn.now;
+        if now < self.guard.paused_until {
+            return;
+        }
+        self.guard.paused_until = now.plus(REFUSED_CONNECTION_PAUSE);
+        let mut in_flight: Vec<ContentDigest> = self
+            .guard
+            .broken
+            .drain(..)
+            .filter(|(at, _)| now.since(*at) < CRASH_WINDOW)
+            .map(|(_, fingerprint)| fingerprint)
+            .collect();
+        in_flight.extend(
+            self.guard
+                .attempts
+                .values()
+                .filter(|it| it.started_at.is_some())
+                .map(|it| it.order.fingerprint),
+        );
+        turn.log(format!("event=server_unreachable in_flight={}", in_flight.len()));
+        if !in_flight.is_empty() {
+            let suspicions = self.quarantine.note_crash(now, &in_flight);
+            self.spread(turn, suspicions);
+        }
+        self.fit_limit(turn);
+    }
+
+    fn spread(&mut self, turn: &mut Turn<'_>, suspicions: Vec<Suspicion>) {
+        for suspicion in suspicions {
+            for peer in self.links.open_peers() {
+                turn.send(peer, PeerFrame::Suspicion(suspicion.clone()), Bytes::new());
+            }
+        }
+    }
+
+    pub(super) fn cancel_attempt(&mut self, turn: &mut Turn<'_>, from: &MemberId, serial: u64) {
+        let attempt = AttemptId { entry: from.clone(), serial };
+        let Some(run) = self.guard.runs.get(&attempt).copied() else { return };
+        self.give_up_run(turn, run);
+    }
+
+    /// Gives up what nobody waits for any more. A run that may be made only once goes on, since its effect may be half
+    /// done.
+    fn give_up_run(&mut self, turn: &mut Turn<'_>, run: RunId) {
+        if self.guard.queue.withdraw(&run) {
+            if let Some(ended) = self.guard.attempts.remove(&run) {
+                self.guard.runs.remove(&ended.attempt);
+                self.guard.keep(turn.now, ended.attempt, EndedAttempt::Buried);
+            }
+            return;
+        }
+        let Some(running) = self.guard.attempts.get_mut(&run) else { return };
+        running.is_abandoned = true;
+        if running.order.is_idempotent {
+            turn.out.push(MeshEffect::CancelRun { run });
+            let Some(ended) = self.guard.attempts.remove(&run) else { return };
+            self.guard.runs.remove(&ended.attempt);
+            let mut verdicts = Vec::new();
+            self.guard.queue.release(turn.now, &run, false, &mut verdicts);
+            self.carry_out(turn, verdicts);
+        }
+    }
+
+    /// Tells an entry on its new link what became of an attempt.
+    pub(super) fn resume_run(&mut self, turn: &mut Turn<'_>, from: &MemberId, serial: u64) {
+        let attempt = AttemptId { entry: from.clone(), serial };
+        if self.guard.runs.contains_key(&attempt) {
+            return;
+        }
+        match self.guard.ended.get(&attempt) {
+            Some(EndedAttempt::Replied { result, body }) => {
+                let (result, body) = (result.clone(), body.clone());
+                let load = self.guard.load();
+                let frame = PeerFrame::Reply { serial, result, load };
+                turn.send_back(&from.instance, frame, body);
+            }
+            Some(EndedAttempt::Buried) => {
+                self.reply(
+                    turn,
+                    &attempt,
+                    not_run(RefusalReason::ConnectionLost, None),
+                    Bytes::new(),
+                );
+            }
+            None => {
+                self.guard.keep(turn.now, attempt.clone(), EndedAttempt::Buried);
+                self.reply(
+                    turn,
+                    &attempt,
+                    not_run(RefusalReason::ConnectionLost, None),
+                    Bytes::new(),
+                );
+            }
+        }
+    }
+
+    fn reply(
+        &mut self,
+        turn: &mut Turn<'_>,
+        attempt: &AttemptId,
+        result: AttemptResult,
+        body: Bytes,
+    ) {
+        let load = self.guard.load();
+        if attempt.entry == self.options.member {
+            let me = attempt.entry.instance.clone();
+            return self.receive_reply(turn, &me, attempt.serial, result, Some(load), body);
+        }
+        let is_buried = matches!(self.guard.ended.get(attempt), Some(EndedAttempt::Buried));
+        if !is_buried {
+            let ended = EndedAttempt::Replied { result: result.clone(), body: body.clone() };
+            self.guard.keep(turn.now, attempt.clone(), ended);
+        }
+        let frame = PeerFrame::Reply { serial: attempt.serial, result, load };
+        turn.send_back(&attempt.entry.instance, frame, body);
+    }
+
+    pub(super) fn tick_runs(&mut self, turn: &mut Turn<'_>) {
+        self.guard.forget_ended(turn.now);
+        if self.guard.wanted_limit(turn.now) != self.guard.queue.limit() {
+            self.fit_limit(turn);
+        }
+        let mut verdicts = Vec::new();
+        self.guard.queue.expire(turn.now, &mut verdicts);
+        self.carry_out(turn, verdicts);
+        self.give_up_lost_entries(turn);
+    }
+
+    /// Gives up what entries wait for whose links have been away for long.
+    fn give_up_lost_entries(&mut self, turn: &mut Turn<'_>) {
+        let now = turn.now;
+        let lost: Vec<RunId> = self
+            .guard
+            .attempts
+            .iter()
+            .filter(|(_, it)| {
+                let link = self.links.get(&it.attempt.entry.instance);
+                let lost_at = link.and_then(|link| link.lost_at);
+                !it.is_abandoned && lost_at.is_some_and(|at| LOST_ENTRY_PATIENCE <= now.since(at))
+            })
+            .map(|(run, _)| *run)
+            .collect();
+        for run in lost {
+            self.give_up_run(turn, run);
+        }
+    }
+}
+
+impl MeshReducer {
+    /// Gives up what earlier runs of an entry daemon wait for.
+    pub(super) fn give_up_earlier_runs(&mut self, turn: &mut Turn<'_>, member: &MemberId) {
+        let earlier: Vec<RunId> = self
+            .guard
+            .attempts
+            .iter()
+            .filter(|(_, it)| {
+                let entry = &it.attempt.entry;
+                entry.instance == member.instance && entry.incarnation != member.incarnation
+            })
+            .map(|(run, _)| *run)
+            .collect();
+        for run in earlier {
+            self.give_up_run(turn, run);
+        }
+    }
+}
+
+fn not_run(reason: RefusalReason, retry_after: Option<Duration>) -> AttemptResult {
+    AttemptResult::Refused { outcome: CallOutcome::NotRun, reason, retry_after, is_sent: false }
+}
+
+fn name_of(end: &RunEnd) -> &'static str {
+    match end {
+        RunEnd::Answered { .. } => "answered",
+        RunEnd::Rejected { is_misdirected: false } => "rejected",
+        RunEnd::Rejected { is_misdirected: true } => "misdirected",
+        RunEnd::NotSent => "not-sent",
+        RunEnd::Broken => "broken",
+        RunEnd::TimedOut => "timed-out",
+    }
+}
--- a/crates/ivytrail/src/settings.rs
+++ b/crates/ivytrail/src/settings.rs
@@ -6,13 +6,13 @@
 pub mod check;
 pub mod credential;
 pub mod decisions;
-mod document;
+pub(crate) mod document;
 pub mod edit;
 pub mod feed;
 pub mod file;
 pub mod index;
 pub mod lookup;
-mod reader;
+pub(crate) mod reader;
 pub mod rows;
 pub mod snapshot;
 pub mod store;
