--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -10,10 +10,12 @@
 //! [`MeshReducer::apply`] takes events and returns effects; it reads no clock and does no I/O.
 
 pub mod budget;
+pub mod cost;
 mod entry;
 pub mod event;
 pub mod file;
 pub mod frame;
+pub mod gate;
 mod guard;
 mod links;
 mod log_budget;
@@ -30,9 +32,11 @@
 
 use self::{
     budget::{RepeatBudget, RepeatPolicy},
+    cost::CostBook,
     entry::EntryCalls,
     event::{MeshEffect, MeshEvent, PeerAddress},
     frame::{PeerCard, PeerFrame, ServerCard, ServerLoad},
+    gate::EntryGate,
     guard::GuardRuns,
     links::PeerLinks,
     log_budget::LogBudget,
@@ -47,6 +51,9 @@
     time::TimePoint,
 };
 
+/// Time between two computations of the gate's shares.
+const GATE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Who a daemon is, and what its operators allow.
 #[derive(Clone, Debug)]
 pub struct MeshOptions {
@@ -79,6 +86,10 @@
     quotas: QuotaBuckets,
     budgets: HashMap<ServiceName, RepeatBudget>,
     splits: HashMap<RouteName, WeightedSplit>,
+    costs: CostBook,
+    gate: EntryGate,
+    gate_updated_at: TimePoint,
+    demand_told_at: TimePoint,
     quarantine: CrashQuarantine,
     log: LogBudget,
     rng: SmallRng,
@@ -118,6 +129,10 @@
             quotas: QuotaBuckets::default(),
             budgets: HashMap::new(),
             splits: HashMap::new(),
+            costs: CostBook::default(),
+            gate: EntryGate::default(),
+            gate_updated_at: TimePoint::ORIGIN,
+            demand_told_at: TimePoint::ORIGIN,
             quarantine: CrashQuarantine::new(options.member.clone()),
             log: LogBudget::default(),
             rng: SmallRng::seed_from_u64(options.seed),
@@ -256,11 +271,35 @@
         self.tick_calls(turn);
         self.tick_runs(turn);
         self.tick_links(turn);
+        self.tick_gate(turn);
         if let Some(n_dropped) = self.log.take_dropped(turn.now) {
             turn.log(format!("event=log_lines_dropped count={n_dropped}"));
         }
     }
 
+    /// Tells the other daemons what this one is offered and what it has learned of costs, and computes the gate's
+    /// shares anew.
+    fn tick_gate(&mut self, turn: &mut Turn<'_>) {
+        let elapsed = turn.now.since(self.gate_updated_at);
+        if elapsed < GATE_INTERVAL {
+            return;
+        }
+        self.gate_updated_at = turn.now;
+        let me = self.options.member.instance.clone();
+        if self.links.card_interval() <= turn.now.since(self.demand_told_at) {
+            self.demand_told_at = turn.now;
+            let costs = self.guard.learner.report();
+            self.costs.note_report(&me, costs.clone());
+            let frame = PeerFrame::Demand { demand: self.gate.own_demand(), costs };
+            for peer in self.links.open_peers() {
+                turn.send(peer, frame.clone(), Bytes::new());
+            }
+        }
+        self.picker.set_load(&me, self.guard.load());
+        let picker = &self.picker;
+        self.gate.update(elapsed, &self.costs, |service| picker.slots_of(turn.now, service));
+    }
+
     /// Returns `span` varied by up to a quarter either way, so that what waits for it doesn't come back at once.
     fn jitter(&mut self, span: Duration) -> Duration {
         span.mul_f64(self.rng.random_range(0.75..1.25))
--- a/crates/ivytrail/src/mesh/budget.rs
+++ b/crates/ivytrail/src/mesh/budget.rs
@@ -51,3 +51,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -11,7 +11,7 @@
 
 use super::{
     MeshReducer, Turn,
-    event::{CallAnswer, CallRequest, MeshEffect},
+    event::{CallAnswer, CallRequest, MeshEffect, RunId},
     frame::{AttemptOrder, AttemptResult, PeerFrame, QuotaVerdict, ServerLoad},
     log_budget::LineWeight,
     picker::AttemptNews,
@@ -34,6 +34,8 @@
 const QUOTA_PATIENCE: Duration = Duration::from_millis(100);
 /// Part of the target latency that a client's request may wait for a slot.
 const ROOT_WAIT_SHARE: f64 = 0.125;
+/// Part of the target latency after which a request that was not let in shall come back.
+const COMEBACK_SHARE: f64 = 0.25;
 /// Part of the time left that a nested call may wait for a slot.
 const NESTED_WAIT_SHARE: f64 = 0.6;
 /// Guards that are asked for a slot before a request is refused.
@@ -59,6 +61,8 @@
 struct EntryCall {
     order: AttemptOrder,
     body: Bytes,
+    /// The run at the own backend server that makes this call.
+    parent: Option<RunId>,
     route: Arc<RoutePolicy>,
     account: Option<Arc<AccountPolicy>>,
     received_at: TimePoint,
@@ -75,7 +79,7 @@
 
 impl EntryCall {
     fn is_nested(&self) -> bool {
-        QueueRank(self.order.rank) == QueueRank::NESTED
+        QueueRank(self.order.rank).is_nested()
     }
 }
 
@@ -157,9 +161,17 @@
             return self.refuse_early(turn, &request, RefusalReason::NoRoute, None);
         };
         let time_limit = request.time_limit.unwrap_or(route.timeout).min(route.timeout);
+        let parent = self.guard.parent_of(&request.request_id);
+        let root_priority = parent.and_then(|it| self.guard.note_call(it, &route.name));
+        let priority = match (root_priority, account) {
+            (Some(priority), _) => priority,
+            (None, Some(account)) => account.priority.unwrap_or(route.priority),
+            (None, None) => route.priority,
+        };
+        // Requests without a key are the calls of backend servers.
         let rank = match account {
-            Some(account) => QueueRank::of_priority(account.priority.unwrap_or(route.priority)),
-            None => QueueRank::NESTED,
+            Some(_) => QueueRank::of_root(priority),
+            None => QueueRank::of_nested(priority),
         };
         let order = AttemptOrder {
             serial: 0,
@@ -173,6 +185,7 @@
             caller_service: self.options.service.clone(),
             is_idempotent: route.is_idempotent,
             rank: rank.0,
+            priority,
             time_left_us: 0,
             max_wait_us: 0,
             fingerprint,
@@ -180,6 +193,7 @@
         let call = EntryCall {
             order,
             body: request.body,
+            parent,
             route: Arc::clone(route),
             account: account.cloned(),
             received_at: turn.now,
@@ -191,7 +205,7 @@
             fallback: None,
             retry_after: None,
         };
-        if rank != QueueRank::NESTED {
+        if !rank.is_nested() {
             self.budgets.entry(service).or_default().note_request(&self.options.repeats);
         }
         self.entry.timers.push(Reverse((call.deadline, id)));
@@ -235,7 +249,7 @@
     fn check_quota(&mut self, turn: &mut Turn<'_>, id: CallId) {
         let Some(call) = self.entry.calls.get_mut(&id) else { return };
         let Some(account) = call.account.clone().filter(|it| 0.0 < it.rate_per_s) else {
-            return self.dispatch(turn, id);
+            return self.pass_gate(turn, id);
         };
         let me = &self.options.member.instance;
         let home = home_of(&account.name, self.links.open_peers().chain([me]));
@@ -288,7 +302,7 @@
         let Some(call) = self.entry.calls.get_mut(&id) else { return };
         call.stage = CallStage::Deciding;
         match verdict {
-            QuotaVerdict::Granted => self.dispatch(turn, id),
+            QuotaVerdict::Granted => self.pass_gate(turn, id),
             QuotaVerdict::Denied { retry_after } => {
                 if self.log.allows(turn.now, LineWeight::Notable) {
                     turn.log(format!(
@@ -303,6 +317,29 @@
         }
     }
 
+    /// Lets a client's request in, unless a service that it needs is short of slots.
+    fn pass_gate(&mut self, turn: &mut Turn<'_>, id: CallId) {
+        let Some(call) = self.entry.calls.get(&id) else { return };
+        if call.is_nested() {
+            return self.dispatch(turn, id);
+        }
+        let (route, rank) = (call.order.route.clone(), QueueRank(call.order.rank));
+        let fingerprint = call.order.fingerprint;
+        let target_latency = call.route.target_latency;
+        if self.gate.admit(turn.now, &route, rank, &fingerprint) {
+            return self.dispatch(turn, id);
+        }
+        let wait = self.jitter(target_latency.mul_f64(COMEBACK_SHARE));
+        self.gate.note_refused(turn.now, fingerprint, wait);
+        if self.log.allows(turn.now, LineWeight::Notable) {
+            turn.log(format!(
+                "event=gate_refused route={route} rank={rank} share={:.3}",
+                self.gate.share(&route, rank)
+            ));
+        }
+        self.refuse(turn, id, RefusalReason::Overloaded, Some(wait));
+    }
+
     /// Sends the call to the guard that is expected to answer first.
     fn dispatch(&mut self, turn: &mut Turn<'_>, id: CallId) {
         let me = self.options.member.clone();
@@ -459,7 +496,7 @@
         let Some(call) = self.entry.calls.remove(&id) else { return };
         let is_good = matches!(&answer, CallAnswer::Whole { status, .. } if *status < 500);
         if call.is_nested() && !is_good {
-            self.guard.call_failed_at = Some(turn.now);
+            self.guard.note_failed_call(turn.now, call.parent);
         }
         let weight = if is_good { LineWeight::Routine } else { LineWeight::Notable };
         if self.log.allows(turn.now, weight) {
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     id::{AccountName, ContentDigest, DomainName, MemberId, RouteName, ServiceName},
+    mesh::{cost::RouteCost, gate::RouteDemand},
     message::{CallOutcome, RefusalReason},
     quarantine::Suspicion,
 };
@@ -104,6 +105,8 @@
     pub is_idempotent: bool,
     /// Place among other attempts; see [`super::queue::QueueRank`].
     pub rank: u8,
+    /// Priority of the root request, also of its nested calls.
+    pub priority: u8,
     /// Time left until the answer is of no use, in microseconds.
     pub time_left_us: u64,
     /// Longest wait for a slot, in microseconds.
@@ -202,6 +205,13 @@
         /// Its version.
         version: u64,
     },
+    /// Tells what the daemon is offered and what it has learned of costs.
+    Demand {
+        /// Requests that clients send to it.
+        demand: Vec<RouteDemand>,
+        /// Costs of the routes that its backend server runs.
+        costs: Vec<RouteCost>,
+    },
     /// Tells of a request that may crash backend servers.
     Suspicion(Suspicion),
 }
--- /dev/null
+++ b/crates/ivytrail/src/mesh/gate/tests.rs
@@ -0,0 +1,146 @@
+//! Load patterns and what the gate makes of them.
+
+use super::*;
+use crate::mesh::cost::RouteCost;
+
+const SERVICE: &str = "quoting";
+
+fn costs() -> CostBook {
+    let mut book = CostBook::default();
+    let cost = |route: &str, service: &str, hold_s: f64, calls: &[(&str, f64)]| RouteCost {
+        route: route.into(),
+        service: service.into(),
+        hold_s,
+        calls: calls.iter().map(|(name, ratio)| ((*name).into(), *ratio)).collect(),
+        n_runs: 100.0,
+    };
+    book.note_report(
+        &"i-1".into(),
+        vec![
+            cost("track", "tracker", 0.2, &[("window", 8.0)]),
+            cost("book", "booking", 0.2, &[("window", 8.0)]),
+            cost("release", "launch", 0.08, &[]),
+            cost("quote", SERVICE, 0.48, &[]),
+            cost("window", SERVICE, 0.03, &[]),
+        ],
+    );
+    book
+}
+
+fn root(priority: u8) -> QueueRank {
+    QueueRank::of_root(priority)
+}
+
+/// Returns a gate after three seconds of `per_s` requests of each route at this entry alone.
+fn gate_under(load: &[(&str, u8, u32)], quoting_slots: f64, pressure: f64) -> EntryGate {
+    let mut gate = EntryGate::default();
+    let step = Duration::from_millis(100);
+    for n_step in 0..30_u64 {
+        let now = TimePoint::from_millis(100 * n_step);
+        for (route, priority, per_s) in load {
+            for n in 0..(per_s / 10) {
+                let request = format!("{route}{n_step}-{n}");
+                let fingerprint = ContentDigest::of_parts(&[request.as_bytes()]);
+                gate.admit(now, &(*route).into(), root(*priority), &fingerprint);
+            }
+        }
+        gate.update(step, &costs(), |service| match service.as_str() {
+            SERVICE => ServiceSlots { slots: quoting_slots, pressure },
+            _ => ServiceSlots { slots: 1_000.0, pressure: 0.0 },
+        });
+    }
+    gate
+}
+
+const HEAVY: [(&str, u8, u32); 4] =
+    [("track", 2, 500), ("book", 0, 250), ("release", 0, 190), ("quote", 2, 130)];
+
+#[test]
+fn a_calm_load_passes_whole() {
+    let calm = [("track", 2, 230), ("book", 0, 110), ("release", 0, 90), ("quote", 2, 60)];
+
+    let gate = gate_under(&calm, 162.0, 0.0);
+
+    for (route, priority, _) in calm {
+        assert_eq!(gate.share(&route.into(), root(priority)), 1.0, "{route}");
+    }
+}
+
+/// Pattern: a leaf service is offered half again as much as it has slots, by calls and by roots of its own.
+#[test]
+fn an_overloaded_leaf_sheds_what_is_least_urgent_and_costs_most() {
+    let gate = gate_under(&HEAVY, 162.0, 0.0);
+
+    assert_eq!(gate.share(&"book".into(), root(0)), 1.0);
+    assert_eq!(gate.share(&"release".into(), root(0)), 1.0);
+    let track = gate.share(&"track".into(), root(2));
+    let quote = gate.share(&"quote".into(), root(2));
+    assert!(quote < track && track < 1.0, "track {track}, quote {quote}");
+    // Each request may use the same slot time: a quote costs twice as much as a track.
+    assert!((track / quote - 2.0).abs() < 0.1, "track {track}, quote {quote}");
+    let used = 500.0 * 0.24 * track + 250.0 * 0.24 + 130.0 * 0.48 * quote;
+    assert!(used < 162.0 * 1.25, "slot time used: {used}");
+}
+
+/// Pattern: two thirds of the leaf's servers are gone.
+#[test]
+fn urgent_roots_are_shed_last_and_none_starves() {
+    let gate = gate_under(&HEAVY, 54.0, 0.0);
+
+    let book = gate.share(&"book".into(), root(0));
+    let track = gate.share(&"track".into(), root(2));
+    assert!(0.6 < book, "book {book}");
+    assert!(MIN_SHARE <= track && track < book / 3.0, "track {track}, book {book}");
+    assert_eq!(gate.share(&"release".into(), root(0)), 1.0);
+}
+
+/// Pattern: servers run slower than the figures say.
+#[test]
+fn lasting_pressure_lowers_the_shares_further() {
+    let relaxed = gate_under(&HEAVY, 162.0, 0.0).share(&"track".into(), root(2));
+
+    let pressed = gate_under(&HEAVY, 162.0, 0.5).share(&"track".into(), root(2));
+
+    assert!(pressed < relaxed * 0.8, "relaxed {relaxed}, pressed {pressed}");
+}
+
+#[test]
+fn what_other_daemons_are_offered_counts() {
+    let mut gate = gate_under(&[("track", 2, 50)], 162.0, 0.0);
+    assert_eq!(gate.share(&"track".into(), root(2)), 1.0);
+
+    let demand = RouteDemand { route: "track".into(), rank: root(2).0, per_s: 1_400.0 };
+    gate.note_demand(&"i-2".into(), vec![demand]);
+    gate.update(Duration::from_millis(100), &costs(), |_| ServiceSlots {
+        slots: 162.0,
+        pressure: 0.0,
+    });
+
+    assert!(gate.share(&"track".into(), root(2)) < 0.7);
+}
+
+#[test]
+fn a_request_that_waited_as_told_goes_before_new_ones() {
+    let mut gate = gate_under(&HEAVY, 54.0, 0.0);
+    let now = TimePoint::from_millis(10_000);
+    let digest = |text: &str| ContentDigest::of_parts(&[text.as_bytes()]);
+    let refused = (0..50)
+        .map(|n| digest(&format!("r{n}")))
+        .find(|it| !gate.admit(now, &"track".into(), root(2), it))
+        .expect("most are refused");
+    gate.note_refused(now, refused, Duration::from_millis(300));
+
+    let too_soon =
+        gate.admit(now.plus(Duration::from_millis(10)), &"track".into(), root(2), &refused);
+    gate.note_refused(now, refused, Duration::from_millis(300));
+    // The share earns a comeback once a few new requests have been refused.
+    let later = now.plus(Duration::from_millis(300));
+    let n_before = (0..200)
+        .take_while(|n| !gate.admit(later, &"track".into(), root(2), &digest(&format!("n{n}"))))
+        .count();
+    let returned = gate.admit(later, &"track".into(), root(2), &refused);
+
+    assert!(!too_soon);
+    assert!(0 < n_before, "new requests are refused meanwhile");
+    assert!(returned, "the one that waited is let in on the credit of the next");
+}
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -11,13 +11,14 @@
 
 use super::{
     MeshReducer, Turn,
+    cost::CostLearner,
     event::{MeshEffect, RunEnd, RunId},
     frame::{AttemptOrder, AttemptResult, PeerFrame, ServerCard, ServerLoad, ServerPhase},
     log_budget::LineWeight,
     queue::{QueueRank, SlotQueue, SlotTicket, SlotVerdict},
 };
 use crate::{
-    id::{AttemptId, ContentDigest, MemberId},
+    id::{AttemptId, ContentDigest, MemberId, RouteName},
     message::{CallOutcome, RefusalReason},
     quarantine::Suspicion,
     time::TimePoint,
@@ -37,6 +38,8 @@
 const REFUSED_CONNECTION_PAUSE: Duration = Duration::from_millis(300);
 /// Time before a refused connection in which broken runs count as the work of the same crash.
 const CRASH_WINDOW: Duration = Duration::from_millis(1_000);
+/// Stands between the identifier of a request and what tells its calls apart.
+const CALL_SEPARATOR: char = '.';
 /// Most broken runs that are remembered for that.
 const MAX_BROKEN: usize = 512;
 
@@ -51,6 +54,10 @@
     started_at: Option<TimePoint>,
     /// Whether the entry has given it up.
     is_abandoned: bool,
+    /// Calls that the run has made, by route.
+    calls: Vec<(RouteName, u32)>,
+    /// Whether one of them failed.
+    has_failed_call: bool,
 }
 
 /// An attempt that has ended here.
@@ -79,8 +86,12 @@
     /// Until when no run is started, since the backend server took no connection.
     paused_until: TimePoint,
     broken: VecDeque<(TimePoint, ContentDigest)>,
-    /// When a call that the own backend server made last failed.
-    pub(super) call_failed_at: Option<TimePoint>,
+    /// Runs by the identifier of their request.
+    by_request: HashMap<SmolStr, RunId>,
+    /// When a call failed whose parent is not known.
+    call_failed_at: Option<TimePoint>,
+    /// What is learned of the routes that run here.
+    pub(super) learner: CostLearner,
 }
 
 impl GuardRuns {
@@ -112,6 +123,39 @@
         }
     }
 
+    /// Returns the running request that makes the call with this identifier: backend servers name their calls after it.
+    pub(super) fn parent_of(&self, request_id: &str) -> Option<RunId> {
+        let (parent_id, _) = request_id.rsplit_once(CALL_SEPARATOR)?;
+        self.by_request.get(parent_id).copied()
+    }
+
+    /// Records a call of a running request and returns the priority of its root.
+    pub(super) fn note_call(&mut self, parent: RunId, route: &RouteName) -> Option<u8> {
+        let run = self.attempts.get_mut(&parent)?;
+        match run.calls.iter_mut().find(|(it, _)| it == route) {
+            Some((_, n_calls)) => *n_calls += 1,
+            None => run.calls.push((route.clone(), 1)),
+        }
+        Some(run.order.priority)
+    }
+
+    /// Records that a call failed.
+    pub(super) fn note_failed_call(&mut self, now: TimePoint, parent: Option<RunId>) {
+        match parent.and_then(|it| self.attempts.get_mut(&it)) {
+            Some(run) => run.has_failed_call = true,
+            None => self.call_failed_at = Some(now),
+        }
+    }
+
+    fn take(&mut self, run: RunId) -> Option<GuardAttempt> {
+        let ended = self.attempts.remove(&run)?;
+        self.runs.remove(&ended.attempt);
+        if self.by_request.get(&ended.order.request_id) == Some(&run) {
+            self.by_request.remove(&ended.order.request_id);
+        }
+        Some(ended)
+    }
+
     fn keep(&mut self, now: TimePoint, attempt: AttemptId, ended: EndedAttempt) {
         let life = match &ended {
             EndedAttempt::Replied { body, .. } => {
@@ -247,6 +291,8 @@
             arrived_at: turn.now,
             started_at: None,
             is_abandoned: false,
+            calls: Vec::new(),
+            has_failed_call: false,
         };
         self.guard.attempts.insert(run, waiting);
         let mut verdicts = Vec::new();
@@ -289,6 +335,7 @@
         let server_id = server.id.clone();
         let Some(attempt) = self.guard.attempts.get_mut(&run) else { return };
         attempt.started_at = Some(turn.now);
+        self.guard.by_request.insert(attempt.order.request_id.clone(), run);
         turn.out.push(MeshEffect::StartRun {
             run,
             order: Arc::clone(&attempt.order),
@@ -299,8 +346,7 @@
     }
 
     fn refuse_run(&mut self, turn: &mut Turn<'_>, run: RunId, result: AttemptResult) {
-        let Some(ended) = self.guard.attempts.remove(&run) else { return };
-        self.guard.runs.remove(&ended.attempt);
+        let Some(ended) = self.guard.take(run) else { return };
         if self.log.allows(turn.now, LineWeight::Notable) {
             turn.log(format!(
                 "event=attempt_refused request={} attempt={} route={} rank={} waited_ms={} running={} queued={} limit={} result={result:?}",
@@ -318,8 +364,7 @@
     }
 
     pub(super) fn end_run(&mut self, turn: &mut Turn<'_>, run: RunId, end: RunEnd) {
-        let Some(ended) = self.guard.attempts.remove(&run) else { return };
-        self.guard.runs.remove(&ended.attempt);
+        let Some(ended) = self.guard.take(run) else { return };
         let started = ended.started_at.unwrap_or(ended.arrived_at);
         let is_whole = matches!(end, RunEnd::Answered { .. });
         let weight = if is_whole { LineWeight::Routine } else { LineWeight::Notable };
@@ -338,14 +383,19 @@
         self.guard.queue.release(turn.now, &run, is_whole, &mut verdicts);
         self.note_evidence(turn, &ended, &end);
         self.carry_out(turn, verdicts);
-        let (result, body) = self.result_of(started, turn.now, end);
+        let (result, body) = self.result_of(&ended, turn.now, end);
         match ended.is_abandoned {
             true => {}
             false => self.reply(turn, &ended.attempt, result, body),
         }
     }
 
-    fn result_of(&self, started: TimePoint, now: TimePoint, end: RunEnd) -> (AttemptResult, Bytes) {
+    fn result_of(
+        &self,
+        ended: &GuardAttempt,
+        now: TimePoint,
+        end: RunEnd,
+    ) -> (AttemptResult, Bytes) {
         let refused = |outcome, reason, is_sent| AttemptResult::Refused {
             outcome,
             reason,
@@ -354,8 +404,10 @@
         };
         let result = match end {
             RunEnd::Answered { status, headers, body } => {
+                let started = ended.started_at.unwrap_or(ended.arrived_at);
                 let run_us = u64::try_from(now.since(started).as_micros()).unwrap_or(u64::MAX);
-                let is_call_failed = self.guard.call_failed_at.is_some_and(|at| started <= at);
+                let is_any_failed = self.guard.call_failed_at.is_some_and(|at| started <= at);
+                let is_call_failed = ended.has_failed_call || is_any_failed;
                 let result = AttemptResult::Answered { status, headers, run_us, is_call_failed };
                 return (result, body);
             }
@@ -375,7 +427,14 @@
     fn note_evidence(&mut self, turn: &mut Turn<'_>, ended: &GuardAttempt, end: &RunEnd) {
         let fingerprint = ended.order.fingerprint;
         match end {
-            RunEnd::Answered { .. } => {
+            RunEnd::Answered { status, .. } => {
+                if *status < 500 {
+                    let started = ended.started_at.unwrap_or(ended.arrived_at);
+                    let hold_s = turn.now.since(started).as_secs_f64();
+                    let order = &ended.order;
+                    let learner = &mut self.guard.learner;
+                    learner.note_run(&order.route, &order.service, hold_s, &ended.calls);
+                }
                 self.quarantine.note_whole(&fingerprint);
                 let clearances = self.quarantine.take_clearances();
                 self.spread(turn, clearances);
@@ -446,8 +505,7 @@
     /// done.
     fn give_up_run(&mut self, turn: &mut Turn<'_>, run: RunId) {
         if self.guard.queue.withdraw(&run) {
-            if let Some(ended) = self.guard.attempts.remove(&run) {
-                self.guard.runs.remove(&ended.attempt);
+            if let Some(ended) = self.guard.take(run) {
                 self.guard.keep(turn.now, ended.attempt, EndedAttempt::Buried);
             }
             return;
@@ -456,8 +514,7 @@
         running.is_abandoned = true;
         if running.order.is_idempotent {
             turn.out.push(MeshEffect::CancelRun { run });
-            let Some(ended) = self.guard.attempts.remove(&run) else { return };
-            self.guard.runs.remove(&ended.attempt);
+            self.guard.take(run);
             let mut verdicts = Vec::new();
             self.guard.queue.release(turn.now, &run, false, &mut verdicts);
             self.carry_out(turn, verdicts);
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -115,7 +115,7 @@
         self.told_at = now;
     }
 
-    fn card_interval(&self) -> Duration {
+    pub(super) fn card_interval(&self) -> Duration {
         MIN_CARD_INTERVAL.max(CARD_INTERVAL_PER_PEER * self.links.len() as u32)
     }
 }
@@ -153,6 +153,7 @@
         link.closed_at = turn.now;
         turn.log(format!("event=link_closed peer={peer}"));
         self.picker.set_reachable(peer, false);
+        self.gate.forget(peer);
         self.suspend_attempts(turn, peer);
     }
 
@@ -225,6 +226,10 @@
                 turn.log(format!("event=settings_from_peer peer={peer} version={version}"));
                 turn.out.push(MeshEffect::DecodeSettings { document: body });
             }
+            PeerFrame::Demand { demand, costs } => {
+                self.gate.note_demand(peer, demand);
+                self.costs.note_report(peer, costs);
+            }
             PeerFrame::Suspicion(suspicion) => self.quarantine.absorb(turn.now, &suspicion),
         }
     }
--- a/crates/ivytrail/src/mesh/picker.rs
+++ b/crates/ivytrail/src/mesh/picker.rs
@@ -4,7 +4,10 @@
 
 use crate::{
     id::{DomainName, InstanceName, RouteName, ServiceName},
-    mesh::frame::{PeerCard, ServerLoad, ServerPhase},
+    mesh::{
+        frame::{PeerCard, ServerLoad, ServerPhase},
+        gate::ServiceSlots,
+    },
     time::TimePoint,
 };
 
@@ -133,6 +136,27 @@
         }
     }
 
+    /// Takes the load of the own backend server.
+    pub fn set_load(&mut self, instance: &InstanceName, load: ServerLoad) {
+        if let Some(record) = self.records.get_mut(instance) {
+            record.note_load(load);
+        }
+    }
+
+    /// Returns the slots of a service's open servers. A server that is warming up counts for part of its slots.
+    pub fn slots_of(&self, now: TimePoint, service: &ServiceName) -> ServiceSlots {
+        let mut total = ServiceSlots::default();
+        let mut pressure_sum = 0.0;
+        for record in self.open_servers(service) {
+            let limit = f64::from(record.load.limit);
+            let usable = if now < record.cold_until { limit / COLD_FACTOR } else { limit };
+            total.slots += usable;
+            pressure_sum += usable * f64::from(record.load.pressure) / 1_000.0;
+        }
+        total.pressure = if 0.0 < total.slots { pressure_sum / total.slots } else { 0.0 };
+        total
+    }
+
     /// Records whether the daemon beside a server can be reached.
     pub fn set_reachable(&mut self, instance: &InstanceName, is_reachable: bool) {
         if let Some(record) = self.records.get_mut(instance) {
@@ -275,3 +299,6 @@
         (run_s + wait_s) * (1.0 + FAILURE_COST * self.failure_share) + remote_s
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/ivytrail/src/mesh/policy.rs
+++ b/crates/ivytrail/src/mesh/policy.rs
@@ -181,3 +181,6 @@
         self.hosts.values().map(Vec::len).sum()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/ivytrail/src/mesh/queue.rs
+++ b/crates/ivytrail/src/mesh/queue.rs
@@ -29,12 +29,28 @@
 pub struct QueueRank(pub u8);
 
 impl QueueRank {
-    /// A call that a running request makes. Refusing it wastes what its root has already used.
-    pub const NESTED: QueueRank = QueueRank(0);
+    /// Number of ranks for nested calls; those for clients' requests follow.
+    const N_NESTED: u8 = 8;
+
+    /// Returns the rank of a call that a running request makes, by the priority of its root. Refusing it wastes what
+    /// the root has already used, so it goes before all clients' requests.
+    pub fn of_nested(priority: u8) -> QueueRank {
+        QueueRank(priority.min(QueueRank::N_NESTED - 1))
+    }
 
     /// Returns the rank of a client's request of a priority.
-    pub fn of_priority(priority: u8) -> QueueRank {
-        QueueRank(priority.saturating_add(1))
+    pub fn of_root(priority: u8) -> QueueRank {
+        QueueRank(priority.saturating_add(QueueRank::N_NESTED))
+    }
+
+    /// Returns the priority behind the rank.
+    pub fn priority(self) -> u8 {
+        if self.is_nested() { self.0 } else { self.0 - QueueRank::N_NESTED }
+    }
+
+    /// Returns whether this is the rank of a nested call.
+    pub fn is_nested(self) -> bool {
+        self.0 < QueueRank::N_NESTED
     }
 }
 
@@ -238,3 +254,6 @@
         self.pressure += gain * (sample - self.pressure);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/ivytrail/src/mesh/queue/tests.rs
@@ -0,0 +1,132 @@
+use super::*;
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(millis)
+}
+
+fn ticket(key: u32, rank: QueueRank, start_by: u64) -> SlotTicket<u32> {
+    SlotTicket { key, rank, start_by: at(start_by) }
+}
+
+fn queue_of(limit: u32) -> SlotQueue<u32> {
+    let mut queue = SlotQueue::default();
+    queue.set_limit(at(0), limit, &mut Vec::new());
+    queue
+}
+
+fn offer(queue: &mut SlotQueue<u32>, now: u64, ticket: SlotTicket<u32>) -> Vec<SlotVerdict<u32>> {
+    let mut out = Vec::new();
+    queue.offer(at(now), ticket, &mut out);
+    out
+}
+
+#[test]
+fn no_more_run_than_the_limit() {
+    let mut queue = queue_of(2);
+    let root = QueueRank::of_root(0);
+
+    let verdicts: Vec<_> =
+        (0..3).flat_map(|key| offer(&mut queue, 0, ticket(key, root, 1_000))).collect();
+
+    assert_eq!(verdicts, [SlotVerdict::Start(0), SlotVerdict::Start(1)]);
+    assert_eq!((queue.n_running(), queue.n_waiting()), (2, 1));
+}
+
+#[test]
+fn nested_calls_go_before_roots_and_urgent_before_others() {
+    let mut queue = queue_of(1);
+    offer(&mut queue, 0, ticket(0, QueueRank::of_root(0), 1_000));
+    offer(&mut queue, 0, ticket(1, QueueRank::of_root(2), 10_000));
+    offer(&mut queue, 0, ticket(2, QueueRank::of_root(0), 10_000));
+    offer(&mut queue, 0, ticket(3, QueueRank::of_nested(2), 10_000));
+    offer(&mut queue, 0, ticket(4, QueueRank::of_nested(0), 10_000));
+
+    let mut order = Vec::new();
+    for running in [0, 4, 3, 2] {
+        let mut out = Vec::new();
+        queue.release(at(1), &running, true, &mut out);
+        order.extend(out);
+    }
+
+    let started = [4, 3, 2, 1].map(SlotVerdict::Start);
+    assert_eq!(order, started);
+}
+
+#[test]
+fn an_attempt_that_can_not_start_in_time_is_refused_at_once() {
+    let mut queue = queue_of(1);
+    offer(&mut queue, 0, ticket(0, QueueRank::of_root(0), 1_000));
+
+    let verdicts = offer(&mut queue, 0, ticket(1, QueueRank::of_root(0), 20));
+
+    assert!(matches!(verdicts[..], [SlotVerdict::Refuse { key: 1, .. }]), "{verdicts:?}");
+}
+
+#[test]
+fn an_attempt_that_has_waited_too_long_is_refused() {
+    let mut queue = queue_of(1);
+    offer(&mut queue, 0, ticket(0, QueueRank::of_root(0), 1_000));
+    offer(&mut queue, 0, ticket(1, QueueRank::of_root(0), 150));
+
+    let mut early = Vec::new();
+    queue.expire(at(150), &mut early);
+    let mut late = Vec::new();
+    queue.expire(at(151), &mut late);
+
+    assert_eq!(early, []);
+    assert!(matches!(late[..], [SlotVerdict::Refuse { key: 1, .. }]), "{late:?}");
+}
+
+#[test]
+fn a_withdrawn_attempt_never_starts() {
+    let mut queue = queue_of(1);
+    offer(&mut queue, 0, ticket(0, QueueRank::of_root(0), 1_000));
+    offer(&mut queue, 0, ticket(1, QueueRank::of_root(0), 1_000));
+
+    let was_waiting = queue.withdraw(&1);
+    let mut out = Vec::new();
+    queue.release(at(1), &0, true, &mut out);
+
+    assert!(was_waiting);
+    assert_eq!(out, []);
+}
+
+#[test]
+fn without_slots_everything_is_refused() {
+    let mut queue = queue_of(0);
+
+    let verdicts = offer(&mut queue, 0, ticket(1, QueueRank::of_nested(0), 1_000));
+
+    assert!(matches!(verdicts[..], [SlotVerdict::Refuse { key: 1, .. }]));
+}
+
+proptest::proptest! {
+    /// However attempts come, wait, end and are withdrawn, each is started or refused at most once and the limit holds.
+    #[test]
+    fn each_attempt_has_one_fate(steps in proptest::collection::vec((0_u8..4, 0_u32..40, 0_u8..12), 1..300)) {
+        let mut queue = queue_of(3);
+        let mut fates = HashMap::new();
+        for (n_step, (action, key, rank)) in steps.into_iter().enumerate() {
+            let now = n_step as u64 * 7;
+            let mut out = Vec::new();
+            match action {
+                0 | 1 if !queue.contains(&key) && !fates.contains_key(&key) => {
+                    queue.offer(at(now), ticket(key, QueueRank(rank), now + 90), &mut out);
+                }
+                2 => queue.release(at(now), &key, true, &mut out),
+                3 if queue.withdraw(&key) => {
+                    proptest::prop_assert!(fates.insert(key, "withdrawn").is_none());
+                }
+                _ => queue.expire(at(now), &mut out),
+            }
+            for verdict in out {
+                let (key, fate) = match verdict {
+                    SlotVerdict::Start(key) => (key, "started"),
+                    SlotVerdict::Refuse { key, .. } => (key, "refused"),
+                };
+                proptest::prop_assert!(fates.insert(key, fate).is_none(), "{key} has two fates");
+            }
+            proptest::prop_assert!(queue.n_running() <= 3);
+        }
+    }
+}
--- a/crates/ivytrail/src/mesh/quota.rs
+++ b/crates/ivytrail/src/mesh/quota.rs
@@ -41,7 +41,7 @@
 }
 
 /// The buckets that one daemon keeps.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct QuotaBuckets {
     homes: HashMap<AccountName, TokenBucket>,
     fallbacks: HashMap<AccountName, TokenBucket>,
@@ -89,3 +89,6 @@
     let digest = ContentDigest::of_parts(&[account.as_str().as_bytes()]);
     members.into_iter().max_by_key(|member| (rendezvous_weight(member, &digest), *member))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/ivytrail/src/mesh/split.rs
+++ b/crates/ivytrail/src/mesh/split.rs
@@ -43,3 +43,6 @@
         Some(&self.targets[chosen].service)
     }
 }
+
+#[cfg(test)]
+mod tests;
