Spend quota tokens only on requests that run

Ruled out: the bucket's rate and burst (the quota tests hold), the number of daemons. Change: the gate decides before the quota is asked; the token of a call that has not run goes back to the home. A log line a second shows the gate's shares and what they come from.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -54,6 +54,9 @@
 /// Time between two computations of the gate's shares.
 const GATE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Least time between two log lines about the gate's shares.
+const GATE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Who a daemon is, and what its operators allow.
 #[derive(Clone, Debug)]
 pub struct MeshOptions {
@@ -89,6 +92,7 @@
     costs: CostBook,
     gate: EntryGate,
     gate_updated_at: TimePoint,
+    gate_logged_at: TimePoint,
     demand_told_at: TimePoint,
     quarantine: CrashQuarantine,
     log: LogBudget,
@@ -132,6 +136,7 @@
             costs: CostBook::default(),
             gate: EntryGate::default(),
             gate_updated_at: TimePoint::ORIGIN,
+            gate_logged_at: TimePoint::ORIGIN,
             demand_told_at: TimePoint::ORIGIN,
             quarantine: CrashQuarantine::new(options.member.clone()),
             log: LogBudget::default(),
@@ -298,6 +303,12 @@
         self.picker.set_load(&me, self.guard.load());
         let picker = &self.picker;
         self.gate.update(elapsed, &self.costs, |service| picker.slots_of(turn.now, service));
+        if GATE_LOG_INTERVAL <= turn.now.since(self.gate_logged_at)
+            && let Some(summary) = self.gate.summary()
+        {
+            self.gate_logged_at = turn.now;
+            turn.log(format!("event=gate_shares {summary}"));
+        }
     }
 
     /// Returns `span` varied by up to a quarter either way, so that what waits for it doesn't come back at once.
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -72,6 +72,8 @@
     /// Attempts that may have begun to run.
     n_runs: u32,
     may_have_run: bool,
+    /// Whether a token of the account's quota was spent on it.
+    has_token: bool,
     /// A backend server's failure, in case that no repeat does better.
     fallback: Option<CallAnswer>,
     retry_after: Option<Duration>,
@@ -202,6 +204,7 @@
             tried: Vec::new(),
             n_runs: 0,
             may_have_run: false,
+            has_token: false,
             fallback: None,
             retry_after: None,
         };
@@ -210,7 +213,7 @@
         }
         self.entry.timers.push(Reverse((call.deadline, id)));
         self.entry.calls.insert(id, call);
-        self.check_quota(turn, id);
+        self.pass_gate(turn, id);
     }
 
     fn refuse_early(
@@ -249,7 +252,7 @@
     fn check_quota(&mut self, turn: &mut Turn<'_>, id: CallId) {
         let Some(call) = self.entry.calls.get_mut(&id) else { return };
         let Some(account) = call.account.clone().filter(|it| 0.0 < it.rate_per_s) else {
-            return self.pass_gate(turn, id);
+            return self.dispatch(turn, id);
         };
         let me = &self.options.member.instance;
         let home = home_of(&account.name, self.links.open_peers().chain([me]));
@@ -302,7 +305,10 @@
         let Some(call) = self.entry.calls.get_mut(&id) else { return };
         call.stage = CallStage::Deciding;
         match verdict {
-            QuotaVerdict::Granted => self.pass_gate(turn, id),
+            QuotaVerdict::Granted => {
+                call.has_token = true;
+                self.dispatch(turn, id);
+            }
             QuotaVerdict::Denied { retry_after } => {
                 if self.log.allows(turn.now, LineWeight::Notable) {
                     turn.log(format!(
@@ -327,7 +333,7 @@
         let fingerprint = call.order.fingerprint;
         let target_latency = call.route.target_latency;
         if self.gate.admit(turn.now, &route, rank, &fingerprint) {
-            return self.dispatch(turn, id);
+            return self.check_quota(turn, id);
         }
         let wait = self.jitter(target_latency.mul_f64(COMEBACK_SHARE));
         self.gate.note_refused(turn.now, fingerprint, wait);
@@ -491,9 +497,27 @@
         self.finish(turn, id, CallAnswer::Refused { outcome, reason, retry_after });
     }
 
+    /// Gives the token of a call that has not run back to the account's home.
+    fn return_token(&mut self, turn: &mut Turn<'_>, call: &EntryCall) {
+        let Some(account) = call.account.as_ref().filter(|_| call.has_token && !call.may_have_run)
+        else {
+            return;
+        };
+        let me = &self.options.member.instance;
+        match home_of(&account.name, self.links.open_peers().chain([me])) {
+            Some(home) if home != me => {
+                let home = home.clone();
+                let frame = PeerFrame::QuotaReturn { account: account.name.clone() };
+                turn.send(&home, frame, Bytes::new());
+            }
+            _ => self.quotas.give_back(&account.name),
+        }
+    }
+
     /// Gives a call its one answer.
     fn finish(&mut self, turn: &mut Turn<'_>, id: CallId, answer: CallAnswer) {
         let Some(call) = self.entry.calls.remove(&id) else { return };
+        self.return_token(turn, &call);
         let is_good = matches!(&answer, CallAnswer::Whole { status, .. } if *status < 500);
         if call.is_nested() && !is_good {
             self.guard.note_failed_call(turn.now, call.parent);
@@ -570,10 +594,8 @@
 
     fn time_out(&mut self, turn: &mut Turn<'_>, id: CallId) {
         let Some(mut call) = self.entry.calls.remove(&id) else { return };
-        if matches!(call.stage, CallStage::Sent { .. }) {
-            call.may_have_run = true;
-            self.abandon(turn, &call);
-        }
+        call.may_have_run |= matches!(call.stage, CallStage::Sent { .. });
+        self.abandon(turn, &call);
         call.stage = CallStage::Deciding;
         self.entry.calls.insert(id, call);
         self.give_up(turn, id, RefusalReason::DeadlineExceeded, None);
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -198,6 +198,11 @@
         /// The answer.
         verdict: QuotaVerdict,
     },
+    /// Gives the token of a request back that has not run.
+    QuotaReturn {
+        /// The account.
+        account: AccountName,
+    },
     /// Asks for the settings in force at the other end.
     SettingsAsk,
     /// The settings document of `version` follows as it lies in the platform's table.
--- a/crates/ivytrail/src/mesh/gate.rs
+++ b/crates/ivytrail/src/mesh/gate.rs
@@ -13,6 +13,7 @@
     time::Duration,
 };
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use super::{cost::CostBook, queue::QueueRank};
@@ -78,10 +79,23 @@
     trims: HashMap<ServiceName, f64>,
     shares: HashMap<DemandKey, f64>,
     credits: HashMap<DemandKey, f64>,
+    /// What was offered of each service's slots at the last computation.
+    use_of: Vec<ServiceUse>,
     comebacks: HashMap<ContentDigest, TimePoint>,
     comeback_order: VecDeque<(TimePoint, ContentDigest)>,
 }
 
+/// Slot time that is offered to a service, and what there is of it.
+#[derive(Clone, Debug, Display)]
+#[display("{service}:offered={offered:.0}/slots={slots:.0}/pressure={pressure:.2}/trim={trim:.2}")]
+struct ServiceUse {
+    service: ServiceName,
+    offered: f64,
+    slots: f64,
+    pressure: f64,
+    trim: f64,
+}
+
 /// Requests a second, averaged.
 #[derive(Clone, Copy, Debug, Default)]
 struct OfferedRate {
@@ -154,6 +168,20 @@
             .collect()
     }
 
+    /// Returns one line that says which requests are let in in part and why, or `None` when all are let in.
+    pub fn summary(&self) -> Option<String> {
+        if self.shares.is_empty() {
+            return None;
+        }
+        let shares =
+            self.shares.iter().map(|((route, rank), share)| format!("{route}/{rank}={share:.3}"));
+        Some(format!(
+            "shares={} use={}",
+            shares.collect::<Vec<_>>().join(","),
+            self.use_of.iter().map(|it| it.to_string()).collect::<Vec<_>>().join(","),
+        ))
+    }
+
     /// Returns the share of a route's requests that is let in.
     pub fn share(&self, route: &RouteName, rank: QueueRank) -> f64 {
         self.shares.get(&(route.clone(), rank)).copied().unwrap_or(1.0)
@@ -171,6 +199,7 @@
         services.sort_unstable();
         services.dedup();
         let mut shares = vec![1.0; offers.len()];
+        self.use_of.clear();
         for service in &services {
             let slots = slots_of(service);
             let trim = self.trims.entry(service.clone()).or_insert(1.0);
@@ -179,6 +208,15 @@
                 false => 1.0 + TRIM_UP,
             };
             *trim = (*trim * factor).clamp(TRIM_BOUNDS.0, TRIM_BOUNDS.1);
+            let offered =
+                offers.iter().map(|it| it.per_s * it.slot_time.get(service).unwrap_or(&0.0)).sum();
+            self.use_of.push(ServiceUse {
+                service: service.clone(),
+                offered,
+                slots: slots.slots,
+                pressure: slots.pressure,
+                trim: *trim,
+            });
             fit_shares(&offers, service, slots.slots * TARGET_USE * *trim, &mut shares);
         }
         self.shares = offers
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -216,6 +216,7 @@
                 turn.send_back(peer, PeerFrame::QuotaAnswer { ask, verdict }, Bytes::new());
             }
             PeerFrame::QuotaAnswer { ask, verdict } => self.receive_quota(turn, ask, verdict),
+            PeerFrame::QuotaReturn { account } => self.quotas.give_back(&account),
             PeerFrame::SettingsAsk => {
                 if let Some(settings) = &self.settings {
                     let frame = PeerFrame::Settings { version: settings.version() };
--- a/crates/ivytrail/src/mesh/quota.rs
+++ b/crates/ivytrail/src/mesh/quota.rs
@@ -65,6 +65,14 @@
         bucket.take(now, account.rate_per_s * reachable, account.burst * reachable)
     }
 
+    /// Takes back the token of a request that has not run.
+    pub fn give_back(&mut self, account: &AccountName) {
+        if let Some(bucket) = self.homes.get_mut(account) {
+            // The next grant bounds it by the burst.
+            bucket.tokens += 1.0;
+        }
+    }
+
     /// Answers for one request while the home can't be asked.
     pub fn take_fallback(
         &mut self,
--- a/crates/ivytrail/src/mesh/quota/tests.rs
+++ b/crates/ivytrail/src/mesh/quota/tests.rs
@@ -66,3 +66,15 @@
 
     assert_eq!(home_of(&"meteo".into(), left), Some(&home));
 }
+
+#[test]
+fn a_token_that_was_given_back_is_granted_again() {
+    let account = account(1.0, 10.0);
+    let mut buckets = QuotaBuckets::default();
+    while granted(buckets.take_as_home(TimePoint::ORIGIN, &account, 0, 1)) {}
+
+    buckets.give_back(&account.name);
+
+    assert!(granted(buckets.take_as_home(TimePoint::ORIGIN, &account, 0, 1)));
+    assert!(!granted(buckets.take_as_home(TimePoint::ORIGIN, &account, 0, 1)));
+}
