Trim the gate gently and by the waits of nested calls only

Change: pressure counts nested calls where there are any; the trim moves 2 % down, 1 % up a step, within 0.7 and 1.6.

--- a/crates/ivytrail/src/mesh/gate.rs
+++ b/crates/ivytrail/src/mesh/gate.rs
@@ -33,11 +33,11 @@
 /// Pressure above which fewer roots are let in than the figures allow.
 const HIGH_PRESSURE: f64 = 0.08;
 /// Part by which the trim shrinks in each step of high pressure.
-const TRIM_DOWN: f64 = 0.06;
+const TRIM_DOWN: f64 = 0.02;
 /// Part by which the trim grows in each other step.
-const TRIM_UP: f64 = 0.012;
+const TRIM_UP: f64 = 0.01;
 /// Bounds of the trim.
-const TRIM_BOUNDS: (f64, f64) = (0.4, 1.25);
+const TRIM_BOUNDS: (f64, f64) = (0.7, 1.6);
 /// Time for which a refused request is known when it comes back.
 const COMEBACK_LIFE: Duration = Duration::from_secs(4);
 /// Refused requests that are known at once.
--- a/crates/ivytrail/src/mesh/queue.rs
+++ b/crates/ivytrail/src/mesh/queue.rs
@@ -90,6 +90,8 @@
     mean_run: Duration,
     pressure: f64,
     pressure_at: TimePoint,
+    /// When the last nested call came.
+    nested_at: Option<TimePoint>,
 }
 
 impl<K> Default for SlotQueue<K> {
@@ -103,6 +105,7 @@
             mean_run: FIRST_RUN_TIME,
             pressure: 0.0,
             pressure_at: TimePoint::ORIGIN,
+            nested_at: None,
         }
     }
 }
@@ -153,12 +156,12 @@
         let wait = self.expected_wait(ticket.rank);
         let patience = ticket.start_by.since(now);
         if self.limit == 0 || ticket.start_by < now || (Duration::ZERO < wait && patience < wait) {
-            self.note_pressure(now, 1.0);
+            self.note_pressure(now, ticket.rank, 1.0);
             let retry_after = self.retry_after();
             return out.push(SlotVerdict::Refuse { key: ticket.key, retry_after });
         }
         let wait_share = wait.as_secs_f64() / patience.as_secs_f64().max(1e-6);
-        self.note_pressure(now, wait_share.min(1.0));
+        self.note_pressure(now, ticket.rank, wait_share.min(1.0));
         let place = (ticket.rank, self.next_serial);
         self.next_serial += 1;
         self.places.insert(ticket.key, place);
@@ -195,11 +198,15 @@
             return;
         }
         let retry_after = self.retry_after();
-        let expired: Vec<K> =
-            self.waiting.values().filter(|it| it.start_by < now).map(|it| it.key).collect();
-        for key in expired {
+        let expired: Vec<(K, QueueRank)> = self
+            .waiting
+            .values()
+            .filter(|it| it.start_by < now)
+            .map(|it| (it.key, it.rank))
+            .collect();
+        for (key, rank) in expired {
             self.withdraw(&key);
-            self.note_pressure(now, 1.0);
+            self.note_pressure(now, rank, 1.0);
             out.push(SlotVerdict::Refuse { key, retry_after });
         }
     }
@@ -244,7 +251,14 @@
         }
     }
 
-    fn note_pressure(&mut self, now: TimePoint, sample: f64) {
+    /// Takes one attempt's wait into the pressure. Where nested calls come, only they count: clients' requests stand
+    /// behind them and wait also when the slots are just well used.
+    fn note_pressure(&mut self, now: TimePoint, rank: QueueRank, sample: f64) {
+        if rank.is_nested() {
+            self.nested_at = Some(now);
+        } else if self.nested_at.is_some_and(|at| now.since(at) < PRESSURE_WINDOW) {
+            return;
+        }
         let elapsed = now.since(self.pressure_at).as_secs_f64();
         self.pressure_at = now;
         let per_window = (self.limit.max(1) as f64) * PRESSURE_WINDOW.as_secs_f64()
