Play sessions of four daemons in one process: links that break, dead guards, drains, quotas

Cause looked for: the new reducer had tests of its modules but none of the promises that need several daemons. Change: a fixture that delivers frames between reducers, and 22 sessions (at most one run over a broken link, buried attempts, unknown outcomes, drain, rebirth, settings from a peer, silent links, quota).

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -316,3 +316,6 @@
         span.mul_f64(self.rng.random_range(0.75..1.25))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -0,0 +1,339 @@
+//! Sessions of several daemons whose frames pass through a queue, with faults between them.
+
+mod fleet;
+
+use std::time::Duration;
+
+use self::fleet::{CLIENT, TestFleet, answered, call_of, refused, server_card};
+use super::{
+    event::{CallAnswer, MeshEvent, RunEnd},
+    frame::ServerPhase,
+};
+use crate::message::{CallOutcome, RefusalReason};
+
+#[test]
+fn a_request_runs_at_a_server_of_its_service_and_its_answer_comes_back() {
+    let mut fleet = TestFleet::start();
+
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+    fleet.end_run(&run, answered(200));
+
+    assert_eq!(run.order.service.as_str(), "booking");
+    assert_eq!(run.order.account.as_ref().map(|it| it.as_str()), Some(CLIENT));
+    assert_eq!(fleet.status_of(1), Some(200));
+}
+
+#[test]
+fn a_daemon_without_settings_refuses_and_says_when_to_come_back() {
+    let mut fleet = TestFleet::start();
+    fleet.restart(0);
+
+    fleet.call(0, call_of(1, "book"));
+
+    let (outcome, reason, retry_after) = refused(fleet.answer_of(1));
+    assert_eq!((outcome, reason), (CallOutcome::NotRun, RefusalReason::StaleSettings));
+    assert!(retry_after.is_some());
+}
+
+#[test]
+fn a_restarted_daemon_takes_settings_from_a_peer_while_the_platform_is_away() {
+    let mut fleet = TestFleet::start();
+    fleet.restart(0);
+
+    fleet.link_all(0);
+    fleet.advance(Duration::from_millis(300));
+
+    assert!(fleet.daemon(0).is_ready());
+}
+
+#[test]
+fn settings_never_go_back() {
+    let mut fleet = TestFleet::start();
+    let older = fleet.settings_event(1);
+
+    fleet.apply(0, older);
+
+    assert_eq!(fleet.daemon(0).settings().map(|it| it.version()), Some(fleet::VERSION));
+}
+
+#[test]
+fn an_unknown_key_and_an_unknown_route_are_refused() {
+    let mut fleet = TestFleet::start();
+    let mut stranger = call_of(1, "book");
+    stranger.key = Some(crate::id::ContentDigest::of_parts(&[b"stranger"]));
+    let mut lost = call_of(2, "book");
+    lost.target = "/nowhere/".into();
+
+    fleet.call(0, stranger);
+    fleet.call(0, lost);
+
+    assert_eq!(refused(fleet.answer_of(1)).1, RefusalReason::BadKey);
+    assert_eq!(refused(fleet.answer_of(2)).1, RefusalReason::NoRoute);
+    assert!(fleet.runs().is_empty());
+}
+
+#[test]
+fn a_request_that_may_run_once_survives_a_broken_link() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+
+    fleet.cut(0, run.daemon);
+    fleet.end_run(&run, answered(200));
+    assert_eq!(fleet.answer_of(1), None);
+    fleet.mend(0, run.daemon);
+
+    assert_eq!(fleet.status_of(1), Some(200));
+    assert_eq!(fleet.n_runs_started(), 1);
+}
+
+#[test]
+fn an_attempt_that_never_arrived_has_not_run_and_goes_elsewhere() {
+    let mut fleet = TestFleet::start();
+    fleet.hold_frames(true);
+    fleet.call(0, call_of(1, "book"));
+    fleet.hold_frames(false);
+    let lost = fleet.drop_held_frames();
+
+    fleet.cut(0, lost);
+    fleet.mend(0, lost);
+    let run = fleet.only_run();
+    fleet.end_run(&run, answered(200));
+
+    assert_ne!(run.daemon, lost, "the guard that lost it has buried it");
+    assert_eq!(fleet.status_of(1), Some(200));
+}
+
+#[test]
+fn a_late_copy_of_a_buried_attempt_does_not_run() {
+    let mut fleet = TestFleet::start();
+    fleet.hold_frames(true);
+    fleet.call(0, call_of(1, "book"));
+    fleet.hold_frames(false);
+    let late = fleet.take_held_frames();
+    let (_, lost, _) = late[0];
+    fleet.cut(0, lost);
+    fleet.mend(0, lost);
+    let n_before = fleet.n_runs_started();
+
+    for frame in late {
+        fleet.deliver(frame);
+    }
+
+    assert_eq!(n_before, 1, "it runs elsewhere");
+    assert_eq!(fleet.n_runs_started(), 1, "and not again");
+}
+
+#[test]
+fn what_a_dead_guard_had_is_unknown_for_requests_that_may_run_once() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+
+    fleet.kill(run.daemon);
+    fleet.restart(run.daemon);
+    fleet.link_all(run.daemon);
+
+    let (outcome, reason, _) = refused(fleet.answer_of(1));
+    assert_eq!((outcome, reason), (CallOutcome::Unknown, RefusalReason::ConnectionLost));
+    assert_eq!(fleet.n_runs_started(), 1);
+}
+
+#[test]
+fn what_a_dead_guard_had_is_sent_again_where_that_does_no_harm() {
+    let mut fleet = TestFleet::start();
+    for id in 100..130 {
+        fleet.serve(1, call_of(id, "track"));
+    }
+    fleet.call(1, call_of(1, "track"));
+    let run = fleet.only_run();
+
+    fleet.kill(run.daemon);
+    let again = fleet.only_run();
+    fleet.end_run(&again, answered(200));
+
+    assert_ne!(again.daemon, run.daemon);
+    assert_eq!(fleet.status_of(1), Some(200));
+}
+
+#[test]
+fn a_draining_server_gets_no_new_work_and_finishes_what_runs() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+
+    let mut card = server_card(run.daemon, "booking");
+    card.phase = ServerPhase::Draining;
+    fleet.apply(run.daemon, MeshEvent::ServerAnnounced { card, sequence: 9 });
+    fleet.call(0, call_of(2, "book"));
+    let other = fleet.runs().into_iter().find(|it| it.order.request_id == "r2").expect("it runs");
+    fleet.end_run(&run, answered(200));
+
+    assert_ne!(other.daemon, run.daemon);
+    assert_eq!(fleet.status_of(1), Some(200));
+}
+
+#[test]
+fn a_late_announcement_of_an_earlier_run_is_ignored() {
+    let mut fleet = TestFleet::start();
+    let mut reborn = server_card(1, "booking");
+    reborn.id = "reborn".into();
+    reborn.born_ms += 5_000;
+    fleet.apply(1, MeshEvent::ServerAnnounced { card: reborn, sequence: 1 });
+
+    fleet.apply(1, MeshEvent::ServerAnnounced { card: server_card(1, "booking"), sequence: 40 });
+
+    assert_eq!(fleet.daemon(1).server().map(|it| it.id.as_str()), Some("reborn"));
+}
+
+#[test]
+fn a_server_that_starts_again_under_its_name_counts_anew() {
+    let mut fleet = TestFleet::start();
+    let mut reborn = server_card(1, "booking");
+    reborn.born_ms += 5_000;
+    reborn.slots = 3;
+
+    fleet.apply(1, MeshEvent::ServerAnnounced { card: reborn, sequence: 1 });
+
+    assert_eq!(fleet.daemon(1).server().map(|it| it.slots), Some(3));
+}
+
+#[test]
+fn a_rejected_request_that_may_run_once_goes_to_another_server() {
+    let mut fleet = TestFleet::start();
+    for id in 100..130 {
+        fleet.serve(0, call_of(id, "book"));
+    }
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+
+    fleet.end_run(&run, RunEnd::Rejected { is_misdirected: false });
+    let again = fleet.only_run();
+    fleet.end_run(&again, answered(200));
+
+    assert_ne!(again.daemon, run.daemon);
+    assert_eq!(fleet.status_of(1), Some(200));
+}
+
+#[test]
+fn a_broken_run_is_unknown_and_not_repeated_where_it_may_run_once() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+
+    fleet.end_run(&run, RunEnd::Broken);
+
+    assert_eq!(refused(fleet.answer_of(1)).0, CallOutcome::Unknown);
+    assert_eq!(fleet.n_runs_started(), 1);
+}
+
+#[test]
+fn a_failed_answer_is_passed_on_when_no_repeat_is_allowed() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+
+    fleet.end_run(&run, answered(500));
+
+    assert_eq!(fleet.status_of(1), Some(500));
+}
+
+#[test]
+fn a_call_is_answered_at_its_routes_timeout() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+
+    fleet.advance(fleet::TIMEOUT - Duration::from_millis(20));
+    assert_eq!(fleet.answer_of(1), None);
+    fleet.advance(Duration::from_millis(40));
+
+    let (outcome, reason, _) = refused(fleet.answer_of(1));
+    assert_eq!((outcome, reason), (CallOutcome::Unknown, RefusalReason::DeadlineExceeded));
+}
+
+#[test]
+fn a_client_that_leaves_ends_what_may_be_repeated_and_nothing_else() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "track"));
+    fleet.call(0, call_of(2, "book"));
+    let runs = fleet.runs();
+
+    for id in [1, 2] {
+        fleet.apply(0, MeshEvent::CallerGone { call: crate::id::CallId(id) });
+    }
+
+    let cancelled: Vec<_> = runs.iter().filter(|it| fleet.is_cancelled(it)).collect();
+    assert_eq!(cancelled.len(), 1);
+    assert_eq!(cancelled[0].order.request_id, "r1");
+}
+
+#[test]
+fn a_client_that_leaves_while_its_request_waits_is_never_served() {
+    let mut fleet = TestFleet::start();
+    let n_filling = fleet.fill("book");
+    fleet.call(0, call_of(1, "book"));
+
+    fleet.apply(0, MeshEvent::CallerGone { call: crate::id::CallId(1) });
+    while let Some(run) = fleet.runs().pop() {
+        fleet.end_run(&run, answered(200));
+    }
+
+    assert_eq!(fleet.n_runs_started(), n_filling);
+    assert_eq!(fleet.answer_of(1), None);
+}
+
+#[test]
+fn a_leaving_daemon_gets_no_new_attempts_and_finishes_its_own_calls() {
+    let mut fleet = TestFleet::start();
+    fleet.call(1, call_of(1, "book"));
+    let run = fleet.only_run();
+
+    fleet.apply(1, MeshEvent::StopRequested);
+    for id in 10..20 {
+        fleet.call(0, call_of(id, "book"));
+    }
+    let elsewhere =
+        fleet.runs().iter().filter(|it| it.daemon == 1 && it.order.request_id != "r1").count();
+    fleet.end_run(&run, answered(200));
+
+    assert!(!fleet.daemon(1).is_ready());
+    assert_eq!(elsewhere, 0);
+    assert_eq!(fleet.status_of(1), Some(200));
+}
+
+#[test]
+fn a_silent_link_is_pinged_and_then_dialed_anew() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+    assert_ne!(run.daemon, 0, "daemon 0 has a server of another service");
+
+    fleet.mute(run.daemon);
+    fleet.advance(Duration::from_millis(950));
+
+    assert!(fleet.is_redialed(0, run.daemon));
+}
+
+#[test]
+fn quota_is_counted_over_all_daemons_and_only_for_what_runs() {
+    let mut fleet = TestFleet::start();
+    fleet.set_quota(10.0, 10.0);
+    let mut n_served = 0;
+    let mut n_denied = 0;
+
+    for id in 0..200 {
+        let entry = (id % 4) as usize;
+        match fleet.serve(entry, call_of(1_000 + id, "book")) {
+            CallAnswer::Whole { .. } => n_served += 1,
+            CallAnswer::Refused { reason, .. } => {
+                assert_eq!(reason, RefusalReason::OverQuota);
+                n_denied += 1;
+            }
+        }
+        fleet.advance(Duration::from_millis(10));
+    }
+
+    // Two seconds at ten a second, and at most the burst.
+    assert!((18..=31).contains(&n_served), "{n_served} served, {n_denied} denied");
+}
--- /dev/null
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -0,0 +1,436 @@
+//! Four daemons in one process: frames are delivered in order, faults are set between them.
+
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+
+use crate::{
+    id::{CallId, ContentDigest, InstanceName, MemberId},
+    mesh::{
+        MeshOptions, MeshReducer,
+        budget::RepeatPolicy,
+        event::{CallAnswer, CallRequest, MeshEffect, MeshEvent, PeerAddress, RunEnd, RunId},
+        frame::{AttemptOrder, PeerFrame, ServerCard, ServerPhase},
+        policy::{AccountPolicy, FleetDeclaration, FleetSettings, RoutePolicy, RouteTarget},
+    },
+    message::{CallOutcome, RefusalReason},
+    time::TimePoint,
+};
+
+/// Account of all clients.
+pub(super) const CLIENT: &str = "meteo";
+/// Version of the settings in force.
+pub(super) const VERSION: u64 = 5;
+/// Timeout of all routes.
+pub(super) const TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Services of the four daemons' backend servers.
+const SERVICES: [&str; 4] = ["tracker", "booking", "tracker", "booking"];
+/// Slots of each backend server.
+const SLOTS: u32 = 10;
+
+/// A frame on its way: sender, receiver, and whether it travels on the link that the sender dialed.
+pub(super) type TravellingFrame = (usize, usize, (PeerFrame, Bytes));
+
+/// A run at a daemon's backend server.
+#[derive(Clone, Debug)]
+pub(super) struct TestRun {
+    pub(super) daemon: usize,
+    pub(super) order: Arc<AttemptOrder>,
+    run: RunId,
+}
+
+/// The daemons, and what passes between them.
+pub(super) struct TestFleet {
+    daemons: Vec<MeshReducer>,
+    incarnations: Vec<u64>,
+    now: TimePoint,
+    settings: Arc<FleetSettings>,
+    answers: HashMap<u64, CallAnswer>,
+    runs: Vec<TestRun>,
+    n_started: usize,
+    cancelled: HashSet<(usize, RunId)>,
+    redialed: HashSet<(usize, InstanceName)>,
+    dead: HashSet<usize>,
+    muted: HashSet<usize>,
+    cuts: HashSet<(usize, usize)>,
+    is_holding: bool,
+    held: Vec<TravellingFrame>,
+    queue: VecDeque<TravellingFrame>,
+}
+
+pub(super) fn server_card(daemon: usize, service: &str) -> ServerCard {
+    ServerCard {
+        id: format!("server-{daemon}").into(),
+        born_ms: 1_000,
+        service: service.into(),
+        slots: SLOTS,
+        phase: ServerPhase::Ready,
+        warm_up: Duration::ZERO,
+    }
+}
+
+pub(super) fn call_of(id: u64, route: &str) -> CallRequest {
+    CallRequest {
+        call: CallId(id),
+        request_id: format!("r{id}").into(),
+        method: "GET".into(),
+        host: "a.example".into(),
+        target: format!("/{route}/{id}").into(),
+        headers: Vec::new(),
+        key: Some(ContentDigest::of_parts(&[b"key"])),
+        time_limit: Some(Duration::from_secs(5)),
+        body: Bytes::from_static(b"body"),
+    }
+}
+
+pub(super) fn answered(status: u16) -> RunEnd {
+    RunEnd::Answered { status, headers: Vec::new(), body: Bytes::from_static(b"answer") }
+}
+
+pub(super) fn refused(
+    answer: Option<CallAnswer>,
+) -> (CallOutcome, RefusalReason, Option<Duration>) {
+    match answer {
+        Some(CallAnswer::Refused { outcome, reason, retry_after }) => {
+            (outcome, reason, retry_after)
+        }
+        other => panic!("expected a refusal, found {other:?}"),
+    }
+}
+
+fn settings_of(version: u64, rate_per_s: f64, burst: f64) -> Arc<FleetSettings> {
+    let route = |name: &str, service: &str, is_idempotent: bool| RoutePolicy {
+        name: name.into(),
+        host: "a.example".to_string(),
+        prefix: format!("/{name}/"),
+        is_idempotent,
+        timeout: TIMEOUT,
+        target_latency: Duration::from_millis(1_500),
+        priority: 0,
+        targets: vec![RouteTarget { service: service.into(), weight: 1 }],
+        max_attempts: 2,
+        is_public: false,
+    };
+    let account = AccountPolicy {
+        name: CLIENT.into(),
+        keys: vec![ContentDigest::of_parts(&[b"key"])],
+        priority: None,
+        rate_per_s,
+        burst,
+    };
+    Arc::new(FleetSettings::new(FleetDeclaration {
+        version,
+        routes: vec![route("track", "tracker", true), route("book", "booking", false)],
+        accounts: vec![account],
+        ..FleetDeclaration::default()
+    }))
+}
+
+fn name_of(daemon: usize) -> InstanceName {
+    format!("i-{daemon}").into()
+}
+
+fn index_of(name: &InstanceName) -> usize {
+    name.as_str()[2..].parse().expect("instances are named i-0 to i-3")
+}
+
+fn reducer_of(daemon: usize, incarnation: u64) -> MeshReducer {
+    MeshReducer::new(MeshOptions {
+        member: MemberId { instance: name_of(daemon), incarnation },
+        domain: "kolkata".into(),
+        address: format!("10.0.0.{daemon}:7000"),
+        service: SERVICES[daemon].into(),
+        repeats: RepeatPolicy { ratio: 0.2, window_s: 10.0, slack: 40.0 },
+        seed: daemon as u64,
+    })
+}
+
+impl TestFleet {
+    /// Starts four daemons that know each other, their backend servers and the settings.
+    pub(super) fn start() -> TestFleet {
+        let n_daemons = SERVICES.len();
+        let mut fleet = TestFleet {
+            daemons: (0..n_daemons).map(|it| reducer_of(it, 1)).collect(),
+            incarnations: vec![1; n_daemons],
+            now: TimePoint::from_millis(1_000),
+            settings: settings_of(VERSION, 0.0, 0.0),
+            answers: HashMap::new(),
+            runs: Vec::new(),
+            n_started: 0,
+            cancelled: HashSet::new(),
+            redialed: HashSet::new(),
+            dead: HashSet::new(),
+            muted: HashSet::new(),
+            cuts: HashSet::new(),
+            is_holding: false,
+            held: Vec::new(),
+            queue: VecDeque::new(),
+        };
+        for daemon in 0..n_daemons {
+            let event = fleet.settings_event(VERSION);
+            fleet.apply(daemon, event);
+            let card = server_card(daemon, SERVICES[daemon]);
+            fleet.apply(daemon, MeshEvent::ServerAnnounced { card, sequence: 1 });
+            let peers = (0..n_daemons)
+                .map(|it| PeerAddress {
+                    instance: name_of(it),
+                    address: format!("10.0.0.{it}:7000"),
+                })
+                .collect();
+            fleet.apply(daemon, MeshEvent::PeersLearned(peers));
+        }
+        for daemon in 0..n_daemons {
+            fleet.link_all(daemon);
+        }
+        fleet.advance(Duration::from_millis(1_000));
+        fleet
+    }
+
+    pub(super) fn daemon(&self, daemon: usize) -> &MeshReducer {
+        &self.daemons[daemon]
+    }
+
+    pub(super) fn settings_event(&self, version: u64) -> MeshEvent {
+        let settings = if version == VERSION {
+            Arc::clone(&self.settings)
+        } else {
+            settings_of(version, 0.0, 0.0)
+        };
+        MeshEvent::SettingsLearned { settings, document: Bytes::from_static(b"document") }
+    }
+
+    /// Puts a quota for the clients' account in force everywhere.
+    pub(super) fn set_quota(&mut self, rate_per_s: f64, burst: f64) {
+        let settings = settings_of(VERSION + 1, rate_per_s, burst);
+        for daemon in 0..self.daemons.len() {
+            let settings = Arc::clone(&settings);
+            let document = Bytes::from_static(b"document");
+            self.apply(daemon, MeshEvent::SettingsLearned { settings, document });
+        }
+    }
+
+    /// Applies an event and delivers all frames that follow from it.
+    pub(super) fn apply(&mut self, daemon: usize, event: MeshEvent) {
+        self.apply_one(daemon, event);
+        while let Some(frame) = self.queue.pop_front() {
+            match self.is_holding {
+                true => self.held.push(frame),
+                false => self.deliver(frame),
+            }
+        }
+    }
+
+    fn apply_one(&mut self, daemon: usize, event: MeshEvent) {
+        if self.dead.contains(&daemon) {
+            return;
+        }
+        let mut effects = Vec::new();
+        self.daemons[daemon].apply(self.now, event, &mut effects);
+        for effect in effects {
+            self.carry_out(daemon, effect);
+        }
+    }
+
+    fn carry_out(&mut self, daemon: usize, effect: MeshEffect) {
+        match effect {
+            MeshEffect::Answer { call, answer } => {
+                let earlier = self.answers.insert(call.0, answer);
+                assert!(earlier.is_none(), "{call} was answered twice");
+            }
+            MeshEffect::Send { peer, frame, body } | MeshEffect::SendBack { peer, frame, body } => {
+                let to = index_of(&peer);
+                if !self.is_cut(daemon, to) && !self.muted.contains(&daemon) {
+                    self.queue.push_back((daemon, to, (frame, body)));
+                }
+            }
+            MeshEffect::StartRun { run, order, .. } => {
+                self.n_started += 1;
+                self.runs.push(TestRun { daemon, order, run });
+            }
+            MeshEffect::CancelRun { run } => {
+                self.cancelled.insert((daemon, run));
+                self.runs.retain(|it| (it.daemon, it.run) != (daemon, run));
+            }
+            MeshEffect::Redial { peer } => {
+                self.redialed.insert((daemon, peer));
+            }
+            MeshEffect::DecodeSettings { .. } => {
+                let event = self.settings_event(VERSION);
+                self.apply_one(daemon, event);
+            }
+            MeshEffect::Dial(_)
+            | MeshEffect::Undial { .. }
+            | MeshEffect::ForgetPeer(_)
+            | MeshEffect::Log(_) => {}
+        }
+    }
+
+    fn is_cut(&self, a: usize, b: usize) -> bool {
+        self.cuts.contains(&(a.min(b), a.max(b)))
+    }
+
+    /// Hands a frame to its receiver.
+    pub(super) fn deliver(&mut self, (from, to, (frame, body)): TravellingFrame) {
+        let peer = self.member(from);
+        self.apply_one(to, MeshEvent::FrameReceived { peer, frame, body });
+        while let Some(frame) = self.queue.pop_front() {
+            self.deliver(frame);
+        }
+    }
+
+    fn member(&self, daemon: usize) -> MemberId {
+        MemberId { instance: name_of(daemon), incarnation: self.incarnations[daemon] }
+    }
+
+    /// Opens the links between a daemon and all others, in both directions.
+    pub(super) fn link_all(&mut self, daemon: usize) {
+        for other in (0..self.daemons.len()).filter(|it| *it != daemon) {
+            self.link(daemon, other);
+            self.link(other, daemon);
+        }
+    }
+
+    fn link(&mut self, from: usize, to: usize) {
+        if self.dead.contains(&from) || self.dead.contains(&to) {
+            return;
+        }
+        let card = Box::new(self.daemons[from].card());
+        self.apply(to, MeshEvent::PeerAccepted(card));
+        let card = Box::new(self.daemons[to].card());
+        self.apply(from, MeshEvent::LinkOpened(card));
+    }
+
+    /// Cuts the links between two daemons.
+    pub(super) fn cut(&mut self, a: usize, b: usize) {
+        self.cuts.insert((a.min(b), a.max(b)));
+        for (one, other) in [(a, b), (b, a)] {
+            self.apply(one, MeshEvent::LinkClosed { peer: name_of(other) });
+            self.apply(one, MeshEvent::PeerLost { peer: name_of(other) });
+        }
+    }
+
+    /// Opens the links between two daemons again.
+    pub(super) fn mend(&mut self, a: usize, b: usize) {
+        self.cuts.remove(&(a.min(b), a.max(b)));
+        self.link(a, b);
+        self.link(b, a);
+    }
+
+    /// Ends a daemon without notice; its links break and its runs go on unseen.
+    pub(super) fn kill(&mut self, daemon: usize) {
+        self.dead.insert(daemon);
+        self.runs.retain(|it| it.daemon != daemon);
+        for other in (0..self.daemons.len()).filter(|it| *it != daemon) {
+            self.apply(other, MeshEvent::LinkClosed { peer: name_of(daemon) });
+            self.apply(other, MeshEvent::PeerLost { peer: name_of(daemon) });
+        }
+    }
+
+    /// Starts a daemon with empty hands.
+    pub(super) fn restart(&mut self, daemon: usize) {
+        self.dead.remove(&daemon);
+        self.incarnations[daemon] += 1;
+        self.daemons[daemon] = reducer_of(daemon, self.incarnations[daemon]);
+        let peers = (0..self.daemons.len())
+            .map(|it| PeerAddress { instance: name_of(it), address: format!("10.0.0.{it}:7000") })
+            .collect();
+        self.apply(daemon, MeshEvent::PeersLearned(peers));
+    }
+
+    /// Loses all frames that a daemon sends from now on; its links stay open.
+    pub(super) fn mute(&mut self, daemon: usize) {
+        self.muted.insert(daemon);
+    }
+
+    pub(super) fn hold_frames(&mut self, is_holding: bool) {
+        self.is_holding = is_holding;
+    }
+
+    /// Returns the frames that were held, in order.
+    pub(super) fn take_held_frames(&mut self) -> Vec<TravellingFrame> {
+        std::mem::take(&mut self.held)
+    }
+
+    /// Loses the frames that were held and returns the daemon that the first was for.
+    pub(super) fn drop_held_frames(&mut self) -> usize {
+        let held = self.take_held_frames();
+        held.first().map(|(_, to, _)| *to).expect("a frame was held")
+    }
+
+    /// Lets time pass in ticks.
+    pub(super) fn advance(&mut self, span: Duration) {
+        const STEP: Duration = Duration::from_millis(10);
+        let end = self.now.plus(span);
+        while self.now < end {
+            self.now = self.now.plus(STEP);
+            for daemon in 0..self.daemons.len() {
+                self.apply(daemon, MeshEvent::Tick);
+            }
+        }
+    }
+
+    pub(super) fn call(&mut self, daemon: usize, request: CallRequest) {
+        self.apply(daemon, MeshEvent::CallReceived(Box::new(request)));
+    }
+
+    /// Makes a call, answers its run if there is one, and returns the answer.
+    pub(super) fn serve(&mut self, daemon: usize, request: CallRequest) -> CallAnswer {
+        let (id, request_id) = (request.call.0, request.request_id.clone());
+        self.call(daemon, request);
+        if let Some(run) = self.runs().into_iter().find(|it| it.order.request_id == request_id) {
+            self.end_run(&run, answered(200));
+        }
+        self.answer_of(id).expect("the call has ended")
+    }
+
+    /// Makes calls until one has to wait, and returns how many there are.
+    pub(super) fn fill(&mut self, route: &str) -> usize {
+        let mut n_calls = 0;
+        while self.n_started == n_calls {
+            self.call(0, call_of(10_000 + n_calls as u64, route));
+            n_calls += 1;
+        }
+        n_calls
+    }
+
+    pub(super) fn runs(&self) -> Vec<TestRun> {
+        self.runs.clone()
+    }
+
+    pub(super) fn only_run(&self) -> TestRun {
+        assert_eq!(self.runs.len(), 1, "runs: {:?}", self.runs);
+        self.runs[0].clone()
+    }
+
+    pub(super) fn n_runs_started(&self) -> usize {
+        self.n_started
+    }
+
+    pub(super) fn is_cancelled(&self, run: &TestRun) -> bool {
+        self.cancelled.contains(&(run.daemon, run.run))
+    }
+
+    pub(super) fn is_redialed(&self, daemon: usize, peer: usize) -> bool {
+        self.redialed.contains(&(daemon, name_of(peer)))
+    }
+
+    pub(super) fn end_run(&mut self, run: &TestRun, end: RunEnd) {
+        self.runs.retain(|it| (it.daemon, it.run) != (run.daemon, run.run));
+        self.apply(run.daemon, MeshEvent::RunEnded { run: run.run, end });
+    }
+
+    pub(super) fn answer_of(&self, id: u64) -> Option<CallAnswer> {
+        self.answers.get(&id).cloned()
+    }
+
+    pub(super) fn status_of(&self, id: u64) -> Option<u16> {
+        match self.answers.get(&id)? {
+            CallAnswer::Whole { status, .. } => Some(*status),
+            CallAnswer::Refused { .. } => None,
+        }
+    }
+}
