Order calls by the age of their root; trim only while slots bind; close clients' connections before a leaving daemon exits

Change: tickets carry the start of their root; the trim moves while slots bind, shrinks with the pressure and decays otherwise; a leaving daemon closes idle connections and its listener first, serves what was read, then exits.

--- a/crates/ivytrail-daemon/src/mesh.rs
+++ b/crates/ivytrail-daemon/src/mesh.rs
@@ -17,7 +17,7 @@
 use anyhow::Context;
 use ivytrail::{
     id::MemberId,
-    mesh::{MeshOptions, event::MeshEvent, file::MeshSettings},
+    mesh::{MeshOptions, MeshReducer, event::MeshEvent, file::MeshSettings},
 };
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
@@ -36,8 +36,10 @@
 const LEAVE_NOTICE: Duration = Duration::from_millis(2_300);
 /// Time for which nothing may be under way before a leaving daemon exits.
 const QUIET_BEFORE_EXIT: Duration = Duration::from_millis(150);
+/// Time before the end of the grace at which a daemon whose clients stay closes their connections.
+const CLOSING_TIME: Duration = Duration::from_millis(2_000);
 /// Time before the end of the grace at which the daemon exits whatever is under way.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Time for which written answers may still be on their way to clients.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 
@@ -114,9 +116,8 @@
         if let Some(progress) = &mut leave
             && progress.is_over(shell, file.settings.shutdown_grace)
         {
-            shell.close_clients();
             tokio::time::sleep(FLUSH_TIME).await;
-            log::info!("event=stop calls_open={}", shell.inspect(|it| it.n_calls()));
+            log::info!("event=stop calls_open={}", shell.inspect(MeshReducer::n_calls));
             return Ok(());
         }
     }
@@ -142,22 +143,35 @@
 struct LeaveProgress {
     started: Instant,
     busy_at: Instant,
+    /// Whether clients' connections have been told to close.
+    is_closing: bool,
 }
 
 impl LeaveProgress {
     fn start() -> LeaveProgress {
-        LeaveProgress { started: Instant::now(), busy_at: Instant::now() }
+        LeaveProgress { started: Instant::now(), busy_at: Instant::now(), is_closing: false }
     }
 
-    /// Returns whether the daemon may exit: nothing is under way and clients have had time to go elsewhere, or the
-    /// grace is over.
+    /// Returns whether the daemon may exit. It first serves on, until clients have gone elsewhere or little of the
+    /// grace is left; then it closes its connections as they become idle, and exits when nothing is under way.
     fn is_over(&mut self, shell: &MeshShell, grace: Duration) -> bool {
-        if !shell.inspect(|it| it.is_idle()) {
+        let is_idle = shell.inspect(MeshReducer::is_idle);
+        if !is_idle {
             self.busy_at = Instant::now();
         }
-        let is_quiet = QUIET_BEFORE_EXIT <= self.busy_at.elapsed();
         let elapsed = self.started.elapsed();
-        (is_quiet && LEAVE_NOTICE <= elapsed) || grace.saturating_sub(EXIT_MARGIN) <= elapsed
+        let is_quiet = QUIET_BEFORE_EXIT <= self.busy_at.elapsed();
+        if !self.is_closing {
+            let is_noticed = is_quiet && LEAVE_NOTICE <= elapsed;
+            if is_noticed || grace.saturating_sub(CLOSING_TIME) <= elapsed {
+                self.is_closing = true;
+                self.busy_at = Instant::now();
+                log::info!("event=closing_clients elapsed_ms={}", elapsed.as_millis());
+                shell.close_clients();
+            }
+            return false;
+        }
+        is_quiet || grace.saturating_sub(EXIT_MARGIN) <= elapsed
     }
 }
 
--- a/crates/ivytrail-daemon/src/mesh/ingress.rs
+++ b/crates/ivytrail-daemon/src/mesh/ingress.rs
@@ -15,6 +15,7 @@
 use ivytrail::{
     id::CallId,
     mesh::{
+        MeshReducer,
         event::{CallAnswer, CallRequest, MeshEvent},
         frame::HeaderList,
         policy::RequestLimits,
@@ -47,9 +48,15 @@
 pub async fn listen(shell: &Rc<MeshShell>, address: SocketAddr) -> anyhow::Result<()> {
     let listener = TcpListener::bind(address).await?;
     let shell = Rc::clone(shell);
+    let mut closing = shell.closing();
     tokio::task::spawn_local(async move {
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                // Connections that are not accepted any more are refused, so that their clients try again.
+                _ = closing.wait_for(|is_closing| *is_closing) => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     // Without the option answers are late, not wrong.
                     let _ = stream.set_nodelay(true);
@@ -159,7 +166,7 @@
     presence.is_answered = true;
     shell.metrics.note_answer(&answer, started.elapsed());
     let mut response = response_of(answer, request_id);
-    if shell.inspect(|it| it.is_leaving()) {
+    if shell.inspect(MeshReducer::is_leaving) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/ivytrail-daemon/src/mesh/links.rs
+++ b/crates/ivytrail-daemon/src/mesh/links.rs
@@ -7,6 +7,7 @@
 use ivytrail::{
     id::MemberId,
     mesh::{
+        MeshReducer,
         event::{MeshEvent, PeerAddress},
         frame::{PeerCard, PeerFrame},
     },
@@ -71,7 +72,7 @@
     prepare(&stream)?;
     let (reader, mut writer) = stream.into_split();
     let mut reader = FramedRead::new(reader, frame_codec());
-    let card = PeerFrame::Card(Box::new(shell.inspect(|it| it.card())));
+    let card = PeerFrame::Card(Box::new(shell.inspect(MeshReducer::card)));
     write_frame(&mut writer, &card).await?;
     let card = read_card(&mut reader).await?;
     if card.member.instance != address.instance {
@@ -139,7 +140,7 @@
         Ok(Err(cause)) => return log::debug!("event=link_not_introduced cause={cause:?}"),
         Err(_) => return log::debug!("event=link_not_introduced cause=timeout"),
     };
-    let own = PeerFrame::Card(Box::new(shell.inspect(|it| it.card())));
+    let own = PeerFrame::Card(Box::new(shell.inspect(MeshReducer::card)));
     if let Err(cause) = write_frame(&mut writer, &own).await {
         return log::debug!("event=link_broke_early cause={:?}", cause.to_string());
     }
--- a/crates/ivytrail-daemon/src/mesh/local.rs
+++ b/crates/ivytrail-daemon/src/mesh/local.rs
@@ -9,7 +9,7 @@
     server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use ivytrail::mesh::event::MeshEvent;
+use ivytrail::mesh::{MeshReducer, event::MeshEvent};
 use ivytrail_platform::{
     announcement::{ServerCall, read_call},
     headers::READY_PATH,
@@ -96,7 +96,7 @@
     path: &str,
     _body: &[u8],
 ) -> (StatusCode, &'static str, Bytes) {
-    let status = match (path, shell.inspect(|it| it.is_ready())) {
+    let status = match (path, shell.inspect(MeshReducer::is_ready)) {
         (READY_PATH, true) => StatusCode::OK,
         (READY_PATH, false) => StatusCode::SERVICE_UNAVAILABLE,
         _ => StatusCode::NOT_FOUND,
--- a/crates/ivytrail-daemon/src/mesh/run_pool.rs
+++ b/crates/ivytrail-daemon/src/mesh/run_pool.rs
@@ -215,7 +215,7 @@
                 return RunEnd::Broken;
             }
         };
-        let is_kept = !parts.headers.get(CONNECTION).is_some_and(|it| it == "close");
+        let is_kept = parts.headers.get(CONNECTION).is_none_or(|it| it != "close");
         if is_kept {
             connection.keep_alive = keep_alive_of(&parts.headers);
             connection.idle_since = Instant::now();
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -66,6 +66,7 @@
     route: Arc<RoutePolicy>,
     account: Option<Arc<AccountPolicy>>,
     received_at: TimePoint,
+    root_start: TimePoint,
     deadline: TimePoint,
     stage: CallStage,
     tried: Vec<InstanceName>,
@@ -135,38 +136,68 @@
 impl MeshReducer {
     pub(super) fn receive_call(&mut self, turn: &mut Turn<'_>, request: CallRequest) {
         let id = request.call;
-        let Some(settings) = self.settings.clone() else {
-            let retry_after = Some(self.jitter(NO_SETTINGS_RETRY_AFTER));
-            return self.refuse_early(turn, &request, RefusalReason::StaleSettings, retry_after);
-        };
-        let Some(route) = settings.route_of(&request.host, &request.target) else {
-            return self.refuse_early(turn, &request, RefusalReason::NoRoute, None);
-        };
-        let account = match (route.is_public, &request.key) {
-            (true, _) => None,
-            (false, Some(key)) => match settings.account_of(key) {
-                Some(account) => Some(account),
-                None => return self.refuse_early(turn, &request, RefusalReason::BadKey, None),
-            },
-            (false, None) => {
-                return self.refuse_early(turn, &request, RefusalReason::BadKey, None);
+        let (route, account) = match self.look_up(&request) {
+            Ok(found) => found,
+            Err(reason) => {
+                let retry_after = match reason {
+                    RefusalReason::StaleSettings => Some(self.jitter(NO_SETTINGS_RETRY_AFTER)),
+                    _ => None,
+                };
+                return self.refuse_early(turn, &request, reason, retry_after);
             }
         };
-        if request.request_id.is_empty() {
-            return self.refuse_early(turn, &request, RefusalReason::BadRequest, None);
-        }
-        let fingerprint = fingerprint_of(&request, account.map(|it| &it.name));
+        let fingerprint = fingerprint_of(&request, account.as_ref().map(|it| &it.name));
         if let Some(span) = self.quarantine.blocks(turn.now, &fingerprint) {
             return self.refuse_early(turn, &request, RefusalReason::Quarantined, Some(span));
         }
-        let Some(service) = self.target_of(route) else {
+        let Some(service) = self.target_of(&route) else {
             return self.refuse_early(turn, &request, RefusalReason::NoRoute, None);
         };
+        let call = self.new_call(turn, request, route, account, service, fingerprint);
+        if !call.is_nested() {
+            let budget = self.budgets.entry(call.order.service.clone()).or_default();
+            budget.note_request(&self.options.repeats);
+        }
+        self.entry.timers.push(Reverse((call.deadline, id)));
+        self.entry.calls.insert(id, call);
+        self.pass_gate(turn, id);
+    }
+
+    /// Finds the route of a request and the account of its key.
+    fn look_up(
+        &self,
+        request: &CallRequest,
+    ) -> Result<(Arc<RoutePolicy>, Option<Arc<AccountPolicy>>), RefusalReason> {
+        let settings = self.settings.as_ref().ok_or(RefusalReason::StaleSettings)?;
+        let route =
+            settings.route_of(&request.host, &request.target).ok_or(RefusalReason::NoRoute)?;
+        let account = match route.is_public {
+            true => None,
+            false => {
+                let key = request.key.as_ref().ok_or(RefusalReason::BadKey)?;
+                Some(settings.account_of(key).ok_or(RefusalReason::BadKey)?)
+            }
+        };
+        match request.request_id.is_empty() {
+            true => Err(RefusalReason::BadRequest),
+            false => Ok((Arc::clone(route), account.cloned())),
+        }
+    }
+
+    fn new_call(
+        &mut self,
+        turn: &Turn<'_>,
+        request: CallRequest,
+        route: Arc<RoutePolicy>,
+        account: Option<Arc<AccountPolicy>>,
+        service: ServiceName,
+        fingerprint: ContentDigest,
+    ) -> EntryCall {
         let time_limit = request.time_limit.unwrap_or(route.timeout).min(route.timeout);
         let parent = self.guard.parent_of(&request.request_id);
-        let root_priority = parent.and_then(|it| self.guard.note_call(it, &route.name));
-        let priority = match (root_priority, account) {
-            (Some(priority), _) => priority,
+        let root = parent.and_then(|it| self.guard.note_call(it, &route.name));
+        let priority = match (root, &account) {
+            (Some((priority, _)), _) => priority,
             (None, Some(account)) => account.priority.unwrap_or(route.priority),
             (None, None) => route.priority,
         };
@@ -177,28 +208,30 @@
         };
         let order = AttemptOrder {
             serial: 0,
-            service: service.clone(),
+            service,
             route: route.name.clone(),
             request_id: request.request_id,
             method: request.method,
             target: request.target,
             headers: request.headers,
-            account: account.map(|it| it.name.clone()),
+            account: account.as_ref().map(|it| it.name.clone()),
             caller_service: self.options.service.clone(),
             is_idempotent: route.is_idempotent,
             rank: rank.0,
             priority,
+            root_age_us: 0,
             time_left_us: 0,
             max_wait_us: 0,
             fingerprint,
         };
-        let call = EntryCall {
+        EntryCall {
             order,
             body: request.body,
             parent,
-            route: Arc::clone(route),
-            account: account.cloned(),
+            route,
+            account,
             received_at: turn.now,
+            root_start: root.map_or(turn.now, |(_, start)| start),
             deadline: turn.now.plus(time_limit),
             stage: CallStage::Deciding,
             tried: Vec::new(),
@@ -207,13 +240,7 @@
             has_token: false,
             fallback: None,
             retry_after: None,
-        };
-        if !rank.is_nested() {
-            self.budgets.entry(service).or_default().note_request(&self.options.repeats);
         }
-        self.entry.timers.push(Reverse((call.deadline, id)));
-        self.entry.calls.insert(id, call);
-        self.pass_gate(turn, id);
     }
 
     fn refuse_early(
@@ -374,8 +401,9 @@
         call.stage = CallStage::Sent { serial, peer: peer.clone(), sent_at: turn.now };
         let mut order = call.order.clone();
         order.serial = serial;
-        order.time_left_us = u64::try_from(time_left.as_micros()).unwrap_or(u64::MAX);
-        order.max_wait_us = u64::try_from(max_wait.as_micros()).unwrap_or(u64::MAX);
+        order.root_age_us = micros_of(turn.now.since(call.root_start));
+        order.time_left_us = micros_of(time_left);
+        order.max_wait_us = micros_of(max_wait);
         let body = call.body.clone();
         self.entry.attempts.insert(serial, id);
         self.picker.note_sent(&peer);
@@ -646,6 +674,10 @@
     }
 }
 
+fn micros_of(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn is_server_fault(status: u16) -> bool {
     (500..600).contains(&status) && status != 504
 }
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -107,6 +107,8 @@
     pub rank: u8,
     /// Priority of the root request, also of its nested calls.
     pub priority: u8,
+    /// Time since the root request came to the fleet, in microseconds.
+    pub root_age_us: u64,
     /// Time left until the answer is of no use, in microseconds.
     pub time_left_us: u64,
     /// Longest wait for a slot, in microseconds.
--- a/crates/ivytrail/src/mesh/gate.rs
+++ b/crates/ivytrail/src/mesh/gate.rs
@@ -32,10 +32,12 @@
 const DEMAND_WINDOW: Duration = Duration::from_millis(800);
 /// Pressure above which fewer roots are let in than the figures allow.
 const HIGH_PRESSURE: f64 = 0.08;
-/// Part by which the trim shrinks in each step of high pressure.
-const TRIM_DOWN: f64 = 0.02;
-/// Part by which the trim grows in each other step.
+/// Part by which the trim shrinks in each step at full pressure.
+const TRIM_DOWN: f64 = 0.15;
+/// Part by which the trim grows in each step of low pressure while the slots bind.
 const TRIM_UP: f64 = 0.01;
+/// Part of its distance from 1 that the trim loses in each step while the slots don't bind.
+const TRIM_DECAY: f64 = 0.05;
 /// Bounds of the trim.
 const TRIM_BOUNDS: (f64, f64) = (0.7, 1.6);
 /// Time for which a refused request is known when it comes back.
@@ -178,7 +180,7 @@
         Some(format!(
             "shares={} use={}",
             shares.collect::<Vec<_>>().join(","),
-            self.use_of.iter().map(|it| it.to_string()).collect::<Vec<_>>().join(","),
+            self.use_of.iter().map(ToString::to_string).collect::<Vec<_>>().join(","),
         ))
     }
 
@@ -202,14 +204,10 @@
         self.use_of.clear();
         for service in &services {
             let slots = slots_of(service);
-            let trim = self.trims.entry(service.clone()).or_insert(1.0);
-            let factor = match HIGH_PRESSURE < slots.pressure {
-                true => 1.0 - TRIM_DOWN,
-                false => 1.0 + TRIM_UP,
-            };
-            *trim = (*trim * factor).clamp(TRIM_BOUNDS.0, TRIM_BOUNDS.1);
             let offered =
                 offers.iter().map(|it| it.per_s * it.slot_time.get(service).unwrap_or(&0.0)).sum();
+            let trim = self.trims.entry(service.clone()).or_insert(1.0);
+            *trim = next_trim(*trim, offered, &slots);
             self.use_of.push(ServiceUse {
                 service: service.clone(),
                 offered,
@@ -258,6 +256,17 @@
     }
 }
 
+/// Returns the trim after one more step. It moves while the slots bind and forgets what it has learned otherwise.
+fn next_trim(trim: f64, offered: f64, slots: &ServiceSlots) -> f64 {
+    let is_bound = slots.slots * TARGET_USE * trim < offered;
+    let next = match slots.pressure {
+        pressure if HIGH_PRESSURE < pressure => trim * (1.0 - TRIM_DOWN * pressure),
+        _ if is_bound => trim * (1.0 + TRIM_UP),
+        _ => trim + (1.0 - trim) * TRIM_DECAY,
+    };
+    next.clamp(TRIM_BOUNDS.0, TRIM_BOUNDS.1)
+}
+
 /// What the fleet is offered of one route and rank.
 #[derive(Debug)]
 struct RouteOffer {
--- a/crates/ivytrail/src/mesh/gate/tests.rs
+++ b/crates/ivytrail/src/mesh/gate/tests.rs
@@ -147,3 +147,27 @@
     assert!(0 < n_before, "new requests are refused meanwhile");
     assert!(returned, "the one that waited is let in on the credit of the next");
 }
+
+/// Pattern: half of a leaf's servers leave at once after a long heavy load that the gate had learned to carry.
+#[test]
+fn a_loss_of_slots_takes_effect_at_once() {
+    let mut gate = gate_under(&HEAVY, 162.0, 0.0);
+    let before = gate.share(&"track".into(), root(2));
+
+    gate.update(Duration::from_millis(100), &costs(), |service| match service.as_str() {
+        SERVICE => ServiceSlots { slots: 81.0, pressure: 1.0 },
+        _ => ServiceSlots { slots: 1_000.0, pressure: 0.0 },
+    });
+
+    let after = gate.share(&"track".into(), root(2));
+    assert!(after < before / 2.0, "before {before}, after {after}");
+}
+
+#[test]
+fn what_was_learned_of_an_overload_is_forgotten_when_it_is_over() {
+    let calm = [("track", 2, 230), ("book", 0, 110), ("release", 0, 90), ("quote", 2, 60)];
+
+    let gate = gate_under(&calm, 162.0, 0.0);
+
+    assert!(gate.trims.values().all(|trim| (trim - 1.0).abs() < 1e-6), "{:?}", gate.trims);
+}
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -129,14 +129,19 @@
         self.by_request.get(parent_id).copied()
     }
 
-    /// Records a call of a running request and returns the priority of its root.
-    pub(super) fn note_call(&mut self, parent: RunId, route: &RouteName) -> Option<u8> {
+    /// Records a call of a running request and returns the priority and the start of its root.
+    pub(super) fn note_call(
+        &mut self,
+        parent: RunId,
+        route: &RouteName,
+    ) -> Option<(u8, TimePoint)> {
         let run = self.attempts.get_mut(&parent)?;
         match run.calls.iter_mut().find(|(it, _)| it == route) {
             Some((_, n_calls)) => *n_calls += 1,
             None => run.calls.push((route.clone(), 1)),
         }
-        Some(run.order.priority)
+        let root_age = Duration::from_micros(run.order.root_age_us);
+        Some((run.order.priority, run.arrived_at.minus(root_age)))
     }
 
     /// Records that a call failed.
@@ -280,6 +285,7 @@
         let ticket = SlotTicket {
             key: run,
             rank: QueueRank(order.rank),
+            root_start: turn.now.minus(Duration::from_micros(order.root_age_us)),
             start_by: turn.now.plus(max_wait).min(deadline),
         };
         self.guard.runs.insert(attempt.clone(), run);
--- a/crates/ivytrail/src/mesh/queue.rs
+++ b/crates/ivytrail/src/mesh/queue.rs
@@ -1,6 +1,7 @@
 //! Queue in front of one backend server: which attempts run, wait or are refused.
 //!
-//! No more attempts run than the backend server has slots. Those that wait are ordered by rank, then by arrival. An
+//! No more attempts run than the backend server has slots. Those that wait are ordered by rank, then by the start of
+//! their root request, so that chains of calls end in the order in which they began and not all of them late. An
 //! attempt whose expected wait is longer than it may wait is refused at once, and one that has waited for as long as it
 //! may is refused then: short queues absorb clumps of arrivals, long ones would only add latency.
 
@@ -61,6 +62,8 @@
     pub key: K,
     /// Its rank.
     pub rank: QueueRank,
+    /// When its root request came to the fleet.
+    pub root_start: TimePoint,
     /// Last time at which it is worth starting.
     pub start_by: TimePoint,
 }
@@ -79,13 +82,16 @@
     },
 }
 
+/// Rank, start of the root request, and a number that tells two such attempts apart.
+type QueuePlace = (QueueRank, TimePoint, u64);
+
 /// Attempts that run and wait at one backend server.
 #[derive(Debug)]
 pub struct SlotQueue<K> {
     limit: u32,
     running: HashMap<K, TimePoint>,
-    waiting: BTreeMap<(QueueRank, u64), SlotTicket<K>>,
-    places: HashMap<K, (QueueRank, u64)>,
+    waiting: BTreeMap<QueuePlace, SlotTicket<K>>,
+    places: HashMap<K, QueuePlace>,
     next_serial: u64,
     mean_run: Duration,
     pressure: f64,
@@ -153,7 +159,8 @@
     /// Panics when the attempt already runs or waits.
     pub fn offer(&mut self, now: TimePoint, ticket: SlotTicket<K>, out: &mut Vec<SlotVerdict<K>>) {
         assert!(!self.contains(&ticket.key), "an attempt was offered twice");
-        let wait = self.expected_wait(ticket.rank);
+        let place = (ticket.rank, ticket.root_start, self.next_serial);
+        let wait = self.expected_wait(place);
         let patience = ticket.start_by.since(now);
         if self.limit == 0 || ticket.start_by < now || (Duration::ZERO < wait && patience < wait) {
             self.note_pressure(now, ticket.rank, 1.0);
@@ -162,7 +169,6 @@
         }
         let wait_share = wait.as_secs_f64() / patience.as_secs_f64().max(1e-6);
         self.note_pressure(now, ticket.rank, wait_share.min(1.0));
-        let place = (ticket.rank, self.next_serial);
         self.next_serial += 1;
         self.places.insert(ticket.key, place);
         self.waiting.insert(place, ticket);
@@ -226,10 +232,10 @@
         self.running.contains_key(key) || self.places.contains_key(key)
     }
 
-    /// Returns the time after which an attempt of this rank can expect a slot.
-    fn expected_wait(&self, rank: QueueRank) -> Duration {
+    /// Returns the time after which an attempt at this place can expect a slot.
+    fn expected_wait(&self, place: QueuePlace) -> Duration {
         let n_free = (self.limit as usize).saturating_sub(self.running.len());
-        let n_ahead = self.waiting.range(..(QueueRank(rank.0.saturating_add(1)), 0)).count();
+        let n_ahead = self.waiting.range(..place).count();
         if n_ahead < n_free {
             return Duration::ZERO;
         }
--- a/crates/ivytrail/src/mesh/queue/tests.rs
+++ b/crates/ivytrail/src/mesh/queue/tests.rs
@@ -5,7 +5,7 @@
 }
 
 fn ticket(key: u32, rank: QueueRank, start_by: u64) -> SlotTicket<u32> {
-    SlotTicket { key, rank, start_by: at(start_by) }
+    SlotTicket { key, rank, root_start: at(0), start_by: at(start_by) }
 }
 
 fn queue_of(limit: u32) -> SlotQueue<u32> {
@@ -52,6 +52,27 @@
     assert_eq!(order, started);
 }
 
+/// Pattern: chains of calls meet at an overloaded leaf. The chain that began first goes first at each of its calls.
+#[test]
+fn calls_of_the_oldest_root_go_first() {
+    let mut queue = queue_of(1);
+    offer(&mut queue, 0, ticket(0, QueueRank::of_nested(2), 10_000));
+    for (key, root_start) in [(1, 30), (2, 10), (3, 20)] {
+        let root_start = at(root_start);
+        let later = SlotTicket { root_start, ..ticket(key, QueueRank::of_nested(2), 10_000) };
+        offer(&mut queue, 40, later);
+    }
+
+    let mut order = Vec::new();
+    for running in [0, 2, 3] {
+        let mut out = Vec::new();
+        queue.release(at(50), &running, true, &mut out);
+        order.extend(out);
+    }
+
+    assert_eq!(order, [2, 3, 1].map(SlotVerdict::Start));
+}
+
 #[test]
 fn an_attempt_that_can_not_start_in_time_is_refused_at_once() {
     let mut queue = queue_of(1);
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -9,7 +9,10 @@
     event::{CallAnswer, MeshEvent, RunEnd},
     frame::ServerPhase,
 };
-use crate::message::{CallOutcome, RefusalReason};
+use crate::{
+    id::AccountName,
+    message::{CallOutcome, RefusalReason},
+};
 
 #[test]
 fn a_request_runs_at_a_server_of_its_service_and_its_answer_comes_back() {
@@ -20,7 +23,7 @@
     fleet.end_run(&run, answered(200));
 
     assert_eq!(run.order.service.as_str(), "booking");
-    assert_eq!(run.order.account.as_ref().map(|it| it.as_str()), Some(CLIENT));
+    assert_eq!(run.order.account.as_ref().map(AccountName::as_str), Some(CLIENT));
     assert_eq!(fleet.status_of(1), Some(200));
 }
 
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -170,10 +170,10 @@
             held: Vec::new(),
             queue: VecDeque::new(),
         };
-        for daemon in 0..n_daemons {
+        for (daemon, service) in SERVICES.into_iter().enumerate() {
             let event = fleet.settings_event(VERSION);
             fleet.apply(daemon, event);
-            let card = server_card(daemon, SERVICES[daemon]);
+            let card = server_card(daemon, service);
             fleet.apply(daemon, MeshEvent::ServerAnnounced { card, sequence: 1 });
             let peers = (0..n_daemons)
                 .map(|it| PeerAddress {
