Ask an account's home for all waiting requests at once, and refuse at the entry for a moment after a denial

Change: one question at a time for each account and entry; after one that was not met, 40 ms of refusals by the entry.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -23,6 +23,7 @@
 pub mod policy;
 pub mod queue;
 pub mod quota;
+mod quota_flow;
 pub mod split;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
@@ -42,7 +43,7 @@
     log_budget::LogBudget,
     picker::ServerPicker,
     policy::FleetSettings,
-    quota::QuotaBuckets,
+    quota::{QuotaBuckets, TokenStash},
     split::WeightedSplit,
 };
 use crate::{
@@ -87,6 +88,7 @@
     entry: EntryCalls,
     guard: GuardRuns,
     quotas: QuotaBuckets,
+    stash: TokenStash,
     budgets: HashMap<ServiceName, RepeatBudget>,
     splits: HashMap<RouteName, WeightedSplit>,
     costs: CostBook,
@@ -131,6 +133,7 @@
             entry: EntryCalls::default(),
             guard: GuardRuns::default(),
             quotas: QuotaBuckets::default(),
+            stash: TokenStash::default(),
             budgets: HashMap::new(),
             splits: HashMap::new(),
             costs: CostBook::default(),
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -12,12 +12,11 @@
 use super::{
     MeshReducer, Turn,
     event::{CallAnswer, CallRequest, MeshEffect, RunId},
-    frame::{AttemptOrder, AttemptResult, PeerFrame, QuotaVerdict, ServerLoad},
+    frame::{AttemptOrder, AttemptResult, PeerFrame, ServerLoad},
     log_budget::LineWeight,
     picker::AttemptNews,
     policy::{AccountPolicy, RoutePolicy},
     queue::QueueRank,
-    quota::home_of,
     split::WeightedSplit,
 };
 use crate::{
@@ -30,8 +29,6 @@
 const NO_SETTINGS_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// When to come back while no backend server of a service can be reached.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// Longest wait for the answer of an account's home.
-const QUOTA_PATIENCE: Duration = Duration::from_millis(100);
 /// Part of the target latency that a client's request may wait for a slot.
 const ROOT_WAIT_SHARE: f64 = 0.125;
 /// Part of the target latency after which a request that was not let in shall come back.
@@ -47,9 +44,9 @@
 
 /// Where a call stands.
 #[derive(Clone, Debug, PartialEq)]
-enum CallStage {
+pub(super) enum CallStage {
     /// The account's home has been asked.
-    Quota { ask: u64, until: TimePoint },
+    Quota { until: TimePoint },
     /// An attempt is at a guard.
     Sent { serial: u64, peer: InstanceName, sent_at: TimePoint },
     /// A decision is being taken.
@@ -58,23 +55,23 @@
 
 /// A call without an answer.
 #[derive(Debug)]
-struct EntryCall {
-    order: AttemptOrder,
+pub(super) struct EntryCall {
+    pub(super) order: AttemptOrder,
     body: Bytes,
     /// The run at the own backend server that makes this call.
     parent: Option<RunId>,
     route: Arc<RoutePolicy>,
-    account: Option<Arc<AccountPolicy>>,
+    pub(super) account: Option<Arc<AccountPolicy>>,
     received_at: TimePoint,
     root_start: TimePoint,
     deadline: TimePoint,
-    stage: CallStage,
+    pub(super) stage: CallStage,
     tried: Vec<InstanceName>,
     /// Attempts that may have begun to run.
     n_runs: u32,
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     /// Whether a token of the account's quota was spent on it.
-    has_token: bool,
+    pub(super) has_token: bool,
     /// A backend server's failure, in case that no repeat does better.
     fallback: Option<CallAnswer>,
     retry_after: Option<Duration>,
@@ -89,10 +86,9 @@
 /// All calls without an answer at this daemon.
 #[derive(Debug, Default)]
 pub(super) struct EntryCalls {
-    calls: HashMap<CallId, EntryCall>,
+    pub(super) calls: HashMap<CallId, EntryCall>,
     attempts: HashMap<u64, CallId>,
-    asks: HashMap<u64, CallId>,
-    timers: BinaryHeap<Reverse<(TimePoint, CallId)>>,
+    pub(super) timers: BinaryHeap<Reverse<(TimePoint, CallId)>>,
     next_serial: u64,
 }
 
@@ -275,81 +271,6 @@
         split.next_target().cloned()
     }
 
-    /// Asks the account's home for one request, where the account has a rate.
-    fn check_quota(&mut self, turn: &mut Turn<'_>, id: CallId) {
-        let Some(call) = self.entry.calls.get_mut(&id) else { return };
-        let Some(account) = call.account.clone().filter(|it| 0.0 < it.rate_per_s) else {
-            return self.dispatch(turn, id);
-        };
-        let me = &self.options.member.instance;
-        let home = home_of(&account.name, self.links.open_peers().chain([me]));
-        match home {
-            Some(home) if home != me => {
-                let home = home.clone();
-                let ask = self.entry.next_serial;
-                self.entry.next_serial += 1;
-                let until = turn.now.plus(QUOTA_PATIENCE);
-                call.stage = CallStage::Quota { ask, until };
-                self.entry.asks.insert(ask, id);
-                self.entry.timers.push(Reverse((until, id)));
-                let frame = PeerFrame::QuotaAsk { ask, account: account.name.clone() };
-                turn.send(&home, frame, Bytes::new());
-            }
-            _ => {
-                let verdict = self.take_as_home(turn.now, &account);
-                self.settle_quota(turn, id, verdict, "home");
-            }
-        }
-    }
-
-    fn take_as_home(&mut self, now: TimePoint, account: &AccountPolicy) -> QuotaVerdict {
-        let (n_daemons, n_unreachable) = self.links.n_daemons(now);
-        self.quotas.take_as_home(now, account, n_unreachable, n_daemons)
-    }
-
-    pub(super) fn answer_quota(&mut self, now: TimePoint, name: &AccountName) -> QuotaVerdict {
-        let account = self.settings.as_ref().and_then(|it| it.account(name)).cloned();
-        match account.filter(|it| 0.0 < it.rate_per_s) {
-            Some(account) => self.take_as_home(now, &account),
-            // The asking daemon has checked the key; settings here may be older.
-            None => QuotaVerdict::Granted,
-        }
-    }
-
-    pub(super) fn receive_quota(&mut self, turn: &mut Turn<'_>, ask: u64, verdict: QuotaVerdict) {
-        if let Some(id) = self.entry.asks.remove(&ask) {
-            self.settle_quota(turn, id, verdict, "peer");
-        }
-    }
-
-    fn settle_quota(
-        &mut self,
-        turn: &mut Turn<'_>,
-        id: CallId,
-        verdict: QuotaVerdict,
-        decided_by: &str,
-    ) {
-        let Some(call) = self.entry.calls.get_mut(&id) else { return };
-        call.stage = CallStage::Deciding;
-        match verdict {
-            QuotaVerdict::Granted => {
-                call.has_token = true;
-                self.dispatch(turn, id);
-            }
-            QuotaVerdict::Denied { retry_after } => {
-                if self.log.allows(turn.now, LineWeight::Notable) {
-                    turn.log(format!(
-                        "event=quota_denied request={} account={} decided_by={decided_by}",
-                        call.order.request_id,
-                        call.account.as_ref().map_or("", |it| it.name.as_str()),
-                    ));
-                }
-                let retry_after = Some(self.jitter(retry_after.max(Duration::from_millis(100))));
-                self.refuse(turn, id, RefusalReason::OverQuota, retry_after);
-            }
-        }
-    }
-
     /// Lets a client's request in, unless a service that it needs is short of slots.
     fn pass_gate(&mut self, turn: &mut Turn<'_>, id: CallId) {
         let Some(call) = self.entry.calls.get(&id) else { return };
@@ -374,7 +295,7 @@
     }
 
     /// Sends the call to the guard that is expected to answer first.
-    fn dispatch(&mut self, turn: &mut Turn<'_>, id: CallId) {
+    pub(super) fn dispatch(&mut self, turn: &mut Turn<'_>, id: CallId) {
         let me = self.options.member.clone();
         let Some(call) = self.entry.calls.get_mut(&id) else { return };
         if call.deadline <= turn.now {
@@ -510,7 +431,7 @@
         }
     }
 
-    fn refuse(
+    pub(super) fn refuse(
         &mut self,
         turn: &mut Turn<'_>,
         id: CallId,
@@ -525,27 +446,10 @@
         self.finish(turn, id, CallAnswer::Refused { outcome, reason, retry_after });
     }
 
-    /// Gives the token of a call that has not run back to the account's home.
-    fn return_token(&mut self, turn: &mut Turn<'_>, call: &EntryCall) {
-        let Some(account) = call.account.as_ref().filter(|_| call.has_token && !call.may_have_run)
-        else {
-            return;
-        };
-        let me = &self.options.member.instance;
-        match home_of(&account.name, self.links.open_peers().chain([me])) {
-            Some(home) if home != me => {
-                let home = home.clone();
-                let frame = PeerFrame::QuotaReturn { account: account.name.clone() };
-                turn.send(&home, frame, Bytes::new());
-            }
-            _ => self.quotas.give_back(&account.name),
-        }
-    }
-
     /// Gives a call its one answer.
     fn finish(&mut self, turn: &mut Turn<'_>, id: CallId, answer: CallAnswer) {
         let Some(call) = self.entry.calls.remove(&id) else { return };
-        self.return_token(turn, &call);
+        self.return_token(turn.now, &call);
         let is_good = matches!(&answer, CallAnswer::Whole { status, .. } if *status < 500);
         if call.is_nested() && !is_good {
             self.guard.note_failed_call(turn.now, call.parent);
@@ -575,14 +479,16 @@
                 turn.now.since(call.received_at).as_millis(),
             ));
         }
-        self.abandon(turn, &call);
+        self.abandon(turn, id, &call);
     }
 
     /// Gives up what a call waits for.
-    fn abandon(&mut self, turn: &mut Turn<'_>, call: &EntryCall) {
+    fn abandon(&mut self, turn: &mut Turn<'_>, id: CallId, call: &EntryCall) {
         match &call.stage {
-            CallStage::Quota { ask, .. } => {
-                self.entry.asks.remove(ask);
+            CallStage::Quota { .. } => {
+                if let Some(account) = &call.order.account {
+                    self.stash.withdraw(account, id);
+                }
             }
             CallStage::Sent { serial, peer, .. } => {
                 self.entry.attempts.remove(serial);
@@ -608,13 +514,7 @@
             let Some(call) = self.entry.calls.get(&id) else { continue };
             match &call.stage {
                 _ if call.deadline <= turn.now => self.time_out(turn, id),
-                CallStage::Quota { ask, until } if *until <= turn.now => {
-                    self.entry.asks.remove(ask);
-                    let Some(account) = call.account.clone() else { continue };
-                    let (n_daemons, _) = self.links.n_daemons(turn.now);
-                    let verdict = self.quotas.take_fallback(turn.now, &account, n_daemons);
-                    self.settle_quota(turn, id, verdict, "fallback");
-                }
+                CallStage::Quota { until } if *until <= turn.now => self.take_fallback(turn, id),
                 _ => {}
             }
         }
@@ -623,7 +523,7 @@
     fn time_out(&mut self, turn: &mut Turn<'_>, id: CallId) {
         let Some(mut call) = self.entry.calls.remove(&id) else { return };
         call.may_have_run |= matches!(call.stage, CallStage::Sent { .. });
-        self.abandon(turn, &call);
+        self.abandon(turn, id, &call);
         call.stage = CallStage::Deciding;
         self.entry.calls.insert(id, call);
         self.give_up(turn, id, RefusalReason::DeadlineExceeded, None);
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -144,18 +144,6 @@
     },
 }
 
-/// Answer to a question for one request of an account's quota.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub enum QuotaVerdict {
-    /// The request may run.
-    Granted,
-    /// The account has spent its rate; `retry_after` tells when a request will be granted.
-    Denied {
-        /// Time until the next grant.
-        retry_after: Duration,
-    },
-}
-
 /// A message between two daemons.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerFrame {
@@ -186,24 +174,21 @@
     Ping,
     /// Answers a ping.
     Pong,
-    /// Asks the account's home for one request.
+    /// Asks the account's home for tokens.
     QuotaAsk {
-        /// Number of the question at its sender.
-        ask: u64,
         /// The account.
         account: AccountName,
+        /// Number of tokens.
+        wanted: u32,
     },
-    /// Answers a quota question.
+    /// Answers a question for tokens.
     QuotaAnswer {
-        /// Number of the question at its sender.
-        ask: u64,
-        /// The answer.
-        verdict: QuotaVerdict,
-    },
-    /// Gives the token of a request back that has not run.
-    QuotaReturn {
         /// The account.
         account: AccountName,
+        /// Number of tokens that were asked for.
+        wanted: u32,
+        /// Number of tokens granted.
+        granted: u32,
     },
     /// Asks for the settings in force at the other end.
     SettingsAsk,
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -211,12 +211,14 @@
             }
             PeerFrame::Ping => turn.send_back(peer, PeerFrame::Pong, Bytes::new()),
             PeerFrame::Pong => {}
-            PeerFrame::QuotaAsk { ask, account } => {
-                let verdict = self.answer_quota(turn.now, &account);
-                turn.send_back(peer, PeerFrame::QuotaAnswer { ask, verdict }, Bytes::new());
+            PeerFrame::QuotaAsk { account, wanted } => {
+                let granted = self.answer_quota(turn.now, &account, wanted);
+                let frame = PeerFrame::QuotaAnswer { account, wanted, granted };
+                turn.send_back(peer, frame, Bytes::new());
+            }
+            PeerFrame::QuotaAnswer { account, wanted, granted } => {
+                self.receive_tokens(turn, &account, wanted, granted);
             }
-            PeerFrame::QuotaAnswer { ask, verdict } => self.receive_quota(turn, ask, verdict),
-            PeerFrame::QuotaReturn { account } => self.quotas.give_back(&account),
             PeerFrame::SettingsAsk => {
                 if let Some(settings) = &self.settings {
                     let frame = PeerFrame::Settings { version: settings.version() };
--- /dev/null
+++ b/crates/ivytrail/src/mesh/quota_flow.rs
@@ -0,0 +1,145 @@
+//! Tokens of accounts: questions to their homes, and the answers.
+
+use std::{cmp::Reverse, time::Duration};
+
+use bytes::Bytes;
+
+use super::{
+    MeshReducer, Turn,
+    entry::{CallStage, EntryCall},
+    frame::PeerFrame,
+    log_budget::LineWeight,
+    policy::AccountPolicy,
+    quota::{TokenVerdict, home_of},
+};
+use crate::{
+    id::{AccountName, CallId, InstanceName},
+    message::RefusalReason,
+    time::TimePoint,
+};
+
+/// Longest wait for the answer of an account's home.
+const QUOTA_PATIENCE: Duration = Duration::from_millis(100);
+/// When to come back after the account's rate was spent.
+const DENIED_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+impl MeshReducer {
+    /// Gets a token for a call whose account has a rate, and sends the call.
+    pub(super) fn check_quota(&mut self, turn: &mut Turn<'_>, id: CallId) {
+        let Some(call) = self.entry.calls.get_mut(&id) else { return };
+        let Some(account) = call.account.clone().filter(|it| 0.0 < it.rate_per_s) else {
+            return self.dispatch(turn, id);
+        };
+        match self.stash.take(turn.now, &account.name, id) {
+            TokenVerdict::Granted => self.grant(turn, id),
+            TokenVerdict::Denied => self.deny(turn, id, "entry"),
+            TokenVerdict::Waits { ask_for } => {
+                let until = turn.now.plus(QUOTA_PATIENCE);
+                call.stage = CallStage::Quota { until };
+                self.entry.timers.push(Reverse((until, id)));
+                if let Some(wanted) = ask_for {
+                    self.ask_home(turn, &account, wanted);
+                }
+            }
+        }
+    }
+
+    fn home(&self, account: &AccountName) -> Option<InstanceName> {
+        let me = &self.options.member.instance;
+        home_of(account, self.links.open_peers().chain([me])).cloned()
+    }
+
+    fn ask_home(&mut self, turn: &mut Turn<'_>, account: &AccountPolicy, wanted: u32) {
+        match self.home(&account.name) {
+            Some(home) if home != self.options.member.instance => {
+                let frame = PeerFrame::QuotaAsk { account: account.name.clone(), wanted };
+                turn.send(&home, frame, Bytes::new());
+            }
+            _ => {
+                let granted = self.take_as_home(turn.now, account, wanted);
+                self.receive_tokens(turn, &account.name, wanted, granted);
+            }
+        }
+    }
+
+    fn take_as_home(&mut self, now: TimePoint, account: &AccountPolicy, wanted: u32) -> u32 {
+        let (n_daemons, n_unreachable) = self.links.n_daemons(now);
+        self.quotas.take_as_home(now, account, n_unreachable, n_daemons, wanted)
+    }
+
+    /// Answers a question as the account's home.
+    pub(super) fn answer_quota(&mut self, now: TimePoint, name: &AccountName, wanted: u32) -> u32 {
+        let account = self.settings.as_ref().and_then(|it| it.account(name)).cloned();
+        match account.filter(|it| 0.0 < it.rate_per_s) {
+            Some(account) => self.take_as_home(now, &account, wanted),
+            // The asking daemon has checked the key; settings here may be older.
+            None => wanted,
+        }
+    }
+
+    /// Takes tokens from an account's home and hands them to the calls that wait.
+    pub(super) fn receive_tokens(
+        &mut self,
+        turn: &mut Turn<'_>,
+        account: &AccountName,
+        wanted: u32,
+        granted: u32,
+    ) {
+        let (served, denied, ask_for) = self.stash.settle(turn.now, account, wanted, granted);
+        for id in served {
+            self.grant(turn, id);
+        }
+        for id in denied {
+            self.deny(turn, id, "home");
+        }
+        let policy = self.settings.as_ref().and_then(|it| it.account(account)).cloned();
+        if let (Some(wanted), Some(policy)) = (ask_for, policy) {
+            self.ask_home(turn, &policy, wanted);
+        }
+    }
+
+    /// Spends from this daemon's own part of the rate, since the home has not answered.
+    pub(super) fn take_fallback(&mut self, turn: &mut Turn<'_>, id: CallId) {
+        let Some(account) = self.entry.calls.get(&id).and_then(|it| it.account.clone()) else {
+            return;
+        };
+        self.stash.withdraw(&account.name, id);
+        self.stash.forget_question(&account.name);
+        let (n_daemons, _) = self.links.n_daemons(turn.now);
+        match self.quotas.take_fallback(turn.now, &account, n_daemons, 1) {
+            0 => self.deny(turn, id, "fallback"),
+            _ => self.grant(turn, id),
+        }
+    }
+
+    fn grant(&mut self, turn: &mut Turn<'_>, id: CallId) {
+        if let Some(call) = self.entry.calls.get_mut(&id) {
+            call.stage = CallStage::Deciding;
+            call.has_token = true;
+            self.dispatch(turn, id);
+        }
+    }
+
+    fn deny(&mut self, turn: &mut Turn<'_>, id: CallId, decided_by: &str) {
+        let Some(call) = self.entry.calls.get_mut(&id) else { return };
+        call.stage = CallStage::Deciding;
+        if self.log.allows(turn.now, LineWeight::Notable) {
+            turn.log(format!(
+                "event=quota_denied request={} account={} decided_by={decided_by}",
+                call.order.request_id,
+                call.account.as_ref().map_or("", |it| it.name.as_str()),
+            ));
+        }
+        let retry_after = Some(self.jitter(DENIED_RETRY_AFTER));
+        self.refuse(turn, id, RefusalReason::OverQuota, retry_after);
+    }
+
+    /// Keeps the token of a call that has not run for the next one.
+    pub(super) fn return_token(&mut self, now: TimePoint, call: &EntryCall) {
+        if let Some(account) =
+            call.account.as_ref().filter(|_| call.has_token && !call.may_have_run)
+        {
+            self.stash.give_back(now, &account.name);
+        }
+    }
+}
