Count only requests within their account's rate at the gate; close clients' connections before descriptors run out

Change: quota first, then the gate; no token back while the account is over its rate; from a tenth of the descriptors on a refusal ends its connection, from 0.4 on every answer does; clients' requests at a guard count for 0.3 in the pressure.

--- a/crates/ivytrail-daemon/src/mesh/ingress.rs
+++ b/crates/ivytrail-daemon/src/mesh/ingress.rs
@@ -1,6 +1,6 @@
 //! Requests of clients and of the own backend server.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -38,6 +38,53 @@
 /// Time after a failed accept, e.g. for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Part of the descriptors from which on refused clients lose their connection: they come back on another one.
+const CLOSE_REFUSED_PART: f64 = 0.1;
+/// Part of the descriptors from which on every answer ends its connection.
+const CLOSE_ALL_PART: f64 = 0.4;
+/// Part of the descriptors from which on new connections are closed unread; the rest is for links and runs.
+const CLOSE_NEW_PART: f64 = 0.75;
+
+/// Open connections of clients, against the descriptors of the process.
+#[derive(Debug)]
+pub struct ClientCount {
+    n_open: Cell<usize>,
+    max_descriptors: usize,
+}
+
+impl ClientCount {
+    /// Returns a count of zero.
+    pub fn new(max_descriptors: usize) -> ClientCount {
+        ClientCount { n_open: Cell::new(0), max_descriptors }
+    }
+
+    fn uses(&self, part: f64) -> bool {
+        self.max_descriptors as f64 * part <= self.n_open.get() as f64
+    }
+
+    /// Returns whether an answer shall end its connection.
+    fn closes_after(&self, answer: &CallAnswer) -> bool {
+        let is_refused = matches!(answer, CallAnswer::Refused { .. });
+        self.uses(CLOSE_ALL_PART) || (is_refused && self.uses(CLOSE_REFUSED_PART))
+    }
+}
+
+/// Counts a connection for as long as it lives.
+struct CountedClient<'c>(&'c ClientCount);
+
+impl<'c> CountedClient<'c> {
+    fn new(count: &'c ClientCount) -> CountedClient<'c> {
+        count.n_open.set(count.n_open.get() + 1);
+        CountedClient(count)
+    }
+}
+
+impl Drop for CountedClient<'_> {
+    fn drop(&mut self) {
+        self.0.n_open.set(self.0.n_open.get() - 1);
+    }
+}
+
 type ClientResponse = Response<Full<Bytes>>;
 
 /// Binds the address for clients and serves it.
@@ -57,6 +104,9 @@
                 _ = closing.wait_for(|is_closing| *is_closing) => return,
             };
             match accepted {
+                Ok(_) if shell.clients.uses(CLOSE_NEW_PART) => {
+                    log::debug!("event=client_closed_unread");
+                }
                 Ok((stream, _)) => {
                     // Without the option answers are late, not wrong.
                     let _ = stream.set_nodelay(true);
@@ -73,6 +123,7 @@
 }
 
 async fn serve_client(shell: Rc<MeshShell>, stream: tokio::net::TcpStream) {
+    let _counted = CountedClient::new(&shell.clients);
     let limits = shell.inspect(|it| limits_of(it.settings().map(|it| it.limits())));
     let mut closing = shell.closing();
     let service = service_fn(|request| {
@@ -165,8 +216,9 @@
     });
     presence.is_answered = true;
     shell.metrics.note_answer(&answer, started.elapsed());
+    let is_last = shell.clients.closes_after(&answer) || shell.inspect(MeshReducer::is_leaving);
     let mut response = response_of(answer, request_id);
-    if shell.inspect(MeshReducer::is_leaving) {
+    if is_last {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/ivytrail-daemon/src/mesh/shell.rs
+++ b/crates/ivytrail-daemon/src/mesh/shell.rs
@@ -28,7 +28,7 @@
     task::AbortHandle,
 };
 
-use super::{links, metrics::MeshMetrics, run_pool::RunPool};
+use super::{ingress::ClientCount, links, metrics::MeshMetrics, run_pool::RunPool};
 
 /// A connection to another daemon, as the writer of its frames.
 #[derive(Clone, Debug)]
@@ -56,6 +56,8 @@
     forgotten: mpsc::UnboundedSender<PeerAddress>,
     forgotten_receiver: RefCell<Option<mpsc::UnboundedReceiver<PeerAddress>>>,
     closing: watch::Sender<bool>,
+    /// Open connections of clients.
+    pub clients: ClientCount,
     next_call: Cell<u64>,
     next_link: Cell<u64>,
 }
@@ -80,6 +82,7 @@
             forgotten,
             forgotten_receiver: RefCell::new(Some(forgotten_receiver)),
             closing: watch::Sender::new(false),
+            clients: ClientCount::new(settings.max_descriptors),
             next_call: Cell::new(1),
             next_link: Cell::new(1),
         }))
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -156,7 +156,7 @@
         }
         self.entry.timers.push(Reverse((call.deadline, id)));
         self.entry.calls.insert(id, call);
-        self.pass_gate(turn, id);
+        self.check_quota(turn, id);
     }
 
     /// Finds the route of a request and the account of its key.
@@ -272,7 +272,7 @@
     }
 
     /// Lets a client's request in, unless a service that it needs is short of slots.
-    fn pass_gate(&mut self, turn: &mut Turn<'_>, id: CallId) {
+    pub(super) fn pass_gate(&mut self, turn: &mut Turn<'_>, id: CallId) {
         let Some(call) = self.entry.calls.get(&id) else { return };
         if call.is_nested() {
             return self.dispatch(turn, id);
@@ -281,7 +281,7 @@
         let fingerprint = call.order.fingerprint;
         let target_latency = call.route.target_latency;
         if self.gate.admit(turn.now, &route, rank, &fingerprint) {
-            return self.check_quota(turn, id);
+            return self.dispatch(turn, id);
         }
         let wait = self.jitter(target_latency.mul_f64(COMEBACK_SHARE));
         self.gate.note_refused(turn.now, fingerprint, wait);
--- a/crates/ivytrail/src/mesh/file.rs
+++ b/crates/ivytrail/src/mesh/file.rs
@@ -13,7 +13,7 @@
     mesh::budget::RepeatPolicy,
     settings::{
         document::parse_document,
-        reader::{NAME_ALLOWED, ObjectReader, ROOT_PLACE, name_in},
+        reader::{NAME_ALLOWED, NumberBounds, ObjectReader, ROOT_PLACE, name_in},
     },
 };
 
@@ -56,6 +56,8 @@
     pub table_address: SocketAddr,
     /// Longest time from the signal to leave until the daemon exits.
     pub shutdown_grace: Duration,
+    /// Descriptors that the process may hold.
+    pub max_descriptors: usize,
     /// Bound on repeated sends.
     pub repeats: RepeatPolicy,
 }
@@ -91,6 +93,8 @@
     let server_address = address("server_address");
     let table_address = address("table_address");
     let grace_s = reader.required("shutdown_grace_s", SECONDS_ALLOWED, |it| number_in(it, 600.0));
+    let bounds = NumberBounds { least: 64, greatest: 1 << 20, default: 4_096 };
+    let max_descriptors = reader.bounded("max_descriptors", bounds) as usize;
     let repeats = read_repeats(&mut reader);
     reader.finish();
     Some(MeshSettings {
@@ -105,6 +109,7 @@
         server_address: server_address?,
         table_address: table_address?,
         shutdown_grace: Duration::from_secs_f64(grace_s?),
+        max_descriptors,
         repeats,
     })
 }
--- a/crates/ivytrail/src/mesh/queue.rs
+++ b/crates/ivytrail/src/mesh/queue.rs
@@ -25,6 +25,11 @@
 /// Time over which the pressure on the slots is averaged.
 const PRESSURE_WINDOW: Duration = Duration::from_millis(500);
 
+/// Least weight of one attempt in the pressure.
+const MIN_PRESSURE_GAIN: f64 = 0.01;
+/// Part of the clients' requests' pressure that counts beside that of nested calls.
+const ROOT_PRESSURE_PART: f64 = 0.3;
+
 /// Place of an attempt among others that wait for a slot; the lowest is served first.
 #[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QueueRank(pub u8);
@@ -94,10 +99,8 @@
     places: HashMap<K, QueuePlace>,
     next_serial: u64,
     mean_run: Duration,
-    pressure: f64,
-    pressure_at: TimePoint,
-    /// When the last nested call came.
-    nested_at: Option<TimePoint>,
+    nested: WaitPressure,
+    roots: WaitPressure,
 }
 
 impl<K> Default for SlotQueue<K> {
@@ -109,9 +112,8 @@
             places: HashMap::new(),
             next_serial: 0,
             mean_run: FIRST_RUN_TIME,
-            pressure: 0.0,
-            pressure_at: TimePoint::ORIGIN,
-            nested_at: None,
+            nested: WaitPressure::default(),
+            roots: WaitPressure::default(),
         }
     }
 }
@@ -147,9 +149,10 @@
     }
 
     /// Returns the recent share of attempts that found no free slot, weighted by how long they had to wait: 0 when
-    /// none waits, 1 when all are refused.
+    /// none waits, 1 when all are refused. Clients' requests stand behind nested calls and wait also when the slots are
+    /// just well used, so they count for part.
     pub fn pressure(&self) -> f64 {
-        self.pressure
+        self.nested.share.max(self.roots.share * ROOT_PRESSURE_PART)
     }
 
     /// Takes an attempt: it starts, waits or is refused.
@@ -257,21 +260,26 @@
         }
     }
 
-    /// Takes one attempt's wait into the pressure. Where nested calls come, only they count: clients' requests stand
-    /// behind them and wait also when the slots are just well used.
+    /// Takes one attempt's wait into the pressure of its kind.
     fn note_pressure(&mut self, now: TimePoint, rank: QueueRank, sample: f64) {
-        if rank.is_nested() {
-            self.nested_at = Some(now);
-        } else if self.nested_at.is_some_and(|at| now.since(at) < PRESSURE_WINDOW) {
-            return;
-        }
-        let elapsed = now.since(self.pressure_at).as_secs_f64();
-        self.pressure_at = now;
-        let per_window = (self.limit.max(1) as f64) * PRESSURE_WINDOW.as_secs_f64()
-            / self.mean_run.as_secs_f64().max(1e-3);
-        let decay = (-elapsed / PRESSURE_WINDOW.as_secs_f64()).exp();
-        let gain = (1.0 - decay).max(1.0 / per_window.max(1.0)).min(1.0);
-        self.pressure += gain * (sample - self.pressure);
+        let kind = if rank.is_nested() { &mut self.nested } else { &mut self.roots };
+        kind.note(now, sample);
+    }
+}
+
+/// Share of attempts that found no free slot, weighted by how long they had to wait.
+#[derive(Clone, Copy, Debug, Default)]
+struct WaitPressure {
+    share: f64,
+    noted_at: TimePoint,
+}
+
+impl WaitPressure {
+    fn note(&mut self, now: TimePoint, sample: f64) {
+        let elapsed = now.since(self.noted_at).as_secs_f64();
+        self.noted_at = now;
+        let gain = (1.0 - (-elapsed / PRESSURE_WINDOW.as_secs_f64()).exp()).max(MIN_PRESSURE_GAIN);
+        self.share += gain * (sample - self.share);
     }
 }
 
--- a/crates/ivytrail/src/mesh/quota.rs
+++ b/crates/ivytrail/src/mesh/quota.rs
@@ -22,6 +22,8 @@
 const STARTING_SHARE: f64 = 0.2;
 /// Time for which an entry refuses by itself after a question that was not met in full.
 const DENIAL_TIME: Duration = Duration::from_millis(40);
+/// Time after a denial for which an account counts as over its rate.
+const OVER_RATE_TIME: Duration = Duration::from_millis(500);
 /// Time for which an entry keeps a token that came back from a request that has not run.
 const TOKEN_LIFE: Duration = Duration::from_millis(500);
 
@@ -167,9 +169,12 @@
         }
     }
 
-    /// Takes back the token of a request that has not run.
+    /// Takes back the token of a request that has not run. It lapses at once while the account is over its rate.
     pub fn give_back(&mut self, now: TimePoint, account: &AccountName) {
         let stash = self.accounts.entry(account.clone()).or_default();
+        if now < stash.denied_until.plus(OVER_RATE_TIME) {
+            return;
+        }
         stash.returned.push_back(now.plus(TOKEN_LIFE));
     }
 
--- a/crates/ivytrail/src/mesh/quota/tests.rs
+++ b/crates/ivytrail/src/mesh/quota/tests.rs
@@ -111,3 +111,18 @@
     assert_eq!((served, denied), (vec![], vec![]));
     assert_eq!(stash.take(NOW, &account, CallId(2)), TokenVerdict::Granted);
 }
+
+/// Pattern: one account sends several times its rate while a service is short of slots.
+#[test]
+fn an_account_over_its_rate_gets_no_token_back() {
+    let account = AccountName::from("meteo");
+    let mut stash = TokenStash::default();
+    stash.take(NOW, &account, CallId(1));
+    stash.settle(NOW, &account, 1, 0);
+    let later = NOW.plus(DENIAL_TIME);
+
+    stash.give_back(later, &account);
+
+    let verdict = stash.take(later, &account, CallId(2));
+    assert!(matches!(verdict, TokenVerdict::Waits { .. }), "{verdict:?}");
+}
--- a/crates/ivytrail/src/mesh/quota_flow.rs
+++ b/crates/ivytrail/src/mesh/quota_flow.rs
@@ -24,11 +24,12 @@
 const DENIED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 impl MeshReducer {
-    /// Gets a token for a call whose account has a rate, and sends the call.
+    /// Gets a token for a call whose account has a rate, and takes the call to the gate. Only requests within their
+    /// account's rate count as demand there.
     pub(super) fn check_quota(&mut self, turn: &mut Turn<'_>, id: CallId) {
         let Some(call) = self.entry.calls.get_mut(&id) else { return };
         let Some(account) = call.account.clone().filter(|it| 0.0 < it.rate_per_s) else {
-            return self.dispatch(turn, id);
+            return self.pass_gate(turn, id);
         };
         match self.stash.take(turn.now, &account.name, id) {
             TokenVerdict::Granted => self.grant(turn, id),
@@ -116,7 +117,7 @@
         if let Some(call) = self.entry.calls.get_mut(&id) {
             call.stage = CallStage::Deciding;
             call.has_token = true;
-            self.dispatch(turn, id);
+            self.pass_gate(turn, id);
         }
     }
 
@@ -134,7 +135,8 @@
         self.refuse(turn, id, RefusalReason::OverQuota, retry_after);
     }
 
-    /// Keeps the token of a call that has not run for the next one.
+    /// Keeps the token of a call that has not run for the next one, unless the account is over its rate: it would bring
+    /// its surplus before the gate again and again, at the cost of the other accounts.
     pub(super) fn return_token(&mut self, now: TimePoint, call: &EntryCall) {
         if let Some(account) =
             call.account.as_ref().filter(|_| call.has_token && !call.may_have_run)
