--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -280,6 +280,7 @@
         let (route, rank) = (call.order.route.clone(), QueueRank(call.order.rank));
         let fingerprint = call.order.fingerprint;
         let target_latency = call.route.target_latency;
+        let request_id = call.order.request_id.clone();
         if self.gate.admit(turn.now, &route, rank, &fingerprint) {
             return self.dispatch(turn, id);
         }
@@ -287,7 +288,7 @@
         self.gate.note_refused(turn.now, fingerprint, wait);
         if self.log.allows(turn.now, LineWeight::Notable) {
             turn.log(format!(
-                "event=gate_refused route={route} rank={rank} share={:.3}",
+                "event=gate_refused request={request_id} route={route} rank={rank} share={:.3}",
                 self.gate.share(&route, rank)
             ));
         }
--- a/crates/ivytrail/src/mesh/queue.rs
+++ b/crates/ivytrail/src/mesh/queue.rs
@@ -28,7 +28,7 @@
 /// Least weight of one attempt in the pressure.
 const MIN_PRESSURE_GAIN: f64 = 0.01;
 /// Part of the clients' requests' pressure that counts beside that of nested calls.
-const ROOT_PRESSURE_PART: f64 = 0.3;
+const ROOT_PRESSURE_PART: f64 = 0.12;
 
 /// Place of an attempt among others that wait for a slot; the lowest is served first.
 #[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod queue;
 pub mod scenario;
 pub mod session;
+pub mod site;
 pub mod soak;
 pub mod verdict;
--- /dev/null
+++ b/tests/src/site.rs
@@ -0,0 +1,219 @@
+//! A small site of real daemons (`ivytraild --mesh`) on loopback, with stand-ins for the platform's table and for
+//! backend servers that speak the platform's protocol.
+
+pub mod backend;
+pub mod table;
+
+use std::{net::SocketAddr, time::Duration};
+
+use anyhow::{Context, Result};
+use ivytrail_fakes::process::{
+    ChildProcess, ChildSignal, RunDirectory, free_addresses, program_path,
+};
+use reqwest::{Client, Response};
+use tokio::time::{Instant, sleep};
+
+use self::{backend::SiteBackend, table::SiteTable};
+
+/// Key of the only client account.
+pub const KEY: &str = "meteo-key";
+/// Longest wait until all daemons serve.
+const START_PATIENCE: Duration = Duration::from_secs(20);
+/// Pause between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Services of the instances.
+const SERVICES: [&str; 3] = ["booking", "booking", "tracker"];
+
+/// The addresses of one instance.
+#[derive(Clone, Copy, Debug)]
+pub struct InstanceAddresses {
+    /// For clients.
+    pub caller: SocketAddr,
+    /// For announcements.
+    pub local: SocketAddr,
+    /// For the question for readiness.
+    pub health: SocketAddr,
+    peer: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
+}
+
+/// A running site.
+#[derive(Debug)]
+pub struct TestSite {
+    /// The stand-in of the platform's table.
+    pub table: SiteTable,
+    /// Backend servers, one for each instance.
+    pub backends: Vec<SiteBackend>,
+    /// Daemons, one for each instance.
+    pub daemons: Vec<ChildProcess>,
+    /// Addresses, one set for each instance.
+    pub addresses: Vec<InstanceAddresses>,
+    client: Client,
+    dir: RunDirectory,
+}
+
+impl TestSite {
+    /// Starts a table, three backend servers and their daemons, and waits until all serve.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a program can't be started or does not serve in time.
+    pub async fn start() -> Result<TestSite> {
+        let table = SiteTable::start(config_of(1)).await?;
+        let dir = RunDirectory::create("ivytrail-site")?;
+        let ports = free_addresses(SERVICES.len() * 5)?;
+        let addresses: Vec<InstanceAddresses> = ports
+            .chunks_exact(5)
+            .map(|it| InstanceAddresses {
+                caller: it[0],
+                local: it[1],
+                health: it[2],
+                peer: it[3],
+                metrics: it[4],
+            })
+            .collect();
+        let client = Client::builder().no_proxy().timeout(Duration::from_secs(5)).build()?;
+        let mut site =
+            TestSite { table, backends: Vec::new(), daemons: Vec::new(), addresses, client, dir };
+        for (idx, service) in SERVICES.into_iter().enumerate() {
+            let local = site.addresses[idx].local;
+            site.backends.push(SiteBackend::start(idx, service, local).await?);
+            let daemon = site.start_daemon(idx)?;
+            site.daemons.push(daemon);
+        }
+        for idx in 0..SERVICES.len() {
+            site.wait_until_served(idx).await?;
+        }
+        Ok(site)
+    }
+
+    /// Starts the daemon of an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it can't be started.
+    pub fn start_daemon(&self, idx: usize) -> Result<ChildProcess> {
+        let own = &self.addresses[idx];
+        let settings = serde_json::json!({
+            "name": format!("instance-{idx}"),
+            "failure_domain": "kolkata",
+            "service": SERVICES[idx],
+            "caller_address": own.caller,
+            "local_address": own.local,
+            "health_address": own.health,
+            "peer_address": own.peer,
+            "metrics_address": own.metrics,
+            "server_address": self.backends[idx].address(),
+            "table_address": self.table.address(),
+            "shutdown_grace_s": 6,
+            "repeats": {"ratio": 0.2, "window_s": 10, "slack": 48},
+        });
+        let path = self.dir.path().join(format!("instance-{idx}.json"));
+        std::fs::write(&path, settings.to_string())?;
+        let arguments = ["--mesh".to_string(), path.display().to_string()];
+        ChildProcess::start(
+            &format!("daemon-{idx}"),
+            &program_path("ivytraild")?,
+            &arguments,
+            self.dir.path(),
+        )
+    }
+
+    /// Waits until requests of both services are answered at an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when that takes too long.
+    pub async fn wait_until_served(&self, idx: usize) -> Result<()> {
+        let end = Instant::now() + START_PATIENCE;
+        while Instant::now() < end {
+            let mut n_served = 0;
+            for route in ["book", "track"] {
+                let path = format!("/{route}/warm-up");
+                let answer = self.send(idx, &path, &format!("warm-{}", uuid::Uuid::now_v7())).await;
+                n_served += usize::from(answer.is_ok_and(|it| it.status() == 200));
+            }
+            if n_served == 2 {
+                return Ok(());
+            }
+            sleep(LOOK_INTERVAL).await;
+        }
+        anyhow::bail!("instance {idx} does not serve; log:\n{}", self.log_of(idx))
+    }
+
+    /// Sends a request to an instance's daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn send(&self, idx: usize, path: &str, request_id: &str) -> Result<Response> {
+        let url = format!("http://{}{path}", self.addresses[idx].caller);
+        let request = self
+            .client
+            .get(url)
+            .header("host", "site.example")
+            .header("x-ivytrail-request-id", request_id)
+            .header("x-ivytrail-deadline-ms", "3000")
+            .header("x-ivytrail-credential", KEY);
+        request.send().await.context("no answer")
+    }
+
+    /// Returns whether an instance's daemon says that it is ready.
+    pub async fn is_ready(&self, idx: usize) -> bool {
+        let url = format!("http://{}/readyz", self.addresses[idx].health);
+        self.client.get(url).send().await.is_ok_and(|it| it.status() == 200)
+    }
+
+    /// Returns what an instance's daemon serves as metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn metrics(&self, idx: usize) -> Result<String> {
+        let url = format!("http://{}/metrics", self.addresses[idx].metrics);
+        Ok(self.client.get(url).send().await?.text().await?)
+    }
+
+    /// Asks an instance's daemon to leave.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the signal can't be sent.
+    pub fn terminate(&self, idx: usize) -> Result<()> {
+        self.daemons[idx].signal(ChildSignal::Terminate)
+    }
+
+    /// Returns what an instance's daemon has logged.
+    pub fn log_of(&self, idx: usize) -> String {
+        let path = self.dir.path().join(format!("daemon-{idx}.log"));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// Returns how often a request has run at any backend server.
+    pub fn n_runs_of(&self, request_id: &str) -> usize {
+        self.backends.iter().map(|it| it.n_runs_of(request_id)).sum()
+    }
+}
+
+/// Returns a configuration of the platform. Version 2 withdraws the key.
+pub fn config_of(version: u64) -> serde_json::Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        serde_json::json!({
+            "name": name, "host": "site.example", "prefix": format!("/{name}/"), "kind": kind,
+            "timeout": 2_000, "target_latency": 1_000, "priority": 0, "service": service,
+            "max_attempts": 2, "public": false,
+        })
+    };
+    let keys = if version < 2 { vec![KEY] } else { vec!["another"] };
+    serde_json::json!({
+        "version": version,
+        "routes": [route("book", "unsafe", "booking"), route("track", "safe", "tracker")],
+        "services": SERVICES.map(|name| serde_json::json!({"name": name, "health_path": "/healthz"})),
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
+            "header_timeout": 3_000, "idle_timeout": 15_000,
+        },
+        "tenants": [{"name": "meteo", "api_keys": keys, "rate_per_s": 1_000, "burst": 1_000}],
+    })
+}
--- /dev/null
+++ b/tests/src/site/backend.rs
@@ -0,0 +1,165 @@
+//! Stand-in for a backend server of the platform: it announces itself, checks what it must see and counts runs.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::Result;
+use ivytrail_fakes::server::LocalServer;
+use parking_lot::Mutex;
+use reqwest::Client;
+use salvo::{
+    FlowCtrl, async_trait,
+    http::{HeaderValue, StatusCode},
+    prelude::{Depot, Handler, Request, Response},
+};
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+/// Time between two heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// Slots that it announces.
+const SLOTS: u32 = 16;
+
+#[derive(Debug, Default)]
+struct BackendState {
+    runs: HashMap<String, usize>,
+    /// What a request carried that it should not have, or lacked.
+    faults: Vec<String>,
+    is_draining: bool,
+}
+
+/// A backend server that runs until it is dropped.
+#[derive(Debug)]
+pub struct SiteBackend {
+    server: LocalServer,
+    state: Arc<Mutex<BackendState>>,
+    heartbeats: JoinHandle<()>,
+}
+
+impl SiteBackend {
+    /// Starts a backend server that announces itself to `local_address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no port can be bound.
+    pub async fn start(
+        idx: usize,
+        service: &str,
+        local_address: SocketAddr,
+    ) -> Result<SiteBackend> {
+        let id = format!("server-{idx}");
+        let state = Arc::new(Mutex::new(BackendState::default()));
+        let handler = BackendHandler { id: id.clone(), state: Arc::clone(&state) };
+        let server = LocalServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
+        let beats = announce(id, service.to_string(), local_address, Arc::clone(&state));
+        Ok(SiteBackend { server, state, heartbeats: tokio::spawn(beats) })
+    }
+
+    /// Returns the address that its daemon connects to.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Says in its next heartbeats that it leaves.
+    pub fn drain(&self) {
+        self.state.lock().is_draining = true;
+    }
+
+    /// Returns how often a request has run here.
+    pub fn n_runs_of(&self, request_id: &str) -> usize {
+        self.state.lock().runs.get(request_id).copied().unwrap_or(0)
+    }
+
+    /// Returns the number of runs so far.
+    pub fn n_runs(&self) -> usize {
+        self.state.lock().runs.values().sum()
+    }
+
+    /// Returns what was wrong with the requests that came.
+    pub fn faults(&self) -> Vec<String> {
+        self.state.lock().faults.clone()
+    }
+}
+
+impl Drop for SiteBackend {
+    fn drop(&mut self) {
+        self.heartbeats.abort();
+    }
+}
+
+async fn announce(
+    id: String,
+    service: String,
+    local_address: SocketAddr,
+    state: Arc<Mutex<BackendState>>,
+) {
+    let client = Client::new();
+    for sequence in 1_u64.. {
+        let phase = if state.lock().is_draining { "draining" } else { "ready" };
+        let body = json!({
+            "service": service, "address": "127.0.0.1:1", "zone": "kolkata", "version": "v1",
+            "slots": SLOTS, "phase": phase, "warmup_left": 0, "sequence": sequence, "born": 1_000,
+        });
+        let url = format!("http://{local_address}/Instances.Heartbeat/{id}");
+        // A daemon that is down hears the next one.
+        let _ = client.post(url).json(&body).send().await;
+        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+    }
+}
+
+struct BackendHandler {
+    id: String,
+    state: Arc<Mutex<BackendState>>,
+}
+
+#[async_trait]
+impl Handler for BackendHandler {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let path = req.uri().path().to_string();
+        let text = |name: &str| {
+            req.headers().get(name).and_then(|it| it.to_str().ok()).unwrap_or("").to_string()
+        };
+        let mut set = |name: &'static str, value: &str| {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                res.headers_mut().insert(name, value);
+            }
+        };
+        set("x-ivytrail-instance-id", &self.id);
+        set("x-ivytrail-server-load", &format!("0,0,{SLOTS}"));
+        if path == "/healthz" {
+            return;
+        }
+        let request_id = text("x-ivytrail-request-id");
+        set("x-ivytrail-request-id", &request_id);
+        if text("x-ivytrail-expected-instance") != self.id {
+            res.status_code(StatusCode::MISDIRECTED_REQUEST);
+            return;
+        }
+        set("x-ivytrail-response-signature", "signed");
+        let checks = [
+            (text("x-ivytrail-credential").is_empty(), "it carries the key"),
+            (text("x-ivytrail-tenant") == "meteo", "it lacks the account"),
+            (!text("x-ivytrail-caller-service").is_empty(), "it lacks the caller's service"),
+            (
+                text("x-ivytrail-deadline-ms").parse::<u64>().is_ok_and(|it| it <= 2_000),
+                "its deadline is too long",
+            ),
+        ];
+        {
+            let mut state = self.state.lock();
+            *state.runs.entry(request_id.clone()).or_default() += 1;
+            for (_, fault) in checks.iter().filter(|(is_good, _)| !is_good) {
+                state.faults.push(format!("{request_id}: {fault}"));
+            }
+        }
+        if path.ends_with("/slow") {
+            tokio::time::sleep(Duration::from_millis(700)).await;
+        }
+        res.body(format!("{path} by {}", self.id));
+    }
+}
--- /dev/null
+++ b/tests/src/site/table.rs
@@ -0,0 +1,164 @@
+//! Stand-in for the platform's table: rows with versions, reads, long polls and transactions, in memory.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::Result;
+use base64::{Engine, engine::general_purpose::STANDARD};
+use ivytrail_fakes::server::{LocalServer, read_json, write_error, write_json};
+use parking_lot::Mutex;
+use salvo::{
+    FlowCtrl, async_trait,
+    http::StatusCode,
+    prelude::{Depot, Handler, Request, Response},
+};
+use serde_json::{Value, json};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
+
+type RowKey = (String, String);
+
+#[derive(Debug, Default)]
+struct TableState {
+    version: u64,
+    rows: BTreeMap<RowKey, (u64, String)>,
+    is_down: bool,
+    n_writes: u64,
+}
+
+impl TableState {
+    fn put(&mut self, table: &str, key: &str, value: String) {
+        self.version += 1;
+        self.rows.insert((table.to_string(), key.to_string()), (self.version, value));
+    }
+
+    fn rows_after(&self, table: &str, from: &str, after: u64) -> Vec<Value> {
+        self.rows
+            .iter()
+            .filter(|((name, key), (ver, _))| name == table && from <= key.as_str() && after < *ver)
+            .map(|((name, key), (ver, value))| {
+                json!({"table": name, "part": "", "key": key, "value": value, "ver": ver})
+            })
+            .collect()
+    }
+}
+
+/// A table that runs until it is dropped.
+#[derive(Debug)]
+pub struct SiteTable {
+    server: LocalServer,
+    shared: Arc<SharedTable>,
+}
+
+#[derive(Debug, Default)]
+struct SharedTable {
+    state: Mutex<TableState>,
+    changed: Notify,
+}
+
+impl SiteTable {
+    /// Starts a table that holds `config`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no port can be bound.
+    pub async fn start(config: Value) -> Result<SiteTable> {
+        let shared = Arc::new(SharedTable::default());
+        shared.state.lock().put("op", "config", STANDARD.encode(config.to_string()));
+        let handler = TableHandler(Arc::clone(&shared));
+        let server = LocalServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
+        Ok(SiteTable { server, shared })
+    }
+
+    /// Returns the address that daemons connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Puts a configuration in place of the last one.
+    pub fn put_config(&self, config: &Value) {
+        self.shared.state.lock().put("op", "config", STANDARD.encode(config.to_string()));
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Turns every call away, or serves them again.
+    pub fn set_down(&self, is_down: bool) {
+        self.shared.state.lock().is_down = is_down;
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Returns the number of transactions so far.
+    pub fn n_writes(&self) -> u64 {
+        self.shared.state.lock().n_writes
+    }
+}
+
+struct TableHandler(Arc<SharedTable>);
+
+#[async_trait]
+impl Handler for TableHandler {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        if self.0.state.lock().is_down {
+            return write_error(res, StatusCode::SERVICE_UNAVAILABLE, "down");
+        }
+        let table = req.query::<String>("table").unwrap_or_default();
+        match req.uri().path() {
+            "/rows-get" => {
+                let from = req.query::<String>("from").unwrap_or_default();
+                let state = self.0.state.lock();
+                let rows = state.rows_after(&table, &from, 0);
+                write_json(res, &json!({"rows": rows, "ver": state.version, "more_pages": false}));
+            }
+            "/rows-feed" => self.follow(req, res, &table).await,
+            "/rows-tx" => self.transact(req, res).await,
+            _ => write_error(res, StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+}
+
+impl TableHandler {
+    async fn follow(&self, req: &mut Request, res: &mut Response, table: &str) {
+        let after = req.query::<u64>("after").unwrap_or(0);
+        let wait = Duration::from_millis(req.query::<u64>("wait_ms").unwrap_or(0));
+        let end = Instant::now() + wait;
+        loop {
+            let changed = self.0.changed.notified();
+            {
+                let state = self.0.state.lock();
+                if state.is_down {
+                    return write_error(res, StatusCode::SERVICE_UNAVAILABLE, "down");
+                }
+                let rows = state.rows_after(table, "", after);
+                if !rows.is_empty() || end <= Instant::now() {
+                    return write_json(res, &json!({"rows": rows, "ver": state.version}));
+                }
+            }
+            // An elapsed wait is answered with no rows by the next look.
+            let _ = timeout_at(end, changed).await;
+        }
+    }
+
+    async fn transact(&self, req: &mut Request, res: &mut Response) {
+        let Ok(body) = read_json::<Value>(req).await else {
+            return write_error(res, StatusCode::BAD_REQUEST, "unreadable");
+        };
+        let text = |row: &Value, field: &str| row[field].as_str().unwrap_or_default().to_string();
+        let mut state = self.0.state.lock();
+        state.n_writes += 1;
+        for row in body["writes"].as_array().into_iter().flatten() {
+            state.put(&text(row, "table"), &text(row, "key"), text(row, "value"));
+        }
+        for row in body["remove"].as_array().into_iter().flatten() {
+            state.rows.remove(&(text(row, "table"), text(row, "key")));
+        }
+        write_json(res, &json!({"ver": state.version}));
+        self.0.changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/tests/tests/site_processes.rs
@@ -0,0 +1,134 @@
+//! The path on a platform with a table, with real daemons on loopback.
+
+use std::time::Duration;
+
+use anyhow::Result;
+use ivytrail_tests::{
+    mesh::MESH_TURN,
+    site::{TestSite, backend::SiteBackend, config_of},
+};
+use tokio::time::{Instant, sleep};
+
+/// Longest time until a change is in force everywhere.
+const CHANGE_PATIENCE: Duration = Duration::from_secs(2);
+
+async fn status_at(site: &TestSite, idx: usize, path: &str, request_id: &str) -> u16 {
+    site.send(idx, path, request_id).await.map_or(0, |it| it.status().as_u16())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_entry_answers_whole_and_each_request_runs_once() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let site = TestSite::start().await?;
+
+    for idx in 0..3 {
+        for route in ["book", "track"] {
+            let request_id = format!("{route}-{idx}");
+            let response = site.send(idx, &format!("/{route}/7?x=1"), &request_id).await?;
+            assert_eq!(response.status(), 200);
+            assert!(response.headers().contains_key("x-ivytrail-response-signature"));
+            assert!(response.text().await?.starts_with(&format!("/{route}/7 by server-")));
+            assert_eq!(site.n_runs_of(&request_id), 1);
+        }
+    }
+
+    let faults: Vec<String> = site.backends.iter().flat_map(SiteBackend::faults).collect();
+    assert_eq!(faults, Vec::<String>::new());
+    assert_eq!(site.table.n_writes(), 3, "each daemon writes its row once");
+    let metrics = site.metrics(0).await?;
+    assert!(metrics.contains("ivytrail_calls_total{outcome=\"ran\",reason=\"200\"}"), "{metrics}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_stops_everywhere() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let site = TestSite::start().await?;
+
+    site.table.put_config(&config_of(2));
+    sleep(CHANGE_PATIENCE).await;
+
+    for idx in 0..3 {
+        assert_eq!(status_at(&site, idx, "/book/1", &format!("late-{idx}")).await, 401);
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_starts_while_the_table_is_down_serves_from_its_peers() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let mut site = TestSite::start().await?;
+    site.table.set_down(true);
+
+    site.daemons[0].kill()?;
+    site.daemons[0] = site.start_daemon(0)?;
+
+    site.wait_until_served(0).await?;
+    assert!(site.is_ready(0).await);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_daemon_cuts_no_request_and_exits() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let mut site = TestSite::start().await?;
+    let (site_ref, started) = (&site, Instant::now());
+    let slow = site_ref.send(0, "/book/slow", "slow");
+    let leave = async {
+        sleep(Duration::from_millis(200)).await;
+        site_ref.terminate(0)?;
+        sleep(Duration::from_millis(100)).await;
+        let is_ready = site_ref.is_ready(0).await;
+        // Clients that have not noticed yet are served on.
+        let late = status_at(site_ref, 0, "/track/1", "late").await;
+        anyhow::Ok((is_ready, late))
+    };
+
+    let (slow, left) = tokio::join!(slow, leave);
+
+    assert_eq!(slow?.status(), 200);
+    assert_eq!(left?, (false, 200));
+    let ended = site.daemons[0].wait_success(Duration::from_secs(7)).await;
+    assert_eq!(ended, Some(true), "log:\n{}", site.log_of(0));
+    assert!(started.elapsed() < Duration::from_secs(7));
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_backend_server_gets_no_new_work() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let site = TestSite::start().await?;
+
+    site.backends[0].drain();
+    sleep(Duration::from_millis(900)).await;
+    let before = site.backends[0].n_runs();
+    for n in 0..20 {
+        assert_eq!(status_at(&site, n % 3, "/book/1", &format!("drained-{n}")).await, 200);
+    }
+
+    assert_eq!(site.backends[0].n_runs(), before);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_daemon_leaves_no_request_doubled() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let mut site = TestSite::start().await?;
+    let mut ids = Vec::new();
+
+    for n in 0..60 {
+        if n == 20 {
+            site.daemons[1].kill()?;
+        }
+        let request_id = format!("kill-{n}");
+        let status = status_at(&site, 0, "/book/1", &request_id).await;
+        assert!([200, 502, 503].contains(&status), "{request_id}: {status}");
+        if [429, 503].contains(&status) {
+            assert_eq!(site.n_runs_of(&request_id), 0, "{request_id} was told not to have run");
+        }
+        ids.push(request_id);
+    }
+
+    assert!(ids.iter().all(|it| site.n_runs_of(it) <= 1));
+    Ok(())
+}
