Give evidence and broken links their own files

Change: what the end of a run says moves to evidence.rs, attempts over broken links to entry_links.rs; nothing is decided differently.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -12,7 +12,9 @@
 pub mod budget;
 pub mod cost;
 mod entry;
+mod entry_links;
 pub mod event;
+mod evidence;
 pub mod file;
 pub mod frame;
 pub mod gate;
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -20,7 +20,7 @@
     split::WeightedSplit,
 };
 use crate::{
-    id::{AccountName, CallId, ContentDigest, InstanceName, MemberId, ServiceName},
+    id::{AccountName, CallId, ContentDigest, InstanceName, ServiceName},
     message::{CallOutcome, RefusalReason},
     time::TimePoint,
 };
@@ -66,9 +66,9 @@
     root_start: TimePoint,
     deadline: TimePoint,
     pub(super) stage: CallStage,
-    tried: Vec<InstanceName>,
+    pub(super) tried: Vec<InstanceName>,
     /// Attempts that may have begun to run.
-    n_runs: u32,
+    pub(super) n_runs: u32,
     pub(super) may_have_run: bool,
     /// Whether a token of the account's quota was spent on it.
     pub(super) has_token: bool,
@@ -87,7 +87,7 @@
 #[derive(Debug, Default)]
 pub(super) struct EntryCalls {
     pub(super) calls: HashMap<CallId, EntryCall>,
-    attempts: HashMap<u64, CallId>,
+    pub(super) attempts: HashMap<u64, CallId>,
     pub(super) timers: BinaryHeap<Reverse<(TimePoint, CallId)>>,
     next_serial: u64,
 }
@@ -118,7 +118,7 @@
         peers
     }
 
-    fn sent_to(&self, peer: &InstanceName) -> Vec<(CallId, u64)> {
+    pub(super) fn sent_to(&self, peer: &InstanceName) -> Vec<(CallId, u64)> {
         self.calls
             .iter()
             .filter_map(|(id, call)| match &call.stage {
@@ -397,7 +397,7 @@
     }
 
     /// Returns whether a call may be sent to a backend server once more, and spends the repeat.
-    fn may_repeat(&mut self, turn: &mut Turn<'_>, id: CallId) -> bool {
+    pub(super) fn may_repeat(&mut self, turn: &mut Turn<'_>, id: CallId) -> bool {
         let Some(call) = self.entry.calls.get(&id) else { return false };
         let needed = self.picker.route_run(&call.order.route).mul_f64(REPEAT_ROOM);
         let (n_daemons, _) = self.links.n_daemons(turn.now);
@@ -418,7 +418,7 @@
     }
 
     /// Answers with the failure that a backend server gave, or else with a refusal.
-    fn give_up(
+    pub(super) fn give_up(
         &mut self,
         turn: &mut Turn<'_>,
         id: CallId,
@@ -529,50 +529,6 @@
         self.entry.calls.insert(id, call);
         self.give_up(turn, id, RefusalReason::DeadlineExceeded, None);
     }
-
-    /// Takes the end of a link: what may be sent again is, the rest waits for the link to come back.
-    pub(super) fn suspend_attempts(&mut self, turn: &mut Turn<'_>, peer: &InstanceName) {
-        for (id, serial) in self.entry.sent_to(peer) {
-            let is_idempotent =
-                self.entry.calls.get(&id).is_some_and(|call| call.order.is_idempotent);
-            if is_idempotent {
-                self.lose_attempt(turn, id, serial, peer);
-            }
-        }
-    }
-
-    /// Asks on a new link what became of the attempts that were sent on the old one.
-    pub(super) fn resume_attempts(&mut self, turn: &mut Turn<'_>, member: &MemberId) {
-        let peer = &member.instance;
-        for (id, serial) in self.entry.sent_to(peer) {
-            let Some(call) = self.entry.calls.get_mut(&id) else { continue };
-            if let CallStage::Sent { sent_at, .. } = &mut call.stage {
-                *sent_at = turn.now;
-            }
-            turn.send(peer, PeerFrame::Resume { serial }, Bytes::new());
-        }
-    }
-
-    /// Takes an attempt as lost: nobody can tell any more whether it ran.
-    fn lose_attempt(&mut self, turn: &mut Turn<'_>, id: CallId, serial: u64, peer: &InstanceName) {
-        self.entry.attempts.remove(&serial);
-        let Some(call) = self.entry.calls.get_mut(&id) else { return };
-        call.stage = CallStage::Deciding;
-        call.n_runs += 1;
-        call.may_have_run = true;
-        call.tried.push(peer.clone());
-        if call.order.is_idempotent && self.may_repeat(turn, id) {
-            return self.dispatch(turn, id);
-        }
-        self.give_up(turn, id, RefusalReason::ConnectionLost, None);
-    }
-
-    /// Takes it that a daemon has started anew: what its earlier run had is lost.
-    pub(super) fn lose_attempts(&mut self, turn: &mut Turn<'_>, peer: &InstanceName) {
-        for (id, serial) in self.entry.sent_to(peer) {
-            self.lose_attempt(turn, id, serial, peer);
-        }
-    }
 }
 
 fn micros_of(span: Duration) -> u64 {
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -20,7 +20,6 @@
 use crate::{
     id::{AttemptId, ContentDigest, MemberId, RouteName},
     message::{CallOutcome, RefusalReason},
-    quarantine::Suspicion,
     time::TimePoint,
 };
 
@@ -34,28 +33,22 @@
 const BURIAL_LIFE: Duration = Duration::from_secs(30);
 /// Time without the entry's link after which what it waits for is given up.
 const LOST_ENTRY_PATIENCE: Duration = Duration::from_millis(1_000);
-/// Time for which a backend server that takes no connection gets no work.
-const REFUSED_CONNECTION_PAUSE: Duration = Duration::from_millis(300);
-/// Time before a refused connection in which broken runs count as the work of the same crash.
-const CRASH_WINDOW: Duration = Duration::from_millis(1_000);
 /// Stands between the identifier of a request and what tells its calls apart.
 const CALL_SEPARATOR: char = '.';
-/// Most broken runs that are remembered for that.
-const MAX_BROKEN: usize = 512;
 
 /// An attempt that waits or runs here.
 #[derive(Debug)]
-struct GuardAttempt {
+pub(super) struct GuardAttempt {
     attempt: AttemptId,
-    order: Arc<AttemptOrder>,
+    pub(super) order: Arc<AttemptOrder>,
     body: Bytes,
     deadline: TimePoint,
-    arrived_at: TimePoint,
-    started_at: Option<TimePoint>,
+    pub(super) arrived_at: TimePoint,
+    pub(super) started_at: Option<TimePoint>,
     /// Whether the entry has given it up.
     is_abandoned: bool,
     /// Calls that the run has made, by route.
-    calls: Vec<(RouteName, u32)>,
+    pub(super) calls: Vec<(RouteName, u32)>,
     /// Whether one of them failed.
     has_failed_call: bool,
 }
@@ -77,15 +70,15 @@
     server: Option<ServerCard>,
     sequence: u64,
     queue: SlotQueue<RunId>,
-    attempts: HashMap<RunId, GuardAttempt>,
+    pub(super) attempts: HashMap<RunId, GuardAttempt>,
     runs: HashMap<AttemptId, RunId>,
     ended: HashMap<AttemptId, EndedAttempt>,
     ended_order: VecDeque<(TimePoint, AttemptId)>,
     n_kept_bytes: usize,
     next_run: u64,
     /// Until when no run is started, since the backend server took no connection.
-    paused_until: TimePoint,
-    broken: VecDeque<(TimePoint, ContentDigest)>,
+    pub(super) paused_until: TimePoint,
+    pub(super) broken: VecDeque<(TimePoint, ContentDigest)>,
     /// Runs by the identifier of their request.
     by_request: HashMap<SmolStr, RunId>,
     /// When a call failed whose parent is not known.
@@ -244,7 +237,7 @@
     }
 
     /// Sets the limit to what the backend server takes now; without slots, what waits is refused.
-    fn fit_limit(&mut self, turn: &mut Turn<'_>) {
+    pub(super) fn fit_limit(&mut self, turn: &mut Turn<'_>) {
         let limit = self.guard.wanted_limit(turn.now);
         let mut verdicts = Vec::new();
         if limit == 0 {
@@ -429,78 +422,6 @@
         (result, Bytes::new())
     }
 
-    /// Draws conclusions about the backend server and the request from the end of a run.
-    fn note_evidence(&mut self, turn: &mut Turn<'_>, ended: &GuardAttempt, end: &RunEnd) {
-        let fingerprint = ended.order.fingerprint;
-        match end {
-            RunEnd::Answered { status, .. } => {
-                if *status < 500 {
-                    let started = ended.started_at.unwrap_or(ended.arrived_at);
-                    let hold_s = turn.now.since(started).as_secs_f64();
-                    let order = &ended.order;
-                    let learner = &mut self.guard.learner;
-                    learner.note_run(&order.route, &order.service, hold_s, &ended.calls);
-                }
-                self.quarantine.note_whole(&fingerprint);
-                let clearances = self.quarantine.take_clearances();
-                self.spread(turn, clearances);
-            }
-            RunEnd::Broken => {
-                self.guard.broken.push_back((turn.now, fingerprint));
-                if MAX_BROKEN < self.guard.broken.len() {
-                    self.guard.broken.pop_front();
-                }
-            }
-            RunEnd::NotSent => self.note_refused_connection(turn),
-            RunEnd::Rejected { is_misdirected: true } => {
-                turn.log(format!(
-                    "event=server_replaced request={} service={}",
-                    ended.order.request_id, ended.order.service
-                ));
-                self.guard.paused_until = turn.now.plus(REFUSED_CONNECTION_PAUSE);
-                self.fit_limit(turn);
-            }
-            RunEnd::Rejected { .. } | RunEnd::TimedOut => {}
-        }
-    }
-
-    /// Takes a refused connection as the end of the backend server, and what broke just before as its last requests.
-    fn note_refused_connection(&mut self, turn: &mut Turn<'_>) {
-        let now = turn.now;
-        if now < self.guard.paused_until {
-            return;
-        }
-        self.guard.paused_until = now.plus(REFUSED_CONNECTION_PAUSE);
-        let mut in_flight: Vec<ContentDigest> = self
-            .guard
-            .broken
-            .drain(..)
-            .filter(|(at, _)| now.since(*at) < CRASH_WINDOW)
-            .map(|(_, fingerprint)| fingerprint)
-            .collect();
-        in_flight.extend(
-            self.guard
-                .attempts
-                .values()
-                .filter(|it| it.started_at.is_some())
-                .map(|it| it.order.fingerprint),
-        );
-        turn.log(format!("event=server_unreachable in_flight={}", in_flight.len()));
-        if !in_flight.is_empty() {
-            let suspicions = self.quarantine.note_crash(now, &in_flight);
-            self.spread(turn, suspicions);
-        }
-        self.fit_limit(turn);
-    }
-
-    fn spread(&mut self, turn: &mut Turn<'_>, suspicions: Vec<Suspicion>) {
-        for suspicion in suspicions {
-            for peer in self.links.open_peers() {
-                turn.send(peer, PeerFrame::Suspicion(suspicion.clone()), Bytes::new());
-            }
-        }
-    }
-
     pub(super) fn cancel_attempt(&mut self, turn: &mut Turn<'_>, from: &MemberId, serial: u64) {
         let attempt = AttemptId { entry: from.clone(), serial };
         let Some(run) = self.guard.runs.get(&attempt).copied() else { return };
