Charge a repeat at every service that its calls reach

Cause: the budget of repeats counted a repeated send at its own service only. A run that is a repeat makes its calls again (about ten at the leaf for a price list), and these count there.

Change: a repeat spends at all services that the costs tell of, or at none. Requests that pass the gate earn for the calls that they will make, so that the tokens lie where they are spent; the other half is earned by the entry of the call.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -34,7 +34,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use self::{
-    budget::{RepeatBudget, RepeatPolicy},
+    budget::{RepeatBudgets, RepeatPolicy},
     cost::CostBook,
     entry::EntryCalls,
     event::{MeshEffect, MeshEvent, PeerAddress},
@@ -91,7 +91,7 @@
     guard: GuardRuns,
     quotas: QuotaBuckets,
     stash: TokenStash,
-    budgets: HashMap<ServiceName, RepeatBudget>,
+    repeats: RepeatBudgets,
     splits: HashMap<RouteName, WeightedSplit>,
     costs: CostBook,
     gate: EntryGate,
@@ -136,7 +136,7 @@
             guard: GuardRuns::default(),
             quotas: QuotaBuckets::default(),
             stash: TokenStash::default(),
-            budgets: HashMap::new(),
+            repeats: RepeatBudgets::default(),
             splits: HashMap::new(),
             costs: CostBook::default(),
             gate: EntryGate::default(),
--- a/crates/ivytrail/src/mesh/cost.rs
+++ b/crates/ivytrail/src/mesh/cost.rs
@@ -4,10 +4,11 @@
 //! which routes it makes. Daemons tell each other; with all reports a daemon follows the calls of a route down to its
 //! leaves and adds up the slot time that one root request takes at every service.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
+use super::budget::ServiceArrivals;
 use crate::id::{InstanceName, RouteName, ServiceName};
 
 /// Weight of the newest run in what is learned of a route.
@@ -94,10 +95,21 @@
     }
 }
 
+/// What one request of a route takes at a service, its nested calls included.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServiceDemand {
+    /// Requests that arrive there.
+    pub n_arrivals: f64,
+    /// Time that they hold slots, in seconds.
+    pub slot_time_s: f64,
+}
+
 /// The reports of all daemons.
 #[derive(Debug, Default)]
 pub struct CostBook {
     reports: HashMap<RouteName, HashMap<InstanceName, RouteCost>>,
+    /// Arrivals by route, as far as they were asked for since the last report.
+    arrivals: HashMap<RouteName, Arc<ServiceArrivals>>,
 }
 
 impl CostBook {
@@ -111,21 +123,34 @@
             reports.insert(instance.clone(), cost);
         }
         self.reports.retain(|_, reports| !reports.is_empty());
+        self.arrivals.clear();
+    }
+
+    /// Returns the requests that one request of `route` brings to each service.
+    pub fn arrivals_of(&mut self, route: &RouteName) -> Arc<ServiceArrivals> {
+        if let Some(arrivals) = self.arrivals.get(route) {
+            return Arc::clone(arrivals);
+        }
+        let demand = self.demand_of(route).into_iter();
+        let arrivals: Arc<ServiceArrivals> =
+            Arc::new(demand.map(|(service, it)| (service, it.n_arrivals)).collect());
+        self.arrivals.insert(route.clone(), Arc::clone(&arrivals));
+        arrivals
     }
 
-    /// Returns the slot time, in seconds, that a request of `route` takes at each service.
-    pub fn slot_time(&self, route: &RouteName) -> HashMap<ServiceName, f64> {
+    /// Returns what a request of `route` takes at each service.
+    pub fn demand_of(&self, route: &RouteName) -> HashMap<ServiceName, ServiceDemand> {
         let mut total = HashMap::new();
-        self.add_slot_time(route, 1.0, MAX_DEPTH, &mut total);
+        self.add_demand(route, 1.0, MAX_DEPTH, &mut total);
         total
     }
 
-    fn add_slot_time(
+    fn add_demand(
         &self,
         route: &RouteName,
         n_requests: f64,
         depth: usize,
-        total: &mut HashMap<ServiceName, f64>,
+        total: &mut HashMap<ServiceName, ServiceDemand>,
     ) {
         let Some(reports) = self.reports.get(route) else { return };
         let n_runs: f64 = reports.values().map(|it| it.n_runs).sum();
@@ -135,13 +160,15 @@
         let mut calls: HashMap<&RouteName, f64> = HashMap::new();
         for cost in reports.values() {
             let share = n_requests * cost.n_runs / n_runs;
-            *total.entry(cost.service.clone()).or_default() += share * cost.hold_s;
+            let demand = total.entry(cost.service.clone()).or_default();
+            demand.n_arrivals += share;
+            demand.slot_time_s += share * cost.hold_s;
             for (callee, ratio) in &cost.calls {
                 *calls.entry(callee).or_default() += share * ratio;
             }
         }
         for (callee, n_calls) in calls {
-            self.add_slot_time(callee, n_calls, depth - 1, total);
+            self.add_demand(callee, n_calls, depth - 1, total);
         }
     }
 }
--- a/crates/ivytrail/src/mesh/cost/tests.rs
+++ b/crates/ivytrail/src/mesh/cost/tests.rs
@@ -19,12 +19,14 @@
     book.note_report(&"b".into(), booking.report());
     book.note_report(&"c".into(), quoting.report());
 
-    let slot_time = book.slot_time(&"track".into());
-
-    let at = |service: &str| slot_time.get(&ServiceName::from(service)).copied().unwrap_or(0.0);
-    assert!((at("tracker") - 0.2).abs() < 1e-6);
-    assert!((at("booking") - 0.2).abs() < 1e-6);
-    assert!((at("quoting") - 0.24).abs() < 1e-6);
+    let demand = book.demand_of(&"track".into());
+
+    let at = |service: &str| demand.get(&ServiceName::from(service)).copied().unwrap_or_default();
+    assert!((at("tracker").slot_time_s - 0.2).abs() < 1e-6);
+    assert!((at("booking").slot_time_s - 0.2).abs() < 1e-6);
+    assert!((at("quoting").slot_time_s - 0.24).abs() < 1e-6);
+    assert!((at("tracker").n_arrivals - 1.0).abs() < 1e-6);
+    assert!((at("quoting").n_arrivals - 8.0).abs() < 1e-6);
 }
 
 #[test]
@@ -34,9 +36,9 @@
     let mut book = CostBook::default();
     book.note_report(&"i".into(), learner.report());
 
-    let slot_time = book.slot_time(&"a".into());
+    let demand = book.demand_of(&"a".into());
 
-    assert!(slot_time[&ServiceName::from("s")] <= 0.1 * MAX_DEPTH as f64 + 1e-6);
+    assert!(demand[&ServiceName::from("s")].slot_time_s <= 0.1 * MAX_DEPTH as f64 + 1e-6);
 }
 
 #[test]
@@ -48,5 +50,5 @@
 
     book.note_report(&"i".into(), Vec::new());
 
-    assert!(book.slot_time(&"a".into()).is_empty());
+    assert!(book.demand_of(&"a".into()).is_empty());
 }
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -37,6 +37,8 @@
 const NESTED_WAIT_SHARE: f64 = 0.6;
 /// Guards that are asked for a slot before a request is refused.
 const MAX_REDIRECTS: usize = 3;
+/// Part of the repeats that a nested call earns for the entry of the call; the entry of its root gets the rest.
+const CALL_PART: f64 = 0.5;
 /// Run times that must be left for a repeated send.
 const REPEAT_ROOM: f64 = 1.3;
 /// Part of the time left that the answer needs to travel back.
@@ -150,10 +152,8 @@
             return self.refuse_early(turn, &request, RefusalReason::NoRoute, None);
         };
         let call = self.new_call(turn, request, route, account, service, fingerprint);
-        if !call.is_nested() {
-            let budget = self.budgets.entry(call.order.service.clone()).or_default();
-            budget.note_request(&self.options.repeats);
-        }
+        let n_requests = if call.is_nested() { CALL_PART } else { 1.0 };
+        self.repeats.note_requests(&self.options.repeats, &call.order.service, n_requests);
         self.entry.timers.push(Reverse((call.deadline, id)));
         self.entry.calls.insert(id, call);
         self.check_quota(turn, id);
@@ -282,6 +282,7 @@
         let target_latency = call.route.target_latency;
         let request_id = call.order.request_id.clone();
         if self.gate.admit(turn.now, &route, rank, &fingerprint) {
+            self.note_coming_calls(id);
             return self.dispatch(turn, id);
         }
         let wait = self.jitter(target_latency.mul_f64(COMEBACK_SHARE));
@@ -295,6 +296,18 @@
         self.refuse(turn, id, RefusalReason::Overloaded, Some(wait));
     }
 
+    /// Counts the calls that a client's request will make for the budget of repeats, since a repeat of it makes them
+    /// again.
+    fn note_coming_calls(&mut self, id: CallId) {
+        let Some(call) = self.entry.calls.get(&id) else { return };
+        for (service, n_arrivals) in self.costs.arrivals_of(&call.order.route).iter() {
+            if *service != call.order.service {
+                let n_requests = n_arrivals * (1.0 - CALL_PART);
+                self.repeats.note_requests(&self.options.repeats, service, n_requests);
+            }
+        }
+    }
+
     /// Sends the call to the guard that is expected to answer first.
     pub(super) fn dispatch(&mut self, turn: &mut Turn<'_>, id: CallId) {
         let me = self.options.member.clone();
@@ -407,14 +420,14 @@
             .picker
             .pick(turn.now, &call.order.service, &call.order.route, &call.tried)
             .is_some();
-        has_room
-            && has_attempts
-            && has_server
-            && self.budgets.entry(call.order.service.clone()).or_default().try_spend(
-                turn.now,
-                &self.options.repeats,
-                n_daemons,
-            )
+        if !has_room || !has_attempts || !has_server {
+            return false;
+        }
+        let own_service = &call.order.service;
+        let below = self.costs.arrivals_of(&call.order.route);
+        let below = below.iter().filter(|(service, _)| service != own_service).cloned();
+        let arrivals = std::iter::once((own_service.clone(), 1.0)).chain(below).collect();
+        self.repeats.try_spend(turn.now, &self.options.repeats, n_daemons, &arrivals)
     }
 
     /// Answers with the failure that a backend server gave, or else with a refusal.
--- a/crates/ivytrail/src/mesh/gate.rs
+++ b/crates/ivytrail/src/mesh/gate.rs
@@ -16,7 +16,10 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::{cost::CostBook, queue::QueueRank};
+use super::{
+    cost::{CostBook, ServiceDemand},
+    queue::QueueRank,
+};
 use crate::{
     id::{ContentDigest, InstanceName, RouteName, ServiceName},
     time::TimePoint,
@@ -197,15 +200,14 @@
         self.average_demand(elapsed);
         let offers = self.all_offers(costs);
         let mut services: Vec<ServiceName> =
-            offers.iter().flat_map(|it| it.slot_time.keys().cloned()).collect();
+            offers.iter().flat_map(|it| it.demand.keys().cloned()).collect();
         services.sort_unstable();
         services.dedup();
         let mut shares = vec![1.0; offers.len()];
         self.use_of.clear();
         for service in &services {
             let slots = slots_of(service);
-            let offered =
-                offers.iter().map(|it| it.per_s * it.slot_time.get(service).unwrap_or(&0.0)).sum();
+            let offered = offers.iter().map(|it| it.per_s * it.cost_s(service)).sum();
             let trim = self.trims.entry(service.clone()).or_insert(1.0);
             *trim = next_trim(*trim, offered, &slots);
             self.use_of.push(ServiceUse {
@@ -249,7 +251,7 @@
         }
         let mut offers: Vec<RouteOffer> = total
             .into_iter()
-            .map(|(key, per_s)| RouteOffer { slot_time: costs.slot_time(&key.0), per_s, key })
+            .map(|(key, per_s)| RouteOffer { demand: costs.demand_of(&key.0), per_s, key })
             .collect();
         offers.sort_unstable_by(|a, b| a.key.cmp(&b.key));
         offers
@@ -272,11 +274,16 @@
 struct RouteOffer {
     key: DemandKey,
     per_s: f64,
-    /// Slot time of one request at each service, in seconds.
-    slot_time: HashMap<ServiceName, f64>,
+    /// What one request takes at each service.
+    demand: HashMap<ServiceName, ServiceDemand>,
 }
 
 impl RouteOffer {
+    /// Returns the slot time of one request at a service, in seconds.
+    fn cost_s(&self, service: &ServiceName) -> f64 {
+        self.demand.get(service).map_or(0.0, |it| it.slot_time_s)
+    }
+
     /// Returns the share at which each request uses `allowance_s` of slot time at a service on average.
     fn share_at(&self, cost_s: f64, allowance_s: f64) -> f64 {
         let (_, rank) = &self.key;
@@ -287,8 +294,7 @@
 
 /// Lowers the shares so that the slot time at `service` fits into `slots`.
 fn fit_shares(offers: &[RouteOffer], service: &ServiceName, slots: f64, shares: &mut [f64]) {
-    let costs: Vec<f64> =
-        offers.iter().map(|it| it.slot_time.get(service).copied().unwrap_or(0.0)).collect();
+    let costs: Vec<f64> = offers.iter().map(|it| it.cost_s(service)).collect();
     let used_at = |allowance_s: f64| -> f64 {
         offers
             .iter()
