Keep one copy of what the mesh and the older path share; look for silent links 20 times a second

Cause: the last reading found twins (addresses in settings files, label types, headers of one connection, the ends of a link, the choice of a retry hint) and work in the wrong place (scans of all attempts each 10 ms, a server picked to see whether there is one, the settings file parsed each second).

Change: one copy each; silent and lost links are looked for each 50 ms; the settings file is parsed when its text differs or on SIGHUP.

--- a/crates/ivytrail-daemon/src/caller_desk.rs
+++ b/crates/ivytrail-daemon/src/caller_desk.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use ivytrail::{
     id::{CallId, CallToken, ContentDigest},
-    message::{CallOutcome, RefusalReason},
+    message::{CallOutcome, RefusalReason, is_connection_header},
     reducer::{CallAnswer, CallRequest, CallSource, DaemonEvent},
     settings::{credential::secret_digest, file::DaemonLimits},
 };
@@ -16,7 +16,7 @@
 
 use crate::{
     executor::EffectExecutor,
-    run_client::{TOKEN_HEADER, is_connection_header, is_own_header},
+    run_client::{TOKEN_HEADER, is_own_header},
 };
 
 /// Header that tells a caller what became of its request.
@@ -162,7 +162,9 @@
         .iter()
         .filter(|(name, _)| {
             let name = name.as_str();
-            !is_connection_header(name) && name != "authorization" && !is_own_header(name)
+            !is_connection_header(name)
+                && !matches!(name, "authorization" | "host")
+                && !is_own_header(name)
         })
         .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_string())))
         .collect()
--- a/crates/ivytrail-daemon/src/mesh.rs
+++ b/crates/ivytrail-daemon/src/mesh.rs
@@ -85,7 +85,7 @@
 /// Ticks, and waits for signals and changes of the settings file.
 async fn watch(shell: &Rc<MeshShell>, path: PathBuf, settings: MeshSettings) -> anyhow::Result<()> {
     let mut signals = SignalSet::new()?;
-    let mut file = SettingsFile { path, settings };
+    let mut file = SettingsFile { path, text: String::new(), settings };
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut checked_at = Instant::now();
@@ -178,6 +178,8 @@
 /// The settings file, which operators may replace while the daemon runs.
 struct SettingsFile {
     path: PathBuf,
+    /// The file as it was read last.
+    text: String,
     settings: MeshSettings,
 }
 
@@ -190,20 +192,22 @@
                 return log::warn!("event=settings_file_unreadable cause={:?}", cause.to_string());
             }
         };
+        if text == self.text && !is_asked {
+            return;
+        }
         match MeshSettings::parse(&text) {
-            Ok(settings) if settings == self.settings => {
-                if is_asked {
-                    log::info!("event=reloaded changed=false");
-                }
-            }
             Ok(settings) => {
-                log::info!("event=reloaded changed=true grace_s={:?}", settings.shutdown_grace);
-                self.settings.shutdown_grace = settings.shutdown_grace;
+                let is_changed = settings != self.settings;
+                if is_changed || is_asked {
+                    let grace = settings.shutdown_grace;
+                    log::info!("event=reloaded changed={is_changed} grace_s={grace:?}");
+                }
                 self.settings = settings;
             }
             Err(findings) => {
                 log::warn!("event=settings_file_rejected findings={:?}", findings.to_string());
             }
         }
+        self.text = text;
     }
 }
--- a/crates/ivytrail-daemon/src/mesh/ingress.rs
+++ b/crates/ivytrail-daemon/src/mesh/ingress.rs
@@ -20,11 +20,11 @@
         frame::HeaderList,
         policy::RequestLimits,
     },
-    message::{CallOutcome, RefusalReason},
+    message::{CallOutcome, RefusalReason, is_connection_header},
 };
 use ivytrail_platform::{
     document::key_digest,
-    headers::{CREDENTIAL, DEADLINE, REQUEST_ID, is_connection_header, is_set_by_system},
+    headers::{CREDENTIAL, DEADLINE, REQUEST_ID, is_set_by_system},
 };
 use smol_str::SmolStr;
 use tokio::{net::TcpListener, time::Instant};
@@ -124,7 +124,7 @@
 
 async fn serve_client(shell: Rc<MeshShell>, stream: tokio::net::TcpStream) {
     let _counted = CountedClient::new(&shell.clients);
-    let limits = shell.inspect(|it| limits_of(it.settings().map(|it| it.limits())));
+    let limits = shell.inspect(limits_in_force);
     let mut closing = shell.closing();
     let service = service_fn(|request| {
         let shell = Rc::clone(&shell);
@@ -152,8 +152,9 @@
     }
 }
 
-fn limits_of(limits: Option<&RequestLimits>) -> RequestLimits {
-    limits.cloned().unwrap_or_default()
+/// Returns the limits in force.
+fn limits_in_force(reducer: &MeshReducer) -> RequestLimits {
+    reducer.settings().map_or_else(RequestLimits::default, |it| *it.limits())
 }
 
 /// Tells the reducer when a client closes its connection before the answer.
@@ -175,8 +176,7 @@
 
 async fn answer(shell: &Rc<MeshShell>, request: Request<Incoming>) -> ClientResponse {
     let started = Instant::now();
-    let max_body =
-        shell.inspect(|it| limits_of(it.settings().map(|it| it.limits()))).max_body_bytes;
+    let max_body = shell.inspect(limits_in_force).max_body_bytes;
     let (parts, body) = request.into_parts();
     let body = match Limited::new(body, max_body).collect().await {
         Ok(body) => body.to_bytes(),
--- a/crates/ivytrail-daemon/src/mesh/links.rs
+++ b/crates/ivytrail-daemon/src/mesh/links.rs
@@ -1,11 +1,11 @@
 //! Links between daemons: one connection in each direction, many attempts on each.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use ivytrail::{
-    id::MemberId,
+    id::{InstanceName, MemberId},
     mesh::{
         MeshReducer,
         event::{MeshEvent, PeerAddress},
@@ -90,19 +90,34 @@
 ) {
     let peer = address.instance.clone();
     let member = card.member.clone();
+    carry(shell, &shell.dialed, member, reader, writer, MeshEvent::LinkOpened(card)).await;
+    shell.apply(MeshEvent::LinkClosed { peer });
+}
+
+/// Carries frames both ways until the connection ends. Returns whether it still was the link of its direction.
+async fn carry(
+    shell: &Rc<MeshShell>,
+    links: &RefCell<HashMap<InstanceName, LinkHandle>>,
+    member: MemberId,
+    reader: FrameReader,
+    writer: OwnedWriteHalf,
+    opened: MeshEvent,
+) -> bool {
+    let peer = member.instance.clone();
     let serial = shell.next_link();
     let (frames, receiver) = mpsc::unbounded_channel();
-    shell.dialed.borrow_mut().insert(peer.clone(), LinkHandle { serial, frames });
-    shell.apply(MeshEvent::LinkOpened(card));
+    // The writer of an earlier link ends with its handle.
+    links.borrow_mut().insert(peer.clone(), LinkHandle { serial, frames });
+    shell.apply(opened);
     tokio::select! {
         () = read_frames(shell, member, reader) => {}
         () = write_frames(receiver, writer) => {}
     }
-    let is_current = shell.dialed.borrow().get(&peer).is_some_and(|it| it.serial == serial);
+    let is_current = links.borrow().get(&peer).is_some_and(|it| it.serial == serial);
     if is_current {
-        shell.dialed.borrow_mut().remove(&peer);
+        links.borrow_mut().remove(&peer);
     }
-    shell.apply(MeshEvent::LinkClosed { peer });
+    is_current
 }
 
 /// Binds the address for other daemons and takes their links.
@@ -146,18 +161,8 @@
     }
     let peer = card.member.instance.clone();
     let member = card.member.clone();
-    let serial = shell.next_link();
-    let (frames, receiver) = mpsc::unbounded_channel();
-    // The writer of an earlier link ends with its handle.
-    shell.accepted.borrow_mut().insert(peer.clone(), LinkHandle { serial, frames });
-    shell.apply(MeshEvent::PeerAccepted(card));
-    tokio::select! {
-        () = read_frames(&shell, member, reader) => {}
-        () = write_frames(receiver, writer) => {}
-    }
-    let is_current = shell.accepted.borrow().get(&peer).is_some_and(|it| it.serial == serial);
-    if is_current {
-        shell.accepted.borrow_mut().remove(&peer);
+    let opened = MeshEvent::PeerAccepted(card);
+    if carry(&shell, &shell.accepted, member, reader, writer, opened).await {
         shell.apply(MeshEvent::PeerLost { peer });
     }
 }
--- a/crates/ivytrail-daemon/src/mesh/metrics.rs
+++ b/crates/ivytrail-daemon/src/mesh/metrics.rs
@@ -17,13 +17,7 @@
 };
 
 use super::{local, shell::MeshShell};
-
-/// Labels of an answered call.
-#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct AnswerLabels {
-    outcome: String,
-    reason: String,
-}
+use crate::metrics::AnswerLabels;
 
 /// Labels of an ended run.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
--- a/crates/ivytrail-daemon/src/mesh/run_pool.rs
+++ b/crates/ivytrail-daemon/src/mesh/run_pool.rs
@@ -17,10 +17,11 @@
         event::{MeshEvent, RunEnd},
         frame::{AttemptOrder, HeaderList, ServerCard, ServerPhase},
     },
+    message::is_connection_header,
 };
 use ivytrail_platform::headers::{
     ACCOUNT, CALLER_SERVICE, DEADLINE, EXPECTED_SERVER, NOT_EXECUTED, REQUEST_ID, SERVER_ID,
-    SERVER_LOAD, SIGNATURE, is_connection_header,
+    SERVER_LOAD, SIGNATURE,
 };
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::{
--- a/crates/ivytrail-daemon/src/metrics.rs
+++ b/crates/ivytrail-daemon/src/metrics.rs
@@ -16,9 +16,11 @@
 
 /// Labels of an answered call.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct AnswerLabels {
-    outcome: String,
-    reason: String,
+pub(crate) struct AnswerLabels {
+    /// Whether the request has run.
+    pub(crate) outcome: String,
+    /// Status of a whole answer, or the reason of a refusal.
+    pub(crate) reason: String,
 }
 
 /// Labels of control traffic.
--- a/crates/ivytrail-daemon/src/run_client.rs
+++ b/crates/ivytrail-daemon/src/run_client.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use ivytrail::{id::CallToken, message::AttemptHeader, reducer::RunEnd};
+use ivytrail::{
+    id::CallToken,
+    message::{AttemptHeader, is_connection_header},
+    reducer::RunEnd,
+};
 use parking_lot::RwLock;
 use reqwest::{Client, Method, Response, StatusCode};
 
@@ -148,20 +152,3 @@
 pub fn is_own_header(name: &str) -> bool {
     name.starts_with("ivytrail-")
 }
-
-/// Returns whether a header belongs to one connection and is not passed on.
-pub fn is_connection_header(name: &str) -> bool {
-    matches!(
-        name,
-        "connection"
-            | "keep-alive"
-            | "proxy-connection"
-            | "te"
-            | "trailer"
-            | "transfer-encoding"
-            | "upgrade"
-            | "content-length"
-            | "host"
-            | "expect"
-    )
-}
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -318,13 +318,11 @@
         let picked =
             self.picker.pick(turn.now, &call.order.service, &call.order.route, &call.tried);
         let Some(peer) = picked.cloned() else {
-            let retry_after = call.retry_after;
             let reason = match call.tried.is_empty() {
                 true => RefusalReason::NoUpstream,
                 false => RefusalReason::Overloaded,
             };
-            let retry_after = retry_after.unwrap_or_else(|| self.jitter(NO_SERVER_RETRY_AFTER));
-            return self.give_up(turn, id, reason, Some(retry_after));
+            return self.give_up_for_now(turn, id, reason);
         };
         let serial = self.entry.next_serial;
         self.entry.next_serial += 1;
@@ -404,8 +402,13 @@
         if !is_final && (!is_sent || self.may_repeat(turn, id)) {
             return self.dispatch(turn, id);
         }
-        let Some(call) = self.entry.calls.get(&id) else { return };
-        let retry_after = call.retry_after.unwrap_or_else(|| self.jitter(NO_SERVER_RETRY_AFTER));
+        self.give_up_for_now(turn, id, reason);
+    }
+
+    /// Gives up a call that may come back: after the time that guards have named, if one has.
+    fn give_up_for_now(&mut self, turn: &mut Turn<'_>, id: CallId, reason: RefusalReason) {
+        let told = self.entry.calls.get(&id).and_then(|it| it.retry_after);
+        let retry_after = told.unwrap_or_else(|| self.jitter(NO_SERVER_RETRY_AFTER));
         self.give_up(turn, id, reason, Some(retry_after));
     }
 
@@ -418,8 +421,8 @@
         let has_attempts = call.n_runs < call.route.max_attempts;
         let has_server = self
             .picker
-            .pick(turn.now, &call.order.service, &call.order.route, &call.tried)
-            .is_some();
+            .open_servers(&call.order.service)
+            .any(|record| !call.tried.contains(&record.instance));
         if !has_room || !has_attempts || !has_server {
             return false;
         }
--- a/crates/ivytrail/src/mesh/file.rs
+++ b/crates/ivytrail/src/mesh/file.rs
@@ -13,11 +13,11 @@
     mesh::budget::RepeatPolicy,
     settings::{
         document::parse_document,
+        file::{ADDRESS_ALLOWED, address_in},
         reader::{NAME_ALLOWED, NumberBounds, ObjectReader, ROOT_PLACE, name_in},
     },
 };
 
-const ADDRESS_ALLOWED: &str = "an IP address and a port, e.g. \"10.0.0.7:7100\"";
 const SECONDS_ALLOWED: &str = "a number of seconds from 0 to 600";
 const RATIO_ALLOWED: &str = "a number from 0 to 1";
 const SLACK_ALLOWED: &str = "a number from 0 to 100000";
@@ -128,11 +128,6 @@
     }
 }
 
-fn address_in(value: &Value) -> Option<SocketAddr> {
-    let address = value.as_str()?.parse::<SocketAddr>().ok()?;
-    (address.port() != 0).then_some(address)
-}
-
 fn number_in(value: &Value, greatest: f64) -> Option<f64> {
     value.as_f64().filter(|number| (0.0..=greatest).contains(number))
 }
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -510,11 +510,10 @@
         let mut verdicts = Vec::new();
         self.guard.queue.expire(turn.now, &mut verdicts);
         self.carry_out(turn, verdicts);
-        self.give_up_lost_entries(turn);
     }
 
     /// Gives up what entries wait for whose links have been away for long.
-    fn give_up_lost_entries(&mut self, turn: &mut Turn<'_>) {
+    pub(super) fn give_up_lost_entries(&mut self, turn: &mut Turn<'_>) {
         let now = turn.now;
         let lost: Vec<RunId> = self
             .guard
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -19,6 +19,8 @@
 const SILENCE_BEFORE_PING: Duration = Duration::from_millis(400);
 /// Silence after a ping that ends a link.
 const SILENCE_AFTER_PING: Duration = Duration::from_millis(400);
+/// Time between two looks for links that are silent or have been away for long.
+const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Least time between two cards to the same daemon when nothing has changed.
 const MIN_CARD_INTERVAL: Duration = Duration::from_millis(500);
 /// Part of the time between two such cards for each daemon, so that the cards of a large fleet stay few.
@@ -56,6 +58,7 @@
 pub(super) struct PeerLinks {
     links: HashMap<InstanceName, PeerLink>,
     told_at: TimePoint,
+    checked_at: TimePoint,
 }
 
 impl PeerLinks {
@@ -238,7 +241,12 @@
     }
 
     pub(super) fn tick_links(&mut self, turn: &mut Turn<'_>) {
+        if turn.now.since(self.links.checked_at) < LINK_CHECK_INTERVAL {
+            return;
+        }
+        self.links.checked_at = turn.now;
         self.end_silent_links(turn);
+        self.give_up_lost_entries(turn);
         self.ask_for_settings(turn);
         self.forget_gone_peers(turn);
         if self.links.card_interval() <= turn.now.since(self.links.told_at) {
--- a/crates/ivytrail/src/mesh/picker.rs
+++ b/crates/ivytrail/src/mesh/picker.rs
@@ -224,15 +224,8 @@
         tried: &[InstanceName],
     ) -> Option<&InstanceName> {
         let run_s = self.route_run(route).as_secs_f64();
-        let candidates = || {
-            self.by_service
-                .get(service)
-                .into_iter()
-                .flatten()
-                .filter(|instance| !tried.contains(instance))
-                .filter_map(|instance| self.records.get(instance))
-                .filter(|record| record.is_open())
-        };
+        let candidates =
+            || self.open_servers(service).filter(|record| !tried.contains(&record.instance));
         let cost = |record: &&ServerRecord| record.expected_s(now, run_s, &self.domain);
         let best = |it: &&ServerRecord, other: &&ServerRecord| cost(it).total_cmp(&cost(other));
         candidates()
@@ -254,11 +247,6 @@
 }
 
 impl ServerRecord {
-    /// Returns the load that the server's guard reported last.
-    pub fn load(&self) -> &ServerLoad {
-        &self.load
-    }
-
     fn is_open(&self) -> bool {
         self.is_reachable && !self.is_leaving && self.phase == ServerPhase::Ready
     }
--- a/crates/ivytrail/src/mesh/policy.rs
+++ b/crates/ivytrail/src/mesh/policy.rs
@@ -63,7 +63,7 @@
 }
 
 /// Limits on what a client may send.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestLimits {
     /// Largest request head, in bytes.
     pub max_header_bytes: usize,
--- a/crates/ivytrail/src/message.rs
+++ b/crates/ivytrail/src/message.rs
@@ -21,6 +21,25 @@
     settings::{PriorityClass, Revision, feed::FeedMessage},
 };
 
+/// Returns whether an HTTP header, in lower case, concerns one connection only and is not passed on (RFC 9110, section
+/// 7.6.1, with the headers that carry a length or a host of their own on each hop).
+pub fn is_connection_header(name: &str) -> bool {
+    matches!(
+        name,
+        "connection"
+            | "keep-alive"
+            | "proxy-connection"
+            | "proxy-authenticate"
+            | "proxy-authorization"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+            | "content-length"
+            | "expect"
+    )
+}
+
 /// What became of a request, as told to its caller. It is never more certain than the proof behind it.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/ivytrail/src/settings/file.rs
+++ b/crates/ivytrail/src/settings/file.rs
@@ -23,7 +23,7 @@
 /// Least length of the secret that the daemons share, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
-const ADDRESS_ALLOWED: &str = "an IP address and a port, e.g. \"10.0.0.7:7100\"";
+pub(crate) const ADDRESS_ALLOWED: &str = "an IP address and a port, e.g. \"10.0.0.7:7100\"";
 const PLATFORM_ALLOWED: &str = "a URL \"http://host:port\"";
 const SECRET_ALLOWED: &str = "a text of at least 16 bytes, the same at every daemon";
 const OPERATORS_ALLOWED: &str = "a list of {\"name\", \"token_digest\"}";
@@ -180,7 +180,7 @@
     })
 }
 
-fn address_in(value: &Value) -> Option<SocketAddr> {
+pub(crate) fn address_in(value: &Value) -> Option<SocketAddr> {
     let address = value.as_str()?.parse::<SocketAddr>().ok()?;
     (address.port() != 0).then_some(address)
 }
