Notice one-way silence, tell others of a silent daemon, and keep links apart when an address is used again

Ruled out: two processes under one name; the start lines show one each.

Change: only answers count as signs of life of a link; a home that does not answer for tokens is pinged too. Silence is pinged after 150 ms; after 150 ms more the daemon is the last choice, here and wherever this one tells of it, until it answers a ping. Whoever dials says whom it expects. A daemon that introduces itself replaces all others at its address; rows at the own address are removed from the table.

--- a/crates/ivytrail-daemon/src/mesh/links.rs
+++ b/crates/ivytrail-daemon/src/mesh/links.rs
@@ -72,8 +72,9 @@
     prepare(&stream)?;
     let (reader, mut writer) = stream.into_split();
     let mut reader = FramedRead::new(reader, frame_codec());
-    let card = PeerFrame::Card(Box::new(shell.inspect(MeshReducer::card)));
-    write_frame(&mut writer, &card).await?;
+    let card = Box::new(shell.inspect(MeshReducer::card));
+    let hello = PeerFrame::Hello { to: address.instance.clone(), card };
+    write_frame(&mut writer, &hello).await?;
     let card = read_card(&mut reader).await?;
     if card.member.instance != address.instance {
         return Err(io::Error::other(format!("{} has taken the address", card.member)));
@@ -150,7 +151,7 @@
     }
     let (reader, mut writer) = stream.into_split();
     let mut reader = FramedRead::new(reader, frame_codec());
-    let card = match timeout(DIAL_TIMEOUT, read_card(&mut reader)).await {
+    let card = match timeout(DIAL_TIMEOUT, read_hello(&shell, &mut reader)).await {
         Ok(Ok(card)) => card,
         Ok(Err(cause)) => return log::debug!("event=link_not_introduced cause={cause:?}"),
         Err(_) => return log::debug!("event=link_not_introduced cause=timeout"),
@@ -172,15 +173,29 @@
     socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
 
+/// Reads the first frame of a link that another daemon has dialed.
+async fn read_hello(shell: &Rc<MeshShell>, reader: &mut FrameReader) -> io::Result<Box<PeerCard>> {
+    let own = shell.inspect(|it| it.member().instance.clone());
+    match read_first(reader).await? {
+        PeerFrame::Hello { to, card } if to == own => Ok(card),
+        PeerFrame::Hello { to, .. } => Err(io::Error::other(format!("{to} was expected here"))),
+        _ => Err(io::Error::other("the other end did not introduce itself")),
+    }
+}
+
 async fn read_card(reader: &mut FrameReader) -> io::Result<Box<PeerCard>> {
-    let frame = reader.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
-    match decode_frame::<PeerFrame>(frame.freeze()) {
-        Ok((PeerFrame::Card(card), _)) => Ok(card),
-        Ok(_) => Err(io::Error::other("the other end did not introduce itself")),
-        Err(cause) => Err(io::Error::other(cause)),
+    match read_first(reader).await? {
+        PeerFrame::Card(card) => Ok(card),
+        _ => Err(io::Error::other("the other end did not introduce itself")),
     }
 }
 
+async fn read_first(reader: &mut FrameReader) -> io::Result<PeerFrame> {
+    let frame = reader.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+    let (frame, _) = decode_frame::<PeerFrame>(frame.freeze()).map_err(io::Error::other)?;
+    Ok(frame)
+}
+
 /// Hands the frames of a link to the reducer until the link ends.
 async fn read_frames(shell: &Rc<MeshShell>, peer: MemberId, mut reader: FrameReader) {
     while let Some(frame) = reader.next().await {
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -192,6 +192,11 @@
         self.is_leaving
     }
 
+    /// Returns this run of the daemon.
+    pub fn member(&self) -> &MemberId {
+        &self.options.member
+    }
+
     /// Returns the settings in force.
     pub fn settings(&self) -> Option<&Arc<FleetSettings>> {
         self.settings.as_ref()
@@ -251,9 +256,19 @@
     }
 
     fn learn_peers(&mut self, turn: &mut Turn<'_>, peers: Vec<PeerAddress>) {
+        let (me, address) = (&self.options.member.instance, &self.options.address);
         for peer in peers {
-            if peer.instance != self.options.member.instance {
-                self.links.add(turn, peer);
+            match peer.instance == *me {
+                true => {}
+                // This daemon has the address now; whoever wrote the row is gone.
+                false if peer.address == *address => {
+                    turn.log(format!(
+                        "event=row_outdated peer={} address={address}",
+                        peer.instance
+                    ));
+                    turn.out.push(MeshEffect::ForgetPeer(peer));
+                }
+                false => self.links.add(turn, peer),
             }
         }
     }
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 
 use crate::{
-    id::{AccountName, ContentDigest, DomainName, MemberId, RouteName, ServiceName},
+    id::{AccountName, ContentDigest, DomainName, InstanceName, MemberId, RouteName, ServiceName},
     mesh::{cost::RouteCost, gate::RouteDemand},
     message::{CallOutcome, RefusalReason},
     quarantine::Suspicion,
@@ -147,7 +147,14 @@
 /// A message between two daemons.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerFrame {
-    /// Opens a link, and tells of each later change.
+    /// Opens a link.
+    Hello {
+        /// Whom the sender expects at the other end.
+        to: InstanceName,
+        /// The sender.
+        card: Box<PeerCard>,
+    },
+    /// Answers a hello, and tells of each later change.
     Card(Box<PeerCard>),
     /// Asks the guard to run an attempt; the request's body follows.
     Attempt(Box<AttemptOrder>),
@@ -206,4 +213,22 @@
     },
     /// Tells of a request that may crash backend servers.
     Suspicion(Suspicion),
+    /// Tells of a daemon that has stopped answering.
+    Silent {
+        /// Its instance.
+        instance: InstanceName,
+    },
+}
+
+impl PeerFrame {
+    /// Returns whether the frame answers one of the receiver, and so came on the link that the receiver dialed.
+    pub fn is_answer(&self) -> bool {
+        matches!(
+            self,
+            PeerFrame::Reply { .. }
+                | PeerFrame::Pong
+                | PeerFrame::QuotaAnswer { .. }
+                | PeerFrame::Settings { .. }
+        )
+    }
 }
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -16,9 +16,12 @@
 };
 
 /// Silence after which a daemon that owes a reply is asked whether it still hears.
-const SILENCE_BEFORE_PING: Duration = Duration::from_millis(400);
+const SILENCE_BEFORE_PING: Duration = Duration::from_millis(150);
+/// Silence after a ping that makes a daemon the last choice, here and where it is told of; a lost packet is sent again
+/// within it on a short path.
+const SILENCE_BEFORE_DOUBT: Duration = Duration::from_millis(150);
 /// Silence after a ping that ends a link.
-const SILENCE_AFTER_PING: Duration = Duration::from_millis(400);
+const SILENCE_AFTER_PING: Duration = Duration::from_millis(450);
 /// Time between two looks for links that are silent or have been away for long.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Least time between two cards to the same daemon when nothing has changed.
@@ -44,8 +47,13 @@
     pub(super) is_open: bool,
     /// When the link broke, or was dialed for the first time.
     closed_at: TimePoint,
+    /// When the last answer came on the link that this daemon dialed.
     heard_at: TimePoint,
     pinged_at: Option<TimePoint>,
+    /// Whether the daemon has not answered a ping so far, or others say so.
+    is_silent: bool,
+    /// Whether a question other than an attempt has gone without an answer.
+    owes_answer: bool,
     settings_version: u64,
     settings_seen_at: TimePoint,
     settings_asked_at: Option<TimePoint>,
@@ -78,6 +86,8 @@
             closed_at: turn.now,
             heard_at: turn.now,
             pinged_at: None,
+            is_silent: false,
+            owes_answer: false,
             settings_version: 0,
             settings_seen_at: turn.now,
             settings_asked_at: None,
@@ -95,6 +105,17 @@
         self.links.get_mut(peer)
     }
 
+    /// Records that a daemon has not answered a question in time.
+    pub(super) fn note_unanswered(&mut self, peer: &InstanceName) {
+        if let Some(link) = self.links.get_mut(peer) {
+            link.owes_answer = true;
+        }
+    }
+
+    fn owing_peers(&self) -> impl Iterator<Item = InstanceName> {
+        self.links.iter().filter(|(_, link)| link.owes_answer).map(|(name, _)| name.clone())
+    }
+
     pub(super) fn open_peers(&self) -> impl Iterator<Item = &InstanceName> {
         self.links.iter().filter(|(_, link)| link.is_open).map(|(name, _)| name)
     }
@@ -131,8 +152,6 @@
         let is_other_run = link.member.is_some() && !is_same;
         link.member = Some(card.member.clone());
         link.is_open = true;
-        link.heard_at = turn.now;
-        link.pinged_at = None;
         let closed_for = turn.now.since(link.closed_at);
         turn.log(format!(
             "event=link_open peer={} closed_ms={} same_run={is_same}",
@@ -140,6 +159,7 @@
             closed_for.as_millis(),
         ));
         self.note_card(turn, card);
+        self.note_answering(turn.now, peer);
         self.picker.set_reachable(peer, true);
         if is_other_run {
             self.lose_attempts(turn, peer);
@@ -162,6 +182,10 @@
 
     pub(super) fn accept_peer(&mut self, turn: &mut Turn<'_>, card: &PeerCard) {
         let instance = card.member.instance.clone();
+        if instance == self.options.member.instance {
+            return;
+        }
+        self.drop_others_at(turn, &card.address, &instance);
         let address = PeerAddress { instance: instance.clone(), address: card.address.clone() };
         self.links.add(turn, address);
         if let Some(link) = self.links.get_mut(&instance) {
@@ -174,6 +198,27 @@
         }
     }
 
+    /// Drops daemons whose address another one has now: they are gone.
+    fn drop_others_at(&mut self, turn: &mut Turn<'_>, address: &str, instance: &InstanceName) {
+        let others = self.links.links.values().map(|it| &it.address);
+        let gone: Vec<PeerAddress> = others
+            .filter(|it| it.address == address && it.instance != *instance)
+            .cloned()
+            .collect();
+        for peer in gone {
+            turn.log(format!("event=peer_replaced peer={} by={instance}", peer.instance));
+            self.close_link(turn, &peer.instance);
+            self.lose_attempts(turn, &peer.instance);
+            self.drop_link(turn, &peer.instance);
+        }
+    }
+
+    fn drop_link(&mut self, turn: &mut Turn<'_>, peer: &InstanceName) {
+        self.links.links.remove(peer);
+        self.picker.remove(peer);
+        turn.out.push(MeshEffect::Undial { peer: peer.clone() });
+    }
+
     pub(super) fn lose_peer(&mut self, turn: &mut Turn<'_>, peer: &InstanceName) {
         if let Some(link) = self.links.get_mut(peer) {
             link.lost_at = Some(turn.now);
@@ -200,12 +245,12 @@
         body: Bytes,
     ) {
         let peer = &from.instance;
-        if let Some(link) = self.links.get_mut(peer) {
-            link.heard_at = turn.now;
-            link.pinged_at = None;
+        // Other frames come on the link that the other daemon dialed, and say nothing about this daemon's own.
+        if frame.is_answer() {
+            self.note_answering(turn.now, peer);
         }
         match frame {
-            PeerFrame::Card(card) => self.note_card(turn, &card),
+            PeerFrame::Card(card) | PeerFrame::Hello { card, .. } => self.note_card(turn, &card),
             PeerFrame::Attempt(order) => self.receive_attempt(turn, from, *order, body),
             PeerFrame::Cancel { serial } => self.cancel_attempt(turn, from, serial),
             PeerFrame::Resume { serial } => self.resume_run(turn, from, serial),
@@ -236,6 +281,7 @@
                 self.gate.note_demand(peer, demand);
                 self.costs.note_report(peer, costs);
             }
+            PeerFrame::Silent { instance } => self.hear_of_silence(turn, &instance),
             PeerFrame::Suspicion(suspicion) => self.quarantine.absorb(turn.now, &suspicion),
         }
     }
@@ -254,9 +300,39 @@
         }
     }
 
+    /// Records that a daemon answers on the link that this one dialed.
+    fn note_answering(&mut self, now: TimePoint, peer: &InstanceName) {
+        let Some(link) = self.links.get_mut(peer) else { return };
+        link.heard_at = now;
+        link.pinged_at = None;
+        link.owes_answer = false;
+        if std::mem::take(&mut link.is_silent) {
+            self.picker.set_silent(peer, false);
+        }
+    }
+
+    /// Takes it from another daemon that one has stopped answering: until it answers a ping, it is the last choice.
+    fn hear_of_silence(&mut self, turn: &mut Turn<'_>, peer: &InstanceName) {
+        let Some(link) = self.links.get_mut(peer).filter(|it| it.is_open && !it.is_silent) else {
+            return;
+        };
+        if turn.now.since(link.heard_at) < SILENCE_BEFORE_PING {
+            return;
+        }
+        link.is_silent = true;
+        link.owes_answer = true;
+        self.picker.set_silent(peer, true);
+        if link.pinged_at.is_none() {
+            link.pinged_at = Some(turn.now);
+            turn.send(peer, PeerFrame::Ping, Bytes::new());
+        }
+    }
+
     /// Pings daemons that owe a reply and are silent, and ends the links of those that don't answer the ping.
     fn end_silent_links(&mut self, turn: &mut Turn<'_>) {
-        for peer in self.entry.awaited_peers(turn.now, SILENCE_BEFORE_PING) {
+        let mut silent = self.entry.awaited_peers(turn.now, SILENCE_BEFORE_PING);
+        silent.extend(self.links.owing_peers());
+        for peer in silent {
             let Some(link) = self.links.links.get_mut(&peer).filter(|it| it.is_open) else {
                 continue;
             };
@@ -266,6 +342,18 @@
                     link.pinged_at = Some(turn.now);
                     turn.send(&peer, PeerFrame::Ping, Bytes::new());
                 }
+                Some(at) if !link.is_silent && SILENCE_BEFORE_DOUBT <= turn.now.since(at) => {
+                    link.is_silent = true;
+                    self.picker.set_silent(&peer, true);
+                    turn.log(format!(
+                        "event=peer_silent peer={peer} silence_ms={}",
+                        silence.as_millis()
+                    ));
+                    let frame = PeerFrame::Silent { instance: peer.clone() };
+                    for other in self.links.open_peers().filter(|it| **it != peer) {
+                        turn.send(other, frame.clone(), Bytes::new());
+                    }
+                }
                 Some(at) if SILENCE_AFTER_PING <= turn.now.since(at) => {
                     turn.log(format!(
                         "event=link_silent peer={peer} silence_ms={}",
@@ -314,9 +402,7 @@
             let members = self.links.open_peers().chain([me]);
             let is_mine = home_of(&digest_key, members) == Some(me);
             turn.log(format!("event=peer_gone peer={}", address.instance));
-            self.links.links.remove(&address.instance);
-            self.picker.remove(&address.instance);
-            turn.out.push(MeshEffect::Undial { peer: address.instance.clone() });
+            self.drop_link(turn, &address.instance);
             if is_mine && 0 < self.links.n_open() {
                 turn.out.push(MeshEffect::ForgetPeer(address));
             }
--- a/crates/ivytrail/src/mesh/picker.rs
+++ b/crates/ivytrail/src/mesh/picker.rs
@@ -48,6 +48,8 @@
     domain: DomainName,
     phase: ServerPhase,
     is_reachable: bool,
+    /// Whether the daemon beside it has stopped answering.
+    is_silent: bool,
     is_leaving: bool,
     cold_until: TimePoint,
     server_id: String,
@@ -113,6 +115,7 @@
                 domain: card.domain.clone(),
                 phase: server.phase,
                 is_reachable: true,
+                is_silent: false,
                 is_leaving: card.is_leaving,
                 cold_until: now.plus(server.warm_up),
                 server_id: server.id.to_string(),
@@ -166,6 +169,13 @@
         }
     }
 
+    /// Records whether the daemon beside a server has stopped answering. Such a server is the last choice.
+    pub fn set_silent(&mut self, instance: &InstanceName, is_silent: bool) {
+        if let Some(record) = self.records.get_mut(instance) {
+            record.is_silent = is_silent;
+        }
+    }
+
     /// Forgets the server beside a daemon.
     pub fn remove(&mut self, instance: &InstanceName) {
         let Some(record) = self.records.remove(instance) else { return };
@@ -229,7 +239,7 @@
         let cost = |record: &&ServerRecord| record.expected_s(now, run_s, &self.domain);
         let best = |it: &&ServerRecord, other: &&ServerRecord| cost(it).total_cmp(&cost(other));
         candidates()
-            .filter(|record| record.ejected_until <= now)
+            .filter(|record| record.ejected_until <= now && !record.is_silent)
             .min_by(best)
             .or_else(|| candidates().min_by(best))
             .map(|record| &record.instance)
--- a/crates/ivytrail/src/mesh/quota_flow.rs
+++ b/crates/ivytrail/src/mesh/quota_flow.rs
@@ -106,6 +106,9 @@
         };
         self.stash.withdraw(&account.name, id);
         self.stash.forget_question(&account.name);
+        if let Some(home) = self.home(&account.name) {
+            self.links.note_unanswered(&home);
+        }
         let (n_daemons, _) = self.links.n_daemons(turn.now);
         match self.quotas.take_fallback(turn.now, &account, n_daemons, 1) {
             0 => self.deny(turn, id, "fallback"),
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -318,6 +318,75 @@
     assert!(fleet.is_redialed(0, run.daemon));
 }
 
+/// The daemon's cards still come, on the link that it dialed itself; they say nothing about the other link.
+#[test]
+fn a_link_that_is_silent_one_way_is_dialed_anew() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+
+    fleet.mute_dialed_to(run.daemon);
+    fleet.advance(Duration::from_millis(950));
+
+    assert!(fleet.is_redialed(0, run.daemon));
+}
+
+/// Machines lose power: nothing tells but silence. What one daemon has noticed spares the others their own loss.
+#[test]
+fn a_daemon_that_falls_silent_gets_no_work_from_those_that_were_told() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+    let silent = fleet.only_run().daemon;
+
+    fleet.mute(silent);
+    fleet.advance(Duration::from_millis(350));
+    let n_before = fleet.runs().iter().filter(|it| it.daemon == silent).count();
+    for id in 10..30 {
+        fleet.call(2, call_of(id, "book"));
+    }
+
+    let n_after = fleet.runs().iter().filter(|it| it.daemon == silent).count();
+    assert_eq!((n_before, n_after), (1, 1));
+}
+
+#[test]
+fn a_daemon_that_answers_its_ping_keeps_its_work() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+
+    fleet.advance(Duration::from_millis(1_200));
+    for id in 10..30 {
+        fleet.call(0, call_of(id, "book"));
+    }
+
+    let n_at = |daemon| fleet.runs().iter().filter(|it| it.daemon == daemon).count();
+    assert!(5 <= n_at(1) && 5 <= n_at(3), "{} and {}", n_at(1), n_at(3));
+}
+
+#[test]
+fn a_daemon_is_forgotten_when_another_introduces_itself_at_its_address() {
+    let mut fleet = TestFleet::start();
+    fleet.learn_outdated_row(0, "gone", 1);
+
+    fleet.link_all(1);
+
+    assert!(fleet.is_undialed(0, "gone"));
+}
+
+#[test]
+fn a_link_on_which_a_home_does_not_answer_is_dialed_anew() {
+    let mut fleet = TestFleet::start();
+    fleet.set_quota(10.0, 10.0);
+    let home = fleet.home_of_client();
+    let entry = (home + 1) % 4;
+
+    fleet.mute_dialed_to(home);
+    fleet.call(entry, call_of(1, "book"));
+    fleet.advance(Duration::from_millis(1_200));
+
+    assert!(fleet.is_redialed(entry, home));
+}
+
 #[test]
 fn quota_is_counted_over_all_daemons_and_only_for_what_runs() {
     let mut fleet = TestFleet::start();
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -16,6 +16,7 @@
         event::{CallAnswer, CallRequest, MeshEffect, MeshEvent, PeerAddress, RunEnd, RunId},
         frame::{AttemptOrder, PeerFrame, ServerCard, ServerPhase},
         policy::{AccountPolicy, FleetDeclaration, FleetSettings, RoutePolicy, RouteTarget},
+        quota::home_of,
     },
     message::{CallOutcome, RefusalReason},
     time::TimePoint,
@@ -54,8 +55,11 @@
     n_started: usize,
     cancelled: HashSet<(usize, RunId)>,
     redialed: HashSet<(usize, InstanceName)>,
+    undialed: HashSet<(usize, InstanceName)>,
     dead: HashSet<usize>,
     muted: HashSet<usize>,
+    /// Daemons whose answers on links that others dialed are lost.
+    half_muted: HashSet<usize>,
     cuts: HashSet<(usize, usize)>,
     is_holding: bool,
     held: Vec<TravellingFrame>,
@@ -163,8 +167,10 @@
             n_started: 0,
             cancelled: HashSet::new(),
             redialed: HashSet::new(),
+            undialed: HashSet::new(),
             dead: HashSet::new(),
             muted: HashSet::new(),
+            half_muted: HashSet::new(),
             cuts: HashSet::new(),
             is_holding: false,
             held: Vec::new(),
@@ -241,6 +247,7 @@
                 let earlier = self.answers.insert(call.0, answer);
                 assert!(earlier.is_none(), "{call} was answered twice");
             }
+            MeshEffect::SendBack { .. } if self.half_muted.contains(&daemon) => {}
             MeshEffect::Send { peer, frame, body } | MeshEffect::SendBack { peer, frame, body } => {
                 let to = index_of(&peer);
                 if !self.is_cut(daemon, to) && !self.muted.contains(&daemon) {
@@ -258,12 +265,14 @@
             MeshEffect::Redial { peer } => {
                 self.redialed.insert((daemon, peer));
             }
+            MeshEffect::Undial { peer } => {
+                self.undialed.insert((daemon, peer));
+            }
             MeshEffect::DecodeSettings { .. } => {
                 let event = self.settings_event(VERSION);
                 self.apply_one(daemon, event);
             }
             MeshEffect::Dial(_)
-            | MeshEffect::Undial { .. }
             | MeshEffect::ForgetPeer(_)
             | MeshEffect::Log(_) => {}
         }
@@ -346,6 +355,28 @@
         self.muted.insert(daemon);
     }
 
+    /// Teaches a daemon a row under a name that is gone, at the address that another daemon has now.
+    pub(super) fn learn_outdated_row(&mut self, daemon: usize, name: &str, address_of: usize) {
+        let address = self.daemons[address_of].card().address;
+        let peer = PeerAddress { instance: name.into(), address };
+        self.apply(daemon, MeshEvent::PeersLearned(vec![peer]));
+    }
+
+    pub(super) fn is_undialed(&self, daemon: usize, name: &str) -> bool {
+        self.undialed.contains(&(daemon, name.into()))
+    }
+
+    /// Returns the daemon that is the home of the clients' account.
+    pub(super) fn home_of_client(&self) -> usize {
+        let names: Vec<InstanceName> = (0..self.daemons.len()).map(name_of).collect();
+        home_of(&CLIENT.into(), names.iter()).map(index_of).expect("there are daemons")
+    }
+
+    /// Makes the links silent that others have dialed to a daemon; those that it dialed itself work on.
+    pub(super) fn mute_dialed_to(&mut self, daemon: usize) {
+        self.half_muted.insert(daemon);
+    }
+
     pub(super) fn hold_frames(&mut self, is_holding: bool) {
         self.is_holding = is_holding;
     }
