Add a fault soak of real daemons, and drop connections to a backend server that went silent

Cause: nothing ran the real programs under faults from outside.

Change: scripts/faults runs six daemons with proxies on their paths to each other, to the backend server and to the table; the proxies delay, hold one way or both, reset, refuse and silence; daemons are paused, killed, asked to leave and to reload, the table fails in four ways and forgets its history. Checked from what callers and backend servers see: no doubled run, no denied request that has run, whole and own answers, answers in time, no denial of what is allowed, exit within the grace, recovery within 5 s, a withdrawn key. A daemon may be told the address that others reach it under (advertised_address). A reused connection without an answer for 500 ms takes the connections that have rested for as long with it.

Test first: silent_connections_to_a_backend_server_cost_one_request (four of eight requests ended at the deadline; now one).

--- a/crates/ivytrail-daemon/src/mesh.rs
+++ b/crates/ivytrail-daemon/src/mesh.rs
@@ -66,7 +66,7 @@
     let options = MeshOptions {
         member,
         domain: settings.failure_domain.clone(),
-        address: settings.peer_address.to_string(),
+        address: settings.advertised_address.to_string(),
         service: settings.service.clone(),
         repeats: settings.repeats,
         seed: rand::random(),
--- a/crates/ivytrail-daemon/src/mesh/run_pool.rs
+++ b/crates/ivytrail-daemon/src/mesh/run_pool.rs
@@ -41,6 +41,8 @@
 /// Longest idle time of a connection that carries a request that may run only once: the server may be about to close
 /// it, and a request lost with it can't be sent again.
 const FRESH_FOR: Duration = Duration::from_millis(1_000);
+/// Time without an answer after which a reused connection may have gone silent, and those that rest with it.
+const SILENT_AFTER: Duration = Duration::from_millis(500);
 /// Time beyond a run's deadline for which the server's own answer is awaited.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// Largest answer that is held, in bytes.
@@ -72,6 +74,28 @@
     _driver: ConnectionDriver,
 }
 
+/// A request on a connection that had rested. When it ends without an answer after a while, also by being given up,
+/// the connections that have rested for as long are no longer trusted.
+struct ReusedSend<'p> {
+    pool: &'p RunPool,
+    sent_at: Instant,
+    is_answered: bool,
+}
+
+impl<'p> ReusedSend<'p> {
+    fn new(pool: &'p RunPool) -> ReusedSend<'p> {
+        ReusedSend { pool, sent_at: Instant::now(), is_answered: false }
+    }
+}
+
+impl Drop for ReusedSend<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered && SILENT_AFTER <= self.sent_at.elapsed() {
+            self.pool.drop_unproven(self.sent_at);
+        }
+    }
+}
+
 /// Connections to the own backend server that wait for a request.
 #[derive(Debug)]
 pub struct RunPool {
@@ -90,6 +114,17 @@
         self.idle.borrow_mut().retain(|it| it.idle_since.elapsed() < it.keep_alive);
     }
 
+    /// Drops the connections that have carried nothing since `at`.
+    fn drop_unproven(&self, at: Instant) {
+        let mut idle = self.idle.borrow_mut();
+        let n_before = idle.len();
+        idle.retain(|it| at < it.idle_since);
+        let n_dropped = n_before - idle.len();
+        if 0 < n_dropped {
+            log::info!("event=server_connections_dropped count={n_dropped} cause=silent");
+        }
+    }
+
     /// Runs one request and returns how it ended. The request is given up when the returned future is dropped.
     pub async fn run(
         &self,
@@ -118,7 +153,12 @@
                     None => return RunEnd::NotSent,
                 },
             };
-            let mut failed = match connection.sender.try_send_request(request).await {
+            let mut sent = is_reused.then(|| ReusedSend::new(self));
+            let answer = connection.sender.try_send_request(request).await;
+            if let Some(sent) = &mut sent {
+                sent.is_answered = answer.is_ok();
+            }
+            let mut failed = match answer {
                 Ok(response) => return self.take_response(order, connection, response).await,
                 Err(failed) => failed,
             };
--- a/crates/ivytrail-daemon/src/mesh/table_loop.rs
+++ b/crates/ivytrail-daemon/src/mesh/table_loop.rs
@@ -29,8 +29,8 @@
 /// Returns an error when the client can't be set up.
 pub fn spawn(shell: &Rc<MeshShell>, settings: &MeshSettings) -> anyhow::Result<()> {
     let table = TableClient::new(&settings.table_address.to_string())?;
-    let own =
-        PeerAddress { instance: settings.name.clone(), address: settings.peer_address.to_string() };
+    let address = settings.advertised_address.to_string();
+    let own = PeerAddress { instance: settings.name.clone(), address };
     tokio::task::spawn_local(follow_config(Rc::clone(shell), table.clone()));
     tokio::task::spawn_local(find_peers(Rc::clone(shell), table.clone(), own));
     if let Some(forgotten) = shell.take_forgotten() {
--- a/crates/ivytrail-fakes/src/process.rs
+++ b/crates/ivytrail-fakes/src/process.rs
@@ -29,6 +29,9 @@
     /// Asks it to end.
     #[display("TERM")]
     Terminate,
+    /// Asks it to read its settings again.
+    #[display("HUP")]
+    HangUp,
 }
 
 /// A child process; it is killed when this value is dropped, also while a panic unwinds.
@@ -102,6 +105,11 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Returns whether it ended with status 0, once it has ended.
+    pub fn end_status(&mut self) -> Option<bool> {
+        self.child.try_wait().ok().flatten().map(|status| status.success())
+    }
+
     /// Waits until it has ended by itself, and returns whether it did with status 0 within `limit`.
     pub async fn wait_success(&mut self, limit: Duration) -> Option<bool> {
         const STEP: Duration = Duration::from_millis(20);
--- a/crates/ivytrail/src/mesh/file.rs
+++ b/crates/ivytrail/src/mesh/file.rs
@@ -48,6 +48,8 @@
     pub health_address: SocketAddr,
     /// Address on which other daemons open links.
     pub peer_address: SocketAddr,
+    /// Address under which other daemons reach `peer_address`, where it differs.
+    pub advertised_address: SocketAddr,
     /// Address on which metrics are served.
     pub metrics_address: SocketAddr,
     /// Address of the own backend server.
@@ -92,6 +94,7 @@
     let metrics_address = address("metrics_address");
     let server_address = address("server_address");
     let table_address = address("table_address");
+    let advertised_address = reader.optional("advertised_address", ADDRESS_ALLOWED, address_in);
     let grace_s = reader.required("shutdown_grace_s", SECONDS_ALLOWED, |it| number_in(it, 600.0));
     let bounds = NumberBounds { least: 64, greatest: 1 << 20, default: 4_096 };
     let max_descriptors = reader.bounded("max_descriptors", bounds) as usize;
@@ -105,6 +108,7 @@
         local_address: local_address?,
         health_address: health_address?,
         peer_address: peer_address?,
+        advertised_address: advertised_address.or(peer_address)?,
         metrics_address: metrics_address?,
         server_address: server_address?,
         table_address: table_address?,
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,6 +1,7 @@
 //! Golden sessions, randomised runs and process tests.
 
 pub mod daemons;
+pub mod fault;
 pub mod firms;
 pub mod fleet;
 pub mod mesh;
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep};
 
 use self::{backend::SiteBackend, table::SiteTable};
+use crate::fault::proxy::FaultProxy;
 
 /// Key of the only client account.
 pub const KEY: &str = "meteo-key";
@@ -21,8 +22,12 @@
 const START_PATIENCE: Duration = Duration::from_secs(20);
 /// Pause between two looks.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-/// Services of the instances.
-const SERVICES: [&str; 3] = ["booking", "booking", "tracker"];
+/// Another key of the same account.
+pub const SECOND_KEY: &str = "radio-key";
+/// Services of the instances of a small site.
+const SMALL_SITE: [&str; 3] = ["booking", "booking", "tracker"];
+/// Services of the routes.
+const SERVICES: [&str; 2] = ["booking", "tracker"];
 
 /// The addresses of one instance.
 #[derive(Clone, Copy, Debug)]
@@ -33,11 +38,33 @@
     pub local: SocketAddr,
     /// For the question for readiness.
     pub health: SocketAddr,
-    peer: SocketAddr,
+    /// For other daemons.
+    pub peer: SocketAddr,
     /// For metrics.
     pub metrics: SocketAddr,
 }
 
+/// The proxies on the paths of one instance.
+#[derive(Debug)]
+pub struct InstanceProxies {
+    /// From other daemons to its daemon.
+    pub peer: FaultProxy,
+    /// From its daemon to its backend server.
+    pub server: FaultProxy,
+    /// From its daemon to the table.
+    pub table: FaultProxy,
+}
+
+impl InstanceProxies {
+    async fn start(site: &TestSite, idx: usize) -> Result<InstanceProxies> {
+        Ok(InstanceProxies {
+            peer: FaultProxy::start(site.addresses[idx].peer).await?,
+            server: FaultProxy::start(site.backends[idx].address()).await?,
+            table: FaultProxy::start(site.table.address()).await?,
+        })
+    }
+}
+
 /// A running site.
 #[derive(Debug)]
 pub struct TestSite {
@@ -49,6 +76,9 @@
     pub daemons: Vec<ChildProcess>,
     /// Addresses, one set for each instance.
     pub addresses: Vec<InstanceAddresses>,
+    /// Proxies on the paths of each instance, where the site has them.
+    pub proxies: Vec<InstanceProxies>,
+    services: Vec<&'static str>,
     client: Client,
     dir: RunDirectory,
 }
@@ -60,9 +90,18 @@
     ///
     /// Returns an error when a program can't be started or does not serve in time.
     pub async fn start() -> Result<TestSite> {
+        TestSite::start_with(&SMALL_SITE, false).await
+    }
+
+    /// Starts a site with one instance for each of `services`, with or without proxies between its programs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a program can't be started or does not serve in time.
+    pub async fn start_with(services: &[&'static str], has_proxies: bool) -> Result<TestSite> {
         let table = SiteTable::start(config_of(1)).await?;
         let dir = RunDirectory::create("ivytrail-site")?;
-        let ports = free_addresses(SERVICES.len() * 5)?;
+        let ports = free_addresses(services.len() * 5)?;
         let addresses: Vec<InstanceAddresses> = ports
             .chunks_exact(5)
             .map(|it| InstanceAddresses {
@@ -74,15 +113,27 @@
             })
             .collect();
         let client = Client::builder().no_proxy().timeout(Duration::from_secs(5)).build()?;
-        let mut site =
-            TestSite { table, backends: Vec::new(), daemons: Vec::new(), addresses, client, dir };
-        for (idx, service) in SERVICES.into_iter().enumerate() {
+        let mut site = TestSite {
+            table,
+            backends: Vec::new(),
+            daemons: Vec::new(),
+            addresses,
+            proxies: Vec::new(),
+            services: services.to_vec(),
+            client,
+            dir,
+        };
+        for (idx, service) in services.iter().enumerate() {
             let local = site.addresses[idx].local;
-            site.backends.push(SiteBackend::start(idx, service, local).await?);
+            let caller = site.addresses[idx].caller;
+            site.backends.push(SiteBackend::start(idx, service, local, Some(caller)).await?);
+            if has_proxies {
+                site.proxies.push(InstanceProxies::start(&site, idx).await?);
+            }
             let daemon = site.start_daemon(idx)?;
             site.daemons.push(daemon);
         }
-        for idx in 0..SERVICES.len() {
+        for idx in 0..services.len() {
             site.wait_until_served(idx).await?;
         }
         Ok(site)
@@ -95,17 +146,22 @@
     /// Returns an error when it can't be started.
     pub fn start_daemon(&self, idx: usize) -> Result<ChildProcess> {
         let own = &self.addresses[idx];
+        let proxies = self.proxies.get(idx);
+        let server_address = proxies.map_or(self.backends[idx].address(), |it| it.server.address());
+        let table_address = proxies.map_or(self.table.address(), |it| it.table.address());
+        let advertised_address = proxies.map_or(own.peer, |it| it.peer.address());
         let settings = serde_json::json!({
             "name": format!("instance-{idx}"),
             "failure_domain": "kolkata",
-            "service": SERVICES[idx],
+            "service": self.services[idx],
             "caller_address": own.caller,
             "local_address": own.local,
             "health_address": own.health,
             "peer_address": own.peer,
+            "advertised_address": advertised_address,
             "metrics_address": own.metrics,
-            "server_address": self.backends[idx].address(),
-            "table_address": self.table.address(),
+            "server_address": server_address,
+            "table_address": table_address,
             "shutdown_grace_s": 6,
             "repeats": {"ratio": 0.2, "window_s": 10, "slack": 48},
         });
@@ -128,13 +184,16 @@
     pub async fn wait_until_served(&self, idx: usize) -> Result<()> {
         let end = Instant::now() + START_PATIENCE;
         while Instant::now() < end {
-            let mut n_served = 0;
-            for route in ["book", "track"] {
+            let mut n_failed = 0;
+            for (service, route) in SERVICES.into_iter().zip(["book", "track"]) {
+                if !self.services.contains(&service) {
+                    continue;
+                }
                 let path = format!("/{route}/warm-up");
                 let answer = self.send(idx, &path, &format!("warm-{}", uuid::Uuid::now_v7())).await;
-                n_served += usize::from(answer.is_ok_and(|it| it.status() == 200));
+                n_failed += usize::from(!answer.is_ok_and(|it| it.status() == 200));
             }
-            if n_served == 2 {
+            if n_failed == 0 {
                 return Ok(());
             }
             sleep(LOOK_INTERVAL).await;
@@ -198,6 +257,11 @@
 
 /// Returns a configuration of the platform. Version 2 withdraws the key.
 pub fn config_of(version: u64) -> serde_json::Value {
+    config_with(version, if version < 2 { &[KEY] } else { &["another"] })
+}
+
+/// Returns a configuration of the platform with these keys of the only client account.
+pub fn config_with(version: u64, keys: &[&str]) -> serde_json::Value {
     let route = |name: &str, kind: &str, service: &str| {
         serde_json::json!({
             "name": name, "host": "site.example", "prefix": format!("/{name}/"), "kind": kind,
@@ -205,10 +269,11 @@
             "max_attempts": 2, "public": false,
         })
     };
-    let keys = if version < 2 { vec![KEY] } else { vec!["another"] };
+    let mut ledger = route("ledger", "safe", "tracker");
+    ledger["public"] = true.into();
     serde_json::json!({
         "version": version,
-        "routes": [route("book", "unsafe", "booking"), route("track", "safe", "tracker")],
+        "routes": [route("book", "unsafe", "booking"), route("track", "safe", "tracker"), ledger],
         "services": SERVICES.map(|name| serde_json::json!({"name": name, "health_path": "/healthz"})),
         "limits": {
             "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
--- a/tests/src/site/backend.rs
+++ b/tests/src/site/backend.rs
@@ -16,6 +16,10 @@
 
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// Longest wait for the answer to a call of its own.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Part of the path of requests that make a call of their own.
+pub const CALLS_MARK: &str = "/calls/";
 /// Slots that it announces.
 const SLOTS: u32 = 16;
 
@@ -36,7 +40,7 @@
 }
 
 impl SiteBackend {
-    /// Starts a backend server that announces itself to `local_address`.
+    /// Starts a backend server that announces itself to `local_address` and sends its own calls to `caller_address`.
     ///
     /// # Errors
     ///
@@ -45,10 +49,13 @@
         idx: usize,
         service: &str,
         local_address: SocketAddr,
+        caller_address: Option<SocketAddr>,
     ) -> Result<SiteBackend> {
         let id = format!("server-{idx}");
         let state = Arc::new(Mutex::new(BackendState::default()));
-        let handler = BackendHandler { id: id.clone(), state: Arc::clone(&state) };
+        let client = Client::builder().no_proxy().timeout(CALL_TIMEOUT).build()?;
+        let handler =
+            BackendHandler { id: id.clone(), state: Arc::clone(&state), caller_address, client };
         let server = LocalServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
         let beats = announce(id, service.to_string(), local_address, Arc::clone(&state));
         Ok(SiteBackend { server, state, heartbeats: tokio::spawn(beats) })
@@ -106,9 +113,34 @@
     }
 }
 
+/// Returns how long a request takes: its path may end with a number of milliseconds.
+fn work_of(path: &str) -> Duration {
+    match path.rsplit('/').next() {
+        Some("slow") => Duration::from_millis(700),
+        Some(last) => Duration::from_millis(last.parse().unwrap_or(0)),
+        None => Duration::ZERO,
+    }
+}
+
 struct BackendHandler {
     id: String,
     state: Arc<Mutex<BackendState>>,
+    caller_address: Option<SocketAddr>,
+    client: Client,
+}
+
+impl BackendHandler {
+    /// Makes a call of its own through the daemon beside it. Returns whether it was served.
+    async fn call(&self, request_id: &str) -> bool {
+        let Some(address) = self.caller_address else { return false };
+        let answer = self
+            .client
+            .get(format!("http://{address}/ledger/{request_id}/5"))
+            .header("host", "site.example")
+            .header("x-ivytrail-request-id", format!("{request_id}.0"))
+            .header("x-ivytrail-deadline-ms", "1000");
+        answer.send().await.is_ok_and(|it| it.status() == 200)
+    }
 }
 
 #[async_trait]
@@ -143,7 +175,10 @@
         set("x-ivytrail-response-signature", "signed");
         let checks = [
             (text("x-ivytrail-credential").is_empty(), "it carries the key"),
-            (text("x-ivytrail-tenant") == "meteo", "it lacks the account"),
+            (
+                path.starts_with("/ledger/") || text("x-ivytrail-tenant") == "meteo",
+                "it lacks the account",
+            ),
             (!text("x-ivytrail-caller-service").is_empty(), "it lacks the caller's service"),
             (
                 text("x-ivytrail-deadline-ms").parse::<u64>().is_ok_and(|it| it <= 2_000),
@@ -157,9 +192,11 @@
                 state.faults.push(format!("{request_id}: {fault}"));
             }
         }
-        if path.ends_with("/slow") {
-            tokio::time::sleep(Duration::from_millis(700)).await;
+        tokio::time::sleep(work_of(&path)).await;
+        let is_called = !path.contains(CALLS_MARK) || self.call(&request_id).await;
+        if !is_called {
+            res.status_code(StatusCode::INTERNAL_SERVER_ERROR);
         }
-        res.body(format!("{path} by {}", self.id));
+        res.body(format!("{path} {request_id} by {}", self.id));
     }
 }
--- a/tests/src/site/table.rs
+++ b/tests/src/site/table.rs
@@ -1,6 +1,6 @@
 //! Stand-in for the platform's table: rows with versions, reads, long polls and transactions, in memory.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, future::pending, net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::Result;
 use base64::{Engine, engine::general_purpose::STANDARD};
@@ -14,19 +14,40 @@
 use serde_json::{Value, json};
 use tokio::{
     sync::Notify,
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
+/// What a slow table adds to each answer.
+const SLOW_BY: Duration = Duration::from_millis(500);
+
 type RowKey = (String, String);
 
 #[derive(Debug, Default)]
 struct TableState {
     version: u64,
     rows: BTreeMap<RowKey, (u64, String)>,
-    is_down: bool,
+    mood: TableMood,
+    /// Version up to which the history is gone.
+    forgotten: u64,
     n_writes: u64,
 }
 
+/// How the table treats calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TableMood {
+    /// It serves them.
+    #[default]
+    Good,
+    /// It turns them away.
+    Down,
+    /// It never answers, and does nothing.
+    Silent,
+    /// It does what is asked and never answers.
+    AnswerLost,
+    /// It takes half a second more for each.
+    Slow,
+}
+
 impl TableState {
     fn put(&mut self, table: &str, key: &str, value: String) {
         self.version += 1;
@@ -82,9 +103,28 @@
         self.shared.changed.notify_waiters();
     }
 
-    /// Turns every call away, or serves them again.
-    pub fn set_down(&self, is_down: bool) {
-        self.shared.state.lock().is_down = is_down;
+    /// Puts a row in place, as an earlier daemon may have left it.
+    pub fn put_row(&self, table: &str, key: &str, value: &str) {
+        self.shared.state.lock().put(table, key, STANDARD.encode(value));
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Returns whether there is such a row.
+    pub fn has_row(&self, table: &str, key: &str) -> bool {
+        self.shared.state.lock().rows.contains_key(&(table.to_string(), key.to_string()))
+    }
+
+    /// Changes how calls are treated from now on.
+    pub fn set_mood(&self, mood: TableMood) {
+        self.shared.state.lock().mood = mood;
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Drops the history; whoever follows changes must read anew.
+    pub fn forget_history(&self) {
+        let mut state = self.shared.state.lock();
+        state.version += 1;
+        state.forgotten = state.version;
         self.shared.changed.notify_waiters();
     }
 
@@ -105,8 +145,12 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        if self.0.state.lock().is_down {
-            return write_error(res, StatusCode::SERVICE_UNAVAILABLE, "down");
+        let mood = self.0.state.lock().mood;
+        match mood {
+            TableMood::Good | TableMood::AnswerLost => {}
+            TableMood::Down => return write_error(res, StatusCode::SERVICE_UNAVAILABLE, "down"),
+            TableMood::Silent => return pending().await,
+            TableMood::Slow => sleep(SLOW_BY).await,
         }
         let table = req.query::<String>("table").unwrap_or_default();
         match req.uri().path() {
@@ -120,6 +164,9 @@
             "/rows-tx" => self.transact(req, res).await,
             _ => write_error(res, StatusCode::NOT_FOUND, "no such call"),
         }
+        if mood == TableMood::AnswerLost {
+            pending::<()>().await;
+        }
     }
 }
 
@@ -132,9 +179,12 @@
             let changed = self.0.changed.notified();
             {
                 let state = self.0.state.lock();
-                if state.is_down {
+                if state.mood == TableMood::Down {
                     return write_error(res, StatusCode::SERVICE_UNAVAILABLE, "down");
                 }
+                if after < state.forgotten {
+                    return write_error(res, StatusCode::GONE, "history gone");
+                }
                 let rows = state.rows_after(table, "", after);
                 if !rows.is_empty() || end <= Instant::now() {
                     return write_json(res, &json!({"rows": rows, "ver": state.version}));
--- a/tests/tests/site_processes.rs
+++ b/tests/tests/site_processes.rs
@@ -5,7 +5,7 @@
 use anyhow::Result;
 use ivytrail_tests::{
     mesh::MESH_TURN,
-    site::{TestSite, backend::SiteBackend, config_of},
+    site::{TestSite, backend::SiteBackend, config_of, table::TableMood},
 };
 use tokio::time::{Instant, sleep};
 
@@ -27,7 +27,9 @@
             let response = site.send(idx, &format!("/{route}/7?x=1"), &request_id).await?;
             assert_eq!(response.status(), 200);
             assert!(response.headers().contains_key("x-ivytrail-response-signature"));
-            assert!(response.text().await?.starts_with(&format!("/{route}/7 by server-")));
+            assert!(
+                response.text().await?.starts_with(&format!("/{route}/7 {request_id} by server-"))
+            );
             assert_eq!(site.n_runs_of(&request_id), 1);
         }
     }
@@ -58,7 +60,7 @@
 async fn a_daemon_that_starts_while_the_table_is_down_serves_from_its_peers() -> Result<()> {
     let _turn = MESH_TURN.lock().await;
     let mut site = TestSite::start().await?;
-    site.table.set_down(true);
+    site.table.set_mood(TableMood::Down);
 
     site.daemons[0].kill()?;
     site.daemons[0] = site.start_daemon(0)?;
@@ -132,3 +134,51 @@
     assert!(ids.iter().all(|it| site.n_runs_of(it) <= 1));
     Ok(())
 }
+
+/// Connections to a backend server may fall silent for good while new ones work.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_to_a_backend_server_cost_one_request() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let site = TestSite::start_with(&["tracker"], true).await?;
+    let warm_up = (0..8).map(|n| {
+        let (site, id) = (&site, format!("warm-up-{n}"));
+        async move { status_at(site, 0, "/track/300", &id).await }
+    });
+    assert!(futures_util::future::join_all(warm_up).await.iter().all(|it| *it == 200));
+
+    site.proxies[0].server.silence_open();
+    let mut statuses = Vec::new();
+    for n in 0..8 {
+        statuses.push(status_at(&site, 0, "/track/1", &format!("silent-{n}")).await);
+    }
+
+    assert_eq!(statuses[1..], [200; 7], "{statuses:?}");
+    Ok(())
+}
+
+/// The address of an instance that is gone is used again by another one, and its row is still there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_row_of_the_gone_at_a_used_address_breaks_no_link() -> Result<()> {
+    let _turn = MESH_TURN.lock().await;
+    let mut site = TestSite::start().await?;
+    let address = site.addresses[1].peer.to_string();
+    site.table.put_row("ivytrail-daemons", "instance-gone", &address);
+    for idx in 0..3 {
+        site.daemons[idx].kill()?;
+        site.daemons[idx] = site.start_daemon(idx)?;
+    }
+    for idx in 0..3 {
+        site.wait_until_served(idx).await?;
+    }
+    sleep(Duration::from_millis(500)).await;
+
+    let n_closed = || -> usize {
+        (0..3).map(|idx| site.log_of(idx).matches("event=link_closed").count()).sum()
+    };
+    let n_before = n_closed();
+    sleep(Duration::from_secs(2)).await;
+
+    assert_eq!(n_closed(), n_before, "log:\n{}", site.log_of(1));
+    assert!(!site.table.has_row("ivytrail-daemons", "instance-gone"));
+    Ok(())
+}
