Tell load and demand in one write, tick 50 times a second, let connections rest less after one broke

A server that forgets idle connections (idle_race) broke a request on each connection that had rested.

Change: one write for both; ticks of 20 ms; a request that may run once takes connections that rested less than 250 ms; for the others the allowed rest falls when one breaks and grows by a tenth a second.

Tests: a_broken_request_shortens_the_rest_of_all_connections and two more.

--- a/crates/ivytrail-daemon/src/mesh.rs
+++ b/crates/ivytrail-daemon/src/mesh.rs
@@ -28,7 +28,7 @@
 use self::shell::MeshShell;
 
 /// Time between two ticks of the reducer.
-const TICK_INTERVAL: Duration = Duration::from_millis(10);
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Least time that a leaving daemon still serves: the platform asks for readiness once a second and takes it out after
--- a/crates/ivytrail-daemon/src/mesh/run_pool.rs
+++ b/crates/ivytrail-daemon/src/mesh/run_pool.rs
@@ -1,6 +1,12 @@
 //! Runs at the own backend server, over connections that are kept open.
 
-use std::{cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -40,7 +46,11 @@
 const KEEP_ALIVE_SHARE: f64 = 0.8;
 /// Longest idle time of a connection that carries a request that may run only once: the server may be about to close
 /// it, and a request lost with it can't be sent again.
-const FRESH_FOR: Duration = Duration::from_millis(1_000);
+const FRESH_FOR: Duration = Duration::from_millis(250);
+/// Part of the rest after which a connection broke that is still allowed.
+const BROKEN_REST_SHARE: f64 = 0.8;
+/// Factor by which the allowed rest grows in a second.
+const REST_GROWTH: f64 = 1.1;
 /// Time without an answer after which a reused connection may have gone silent, and those that rest with it.
 const SILENT_AFTER: Duration = Duration::from_millis(500);
 /// Time beyond a run's deadline for which the server's own answer is awaited.
@@ -96,24 +106,63 @@
     }
 }
 
+/// Longest time for which a connection may rest and be used again.
+///
+/// A server may forget connections sooner than it says. When a request breaks on one that had rested, less rest is
+/// allowed; with time the limit grows again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct RestLimit(Duration);
+
+impl RestLimit {
+    fn note_broken(&mut self, rested_for: Duration) {
+        self.0 = self.0.min(rested_for.mul_f64(BROKEN_REST_SHARE)).max(FRESH_FOR);
+    }
+
+    /// Takes it that another second has passed.
+    fn grow(&mut self) {
+        self.0 = self.0.mul_f64(REST_GROWTH).min(DEFAULT_KEEP_ALIVE);
+    }
+
+    fn allows(self, rested_for: Duration, is_idempotent: bool) -> bool {
+        rested_for < if is_idempotent { self.0 } else { FRESH_FOR }
+    }
+}
+
+impl Default for RestLimit {
+    fn default() -> RestLimit {
+        RestLimit(DEFAULT_KEEP_ALIVE)
+    }
+}
+
 /// Connections to the own backend server that wait for a request.
 #[derive(Debug)]
 pub struct RunPool {
     address: SocketAddr,
+    rest_limit: Cell<RestLimit>,
     idle: RefCell<VecDeque<ServerConnection>>,
 }
 
 impl RunPool {
     /// Returns a pool without connections.
     pub fn new(address: SocketAddr) -> RunPool {
-        RunPool { address, idle: RefCell::default() }
+        RunPool { address, rest_limit: Cell::default(), idle: RefCell::default() }
     }
 
-    /// Drops connections that have been idle for long.
+    /// Drops connections that have been idle for long; called once a second.
     pub fn prune(&self) {
+        let mut limit = self.rest_limit.get();
+        limit.grow();
+        self.rest_limit.set(limit);
         self.idle.borrow_mut().retain(|it| it.idle_since.elapsed() < it.keep_alive);
     }
 
+    fn note_broken_rest(&self, rested_for: Duration) {
+        let mut limit = self.rest_limit.get();
+        limit.note_broken(rested_for);
+        self.rest_limit.set(limit);
+        log::info!("event=rest_limited rested_ms={} limit={:?}", rested_for.as_millis(), limit.0);
+    }
+
     /// Drops the connections that have carried nothing since `at`.
     fn drop_unproven(&self, at: Instant) {
         let mut idle = self.idle.borrow_mut();
@@ -153,6 +202,7 @@
                     None => return RunEnd::NotSent,
                 },
             };
+            let rested_for = connection.idle_since.elapsed();
             let mut sent = is_reused.then(|| ReusedSend::new(self));
             let answer = connection.sender.try_send_request(request).await;
             if let Some(sent) = &mut sent {
@@ -167,6 +217,9 @@
                 Some(unsent) if is_reused => request = unsent,
                 Some(_) => return RunEnd::NotSent,
                 None => {
+                    if is_reused {
+                        self.note_broken_rest(rested_for);
+                    }
                     log::debug!(
                         "event=run_broken request={} reused={is_reused} cause={:?}",
                         order.request_id,
@@ -186,7 +239,7 @@
             if !is_usable {
                 continue;
             }
-            if !is_idempotent && FRESH_FOR <= idle_for {
+            if !self.rest_limit.get().allows(idle_for, is_idempotent) {
                 // Those below have been idle for longer.
                 idle.push_back(connection);
                 return None;
@@ -370,3 +423,6 @@
         warm_up: Duration::ZERO,
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -97,7 +97,7 @@
     gate: EntryGate,
     gate_updated_at: TimePoint,
     gate_logged_at: TimePoint,
-    demand_told_at: TimePoint,
+    state_told_at: TimePoint,
     quarantine: CrashQuarantine,
     log: LogBudget,
     rng: SmallRng,
@@ -142,7 +142,7 @@
             gate: EntryGate::default(),
             gate_updated_at: TimePoint::ORIGIN,
             gate_logged_at: TimePoint::ORIGIN,
-            demand_told_at: TimePoint::ORIGIN,
+            state_told_at: TimePoint::ORIGIN,
             quarantine: CrashQuarantine::new(options.member.clone()),
             log: LogBudget::default(),
             rng: SmallRng::seed_from_u64(options.seed),
@@ -289,7 +289,18 @@
         for peer in self.links.open_peers() {
             turn.send(peer, frame.clone(), Bytes::new());
         }
-        self.links.note_told(turn.now);
+    }
+
+    /// Tells all daemons how loaded this one is, what it is offered and what it has learned of costs.
+    fn tell_state(&mut self, turn: &mut Turn<'_>) {
+        self.state_told_at = turn.now;
+        self.tell_peers(turn);
+        let costs = self.guard.learner.report();
+        self.costs.note_report(&self.options.member.instance, costs.clone());
+        let frame = PeerFrame::Demand { demand: self.gate.own_demand(), costs };
+        for peer in self.links.open_peers() {
+            turn.send(peer, frame.clone(), Bytes::new());
+        }
     }
 
     fn tick(&mut self, turn: &mut Turn<'_>) {
@@ -302,8 +313,7 @@
         }
     }
 
-    /// Tells the other daemons what this one is offered and what it has learned of costs, and computes the gate's
-    /// shares anew.
+    /// Computes the gate's shares anew, and tells the other daemons from time to time what goes into them.
     fn tick_gate(&mut self, turn: &mut Turn<'_>) {
         let elapsed = turn.now.since(self.gate_updated_at);
         if elapsed < GATE_INTERVAL {
@@ -311,14 +321,8 @@
         }
         self.gate_updated_at = turn.now;
         let me = self.options.member.instance.clone();
-        if self.links.card_interval() <= turn.now.since(self.demand_told_at) {
-            self.demand_told_at = turn.now;
-            let costs = self.guard.learner.report();
-            self.costs.note_report(&me, costs.clone());
-            let frame = PeerFrame::Demand { demand: self.gate.own_demand(), costs };
-            for peer in self.links.open_peers() {
-                turn.send(peer, frame.clone(), Bytes::new());
-            }
+        if self.links.card_interval() <= turn.now.since(self.state_told_at) {
+            self.tell_state(turn);
         }
         self.picker.set_load(&me, self.guard.load());
         let picker = &self.picker;
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -65,7 +65,6 @@
 #[derive(Debug, Default)]
 pub(super) struct PeerLinks {
     links: HashMap<InstanceName, PeerLink>,
-    told_at: TimePoint,
     checked_at: TimePoint,
 }
 
@@ -135,10 +134,6 @@
         (1 + n_open + n_closed, n_closed)
     }
 
-    pub(super) fn note_told(&mut self, now: TimePoint) {
-        self.told_at = now;
-    }
-
     pub(super) fn card_interval(&self) -> Duration {
         MIN_CARD_INTERVAL.max(CARD_INTERVAL_PER_PEER * self.links.len() as u32)
     }
@@ -295,9 +290,6 @@
         self.give_up_lost_entries(turn);
         self.ask_for_settings(turn);
         self.forget_gone_peers(turn);
-        if self.links.card_interval() <= turn.now.since(self.links.told_at) {
-            self.tell_peers(turn);
-        }
     }
 
     /// Records that a daemon answers on the link that this one dialed.
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -272,9 +272,7 @@
                 let event = self.settings_event(VERSION);
                 self.apply_one(daemon, event);
             }
-            MeshEffect::Dial(_)
-            | MeshEffect::ForgetPeer(_)
-            | MeshEffect::Log(_) => {}
+            MeshEffect::Dial(_) | MeshEffect::ForgetPeer(_) | MeshEffect::Log(_) => {}
         }
     }
 
