--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -9,6 +9,7 @@
 //!
 //! [`MeshReducer::apply`] takes events and returns effects; it reads no clock and does no I/O.
 
+mod announced;
 pub mod budget;
 pub mod cost;
 mod entry;
@@ -19,6 +20,7 @@
 pub mod frame;
 pub mod gate;
 mod guard;
+mod intake;
 mod links;
 mod log_budget;
 pub mod picker;
--- /dev/null
+++ b/crates/ivytrail/src/mesh/announced.rs
@@ -0,0 +1,73 @@
+//! What the own backend server says of itself.
+
+use smol_str::SmolStr;
+
+use super::{
+    MeshReducer, Turn,
+    frame::{ServerCard, ServerPhase},
+};
+use crate::time::TimePoint;
+
+impl MeshReducer {
+    pub(super) fn hear_server(&mut self, turn: &mut Turn<'_>, card: ServerCard, sequence: u64) {
+        if let Some(current) = &self.guard.server {
+            let is_same_run = current.id == card.id && current.born_ms == card.born_ms;
+            let is_old = card.born_ms < current.born_ms
+                || (is_same_run && (sequence <= self.guard.sequence));
+            // A server that has said that it leaves does not come back in the same run.
+            let is_back = is_same_run
+                && current.phase == ServerPhase::Draining
+                && card.phase == ServerPhase::Ready;
+            if is_old || is_back {
+                turn.log(format!(
+                    "event=announcement_ignored server={} sequence={sequence} known_sequence={} born_ms={}",
+                    card.id, self.guard.sequence, card.born_ms,
+                ));
+                return;
+            }
+        }
+        self.guard.sequence = sequence;
+        let is_changed = self.guard.server.as_ref().is_none_or(|it| {
+            it.id != card.id
+                || it.born_ms != card.born_ms
+                || it.phase != card.phase
+                || it.slots != card.slots
+                || it.service != card.service
+        });
+        if !is_changed {
+            return;
+        }
+        turn.log(format!(
+            "event=server_announced server={} service={} phase={:?} slots={} born_ms={} sequence={sequence}",
+            card.id, card.service, card.phase, card.slots, card.born_ms,
+        ));
+        self.guard.server = Some(card);
+        self.guard.paused_until = TimePoint::ORIGIN;
+        self.fit_limit(turn);
+        self.tell_peers(turn);
+    }
+
+    pub(super) fn hear_server_leave(&mut self, turn: &mut Turn<'_>, id: &SmolStr) {
+        let Some(server) = self.guard.server.as_mut().filter(|it| it.id == *id) else { return };
+        if server.phase == ServerPhase::Draining {
+            return;
+        }
+        server.phase = ServerPhase::Draining;
+        turn.log(format!("event=server_leaving server={id}"));
+        self.fit_limit(turn);
+        self.tell_peers(turn);
+    }
+
+    /// Sets the limit to what the backend server takes now; without slots, what waits is refused.
+    pub(super) fn fit_limit(&mut self, turn: &mut Turn<'_>) {
+        let limit = self.guard.wanted_limit(turn.now);
+        let mut verdicts = Vec::new();
+        if limit == 0 {
+            self.guard.queue.clear_waiting(&mut verdicts);
+        }
+        if limit != self.guard.queue.limit() {
+            self.guard.queue.set_limit(turn.now, limit, &mut verdicts);
+        }
+        self.carry_out(turn, verdicts);
+    }
+}
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -11,22 +11,19 @@
 
 use super::{
     MeshReducer, Turn,
-    event::{CallAnswer, CallRequest, MeshEffect, RunId},
+    event::{CallAnswer, MeshEffect, RunId},
     frame::{AttemptOrder, AttemptResult, PeerFrame, ServerLoad},
     log_budget::LineWeight,
     picker::AttemptNews,
     policy::{AccountPolicy, RoutePolicy},
     queue::QueueRank,
-    split::WeightedSplit,
 };
 use crate::{
-    id::{AccountName, CallId, ContentDigest, InstanceName, ServiceName},
+    id::{CallId, InstanceName},
     message::{CallOutcome, RefusalReason},
     time::TimePoint,
 };
 
-/// When to come back to a daemon that knows no settings yet.
-const NO_SETTINGS_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// When to come back while no backend server of a service can be reached.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Part of the target latency that a client's request may wait for a slot.
@@ -37,8 +34,6 @@
 const NESTED_WAIT_SHARE: f64 = 0.6;
 /// Guards that are asked for a slot before a request is refused.
 const MAX_REDIRECTS: usize = 3;
-/// Part of the repeats that a nested call earns for the entry of the call; the entry of its root gets the rest.
-const CALL_PART: f64 = 0.5;
 /// Run times that must be left for a repeated send.
 const REPEAT_ROOM: f64 = 1.3;
 /// Part of the time left that the answer needs to travel back.
@@ -59,14 +54,14 @@
 #[derive(Debug)]
 pub(super) struct EntryCall {
     pub(super) order: AttemptOrder,
-    body: Bytes,
+    pub(super) body: Bytes,
     /// The run at the own backend server that makes this call.
-    parent: Option<RunId>,
-    route: Arc<RoutePolicy>,
+    pub(super) parent: Option<RunId>,
+    pub(super) route: Arc<RoutePolicy>,
     pub(super) account: Option<Arc<AccountPolicy>>,
-    received_at: TimePoint,
-    root_start: TimePoint,
-    deadline: TimePoint,
+    pub(super) received_at: TimePoint,
+    pub(super) root_start: TimePoint,
+    pub(super) deadline: TimePoint,
     pub(super) stage: CallStage,
     pub(super) tried: Vec<InstanceName>,
     /// Attempts that may have begun to run.
@@ -75,12 +70,12 @@
     /// Whether a token of the account's quota was spent on it.
     pub(super) has_token: bool,
     /// A backend server's failure, in case that no repeat does better.
-    fallback: Option<CallAnswer>,
-    retry_after: Option<Duration>,
+    pub(super) fallback: Option<CallAnswer>,
+    pub(super) retry_after: Option<Duration>,
 }
 
 impl EntryCall {
-    fn is_nested(&self) -> bool {
+    pub(super) fn is_nested(&self) -> bool {
         QueueRank(self.order.rank).is_nested()
     }
 }
@@ -132,145 +127,6 @@
 }
 
 impl MeshReducer {
-    pub(super) fn receive_call(&mut self, turn: &mut Turn<'_>, request: CallRequest) {
-        let id = request.call;
-        let (route, account) = match self.look_up(&request) {
-            Ok(found) => found,
-            Err(reason) => {
-                let retry_after = match reason {
-                    RefusalReason::StaleSettings => Some(self.jitter(NO_SETTINGS_RETRY_AFTER)),
-                    _ => None,
-                };
-                return self.refuse_early(turn, &request, reason, retry_after);
-            }
-        };
-        let fingerprint = fingerprint_of(&request, account.as_ref().map(|it| &it.name));
-        if let Some(span) = self.quarantine.blocks(turn.now, &fingerprint) {
-            return self.refuse_early(turn, &request, RefusalReason::Quarantined, Some(span));
-        }
-        let Some(service) = self.target_of(&route) else {
-            return self.refuse_early(turn, &request, RefusalReason::NoRoute, None);
-        };
-        let call = self.new_call(turn, request, route, account, service, fingerprint);
-        let n_requests = if call.is_nested() { CALL_PART } else { 1.0 };
-        self.repeats.note_requests(&self.options.repeats, &call.order.service, n_requests);
-        self.entry.timers.push(Reverse((call.deadline, id)));
-        self.entry.calls.insert(id, call);
-        self.check_quota(turn, id);
-    }
-
-    /// Finds the route of a request and the account of its key.
-    fn look_up(
-        &self,
-        request: &CallRequest,
-    ) -> Result<(Arc<RoutePolicy>, Option<Arc<AccountPolicy>>), RefusalReason> {
-        let settings = self.settings.as_ref().ok_or(RefusalReason::StaleSettings)?;
-        let route =
-            settings.route_of(&request.host, &request.target).ok_or(RefusalReason::NoRoute)?;
-        let account = match route.is_public {
-            true => None,
-            false => {
-                let key = request.key.as_ref().ok_or(RefusalReason::BadKey)?;
-                Some(settings.account_of(key).ok_or(RefusalReason::BadKey)?)
-            }
-        };
-        match request.request_id.is_empty() {
-            true => Err(RefusalReason::BadRequest),
-            false => Ok((Arc::clone(route), account.cloned())),
-        }
-    }
-
-    fn new_call(
-        &mut self,
-        turn: &Turn<'_>,
-        request: CallRequest,
-        route: Arc<RoutePolicy>,
-        account: Option<Arc<AccountPolicy>>,
-        service: ServiceName,
-        fingerprint: ContentDigest,
-    ) -> EntryCall {
-        let time_limit = request.time_limit.unwrap_or(route.timeout).min(route.timeout);
-        let parent = self.guard.parent_of(&request.request_id);
-        let root = parent.and_then(|it| self.guard.note_call(it, &route.name));
-        let priority = match (root, &account) {
-            (Some((priority, _)), _) => priority,
-            (None, Some(account)) => account.priority.unwrap_or(route.priority),
-            (None, None) => route.priority,
-        };
-        // Requests without a key are the calls of backend servers.
-        let rank = match account {
-            Some(_) => QueueRank::of_root(priority),
-            None => QueueRank::of_nested(priority),
-        };
-        let order = AttemptOrder {
-            serial: 0,
-            service,
-            route: route.name.clone(),
-            request_id: request.request_id,
-            method: request.method,
-            target: request.target,
-            headers: request.headers,
-            account: account.as_ref().map(|it| it.name.clone()),
-            caller_service: self.options.service.clone(),
-            is_idempotent: route.is_idempotent,
-            rank: rank.0,
-            priority,
-            root_age_us: 0,
-            time_left_us: 0,
-            max_wait_us: 0,
-            fingerprint,
-        };
-        EntryCall {
-            order,
-            body: request.body,
-            parent,
-            route,
-            account,
-            received_at: turn.now,
-            root_start: root.map_or(turn.now, |(_, start)| start),
-            deadline: turn.now.plus(time_limit),
-            stage: CallStage::Deciding,
-            tried: Vec::new(),
-            n_runs: 0,
-            may_have_run: false,
-            has_token: false,
-            fallback: None,
-            retry_after: None,
-        }
-    }
-
-    fn refuse_early(
-        &mut self,
-        turn: &mut Turn<'_>,
-        request: &CallRequest,
-        reason: RefusalReason,
-        retry_after: Option<Duration>,
-    ) {
-        if self.log.allows(turn.now, LineWeight::Notable) {
-            turn.log(format!(
-                "event=call_refused request={} host={} target={} reason={reason} settings={} outcome=not-run",
-                request.request_id,
-                request.host,
-                request.target,
-                self.settings.as_ref().map_or(0, |it| it.version()),
-            ));
-        }
-        let answer = CallAnswer::Refused { outcome: CallOutcome::NotRun, reason, retry_after };
-        turn.out.push(MeshEffect::Answer { call: request.call, answer });
-    }
-
-    fn target_of(&mut self, route: &RoutePolicy) -> Option<ServiceName> {
-        if let [target] = route.targets.as_slice() {
-            return Some(target.service.clone());
-        }
-        let phase = rand::RngExt::random_range(&mut self.rng, 0.0..1.0);
-        let split = self.splits.entry(route.name.clone()).or_default();
-        if !split.fits(&route.targets) {
-            *split = WeightedSplit::new(&route.targets, phase);
-        }
-        split.next_target().cloned()
-    }
-
     /// Lets a client's request in, unless a service that it needs is short of slots.
     pub(super) fn pass_gate(&mut self, turn: &mut Turn<'_>, id: CallId) {
         let Some(call) = self.entry.calls.get(&id) else { return };
@@ -296,18 +152,6 @@
         self.refuse(turn, id, RefusalReason::Overloaded, Some(wait));
     }
 
-    /// Counts the calls that a client's request will make for the budget of repeats, since a repeat of it makes them
-    /// again.
-    fn note_coming_calls(&mut self, id: CallId) {
-        let Some(call) = self.entry.calls.get(&id) else { return };
-        for (service, n_arrivals) in self.costs.arrivals_of(&call.order.route).iter() {
-            if *service != call.order.service {
-                let n_requests = n_arrivals * (1.0 - CALL_PART);
-                self.repeats.note_requests(&self.options.repeats, service, n_requests);
-            }
-        }
-    }
-
     /// Sends the call to the guard that is expected to answer first.
     pub(super) fn dispatch(&mut self, turn: &mut Turn<'_>, id: CallId) {
         let me = self.options.member.clone();
@@ -579,12 +423,3 @@
         ),
     }
 }
-
-fn fingerprint_of(request: &CallRequest, account: Option<&AccountName>) -> ContentDigest {
-    ContentDigest::of_parts(&[
-        account.map_or(&[], |it| it.as_str().as_bytes()),
-        request.host.as_bytes(),
-        request.target.as_bytes(),
-        &request.body,
-    ])
-}
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -67,9 +67,9 @@
 /// Attempts at the own backend server.
 #[derive(Debug, Default)]
 pub(super) struct GuardRuns {
-    server: Option<ServerCard>,
-    sequence: u64,
-    queue: SlotQueue<RunId>,
+    pub(super) server: Option<ServerCard>,
+    pub(super) sequence: u64,
+    pub(super) queue: SlotQueue<RunId>,
     pub(super) attempts: HashMap<RunId, GuardAttempt>,
     runs: HashMap<AttemptId, RunId>,
     ended: HashMap<AttemptId, EndedAttempt>,
@@ -107,7 +107,7 @@
     }
 
     /// Returns the number of attempts that may run at once now.
-    fn wanted_limit(&self, now: TimePoint) -> u32 {
+    pub(super) fn wanted_limit(&self, now: TimePoint) -> u32 {
         match &self.server {
             Some(server) if server.phase == ServerPhase::Ready && self.paused_until <= now => {
                 ((f64::from(server.slots) * USED_SLOTS) as u32).max(1)
@@ -187,68 +187,6 @@
 }
 
 impl MeshReducer {
-    pub(super) fn hear_server(&mut self, turn: &mut Turn<'_>, card: ServerCard, sequence: u64) {
-        if let Some(current) = &self.guard.server {
-            let is_same_run = current.id == card.id && current.born_ms == card.born_ms;
-            let is_old = card.born_ms < current.born_ms
-                || (is_same_run && (sequence <= self.guard.sequence));
-            // A server that has said that it leaves does not come back in the same run.
-            let is_back = is_same_run
-                && current.phase == ServerPhase::Draining
-                && card.phase == ServerPhase::Ready;
-            if is_old || is_back {
-                turn.log(format!(
-                    "event=announcement_ignored server={} sequence={sequence} known_sequence={} born_ms={}",
-                    card.id, self.guard.sequence, card.born_ms,
-                ));
-                return;
-            }
-        }
-        self.guard.sequence = sequence;
-        let is_changed = self.guard.server.as_ref().is_none_or(|it| {
-            it.id != card.id
-                || it.born_ms != card.born_ms
-                || it.phase != card.phase
-                || it.slots != card.slots
-                || it.service != card.service
-        });
-        if !is_changed {
-            return;
-        }
-        turn.log(format!(
-            "event=server_announced server={} service={} phase={:?} slots={} born_ms={} sequence={sequence}",
-            card.id, card.service, card.phase, card.slots, card.born_ms,
-        ));
-        self.guard.server = Some(card);
-        self.guard.paused_until = TimePoint::ORIGIN;
-        self.fit_limit(turn);
-        self.tell_peers(turn);
-    }
-
-    pub(super) fn hear_server_leave(&mut self, turn: &mut Turn<'_>, id: &SmolStr) {
-        let Some(server) = self.guard.server.as_mut().filter(|it| it.id == *id) else { return };
-        if server.phase == ServerPhase::Draining {
-            return;
-        }
-        server.phase = ServerPhase::Draining;
-        turn.log(format!("event=server_leaving server={id}"));
-        self.fit_limit(turn);
-        self.tell_peers(turn);
-    }
-
-    /// Sets the limit to what the backend server takes now; without slots, what waits is refused.
-    pub(super) fn fit_limit(&mut self, turn: &mut Turn<'_>) {
-        let limit = self.guard.wanted_limit(turn.now);
-        let mut verdicts = Vec::new();
-        if limit == 0 {
-            self.guard.queue.clear_waiting(&mut verdicts);
-        }
-        if limit != self.guard.queue.limit() {
-            self.guard.queue.set_limit(turn.now, limit, &mut verdicts);
-        }
-        self.carry_out(turn, verdicts);
-    }
-
     pub(super) fn receive_attempt(
         &mut self,
         turn: &mut Turn<'_>,
@@ -313,7 +251,7 @@
         }
     }
 
-    fn carry_out(&mut self, turn: &mut Turn<'_>, verdicts: Vec<SlotVerdict<RunId>>) {
+    pub(super) fn carry_out(&mut self, turn: &mut Turn<'_>, verdicts: Vec<SlotVerdict<RunId>>) {
         for verdict in verdicts {
             match verdict {
                 SlotVerdict::Start(run) => self.start_run(turn, run),
--- /dev/null
+++ b/crates/ivytrail/src/mesh/intake.rs
@@ -0,0 +1,185 @@
+//! New calls at their entry daemon: their route, their account and what is refused at once.
+
+use std::{cmp::Reverse, sync::Arc, time::Duration};
+
+use super::{
+    MeshReducer, Turn,
+    entry::{CallStage, EntryCall},
+    event::{CallAnswer, CallRequest, MeshEffect},
+    frame::AttemptOrder,
+    log_budget::LineWeight,
+    policy::{AccountPolicy, RoutePolicy},
+    queue::QueueRank,
+    split::WeightedSplit,
+};
+use crate::{
+    id::{AccountName, CallId, ContentDigest, ServiceName},
+    message::{CallOutcome, RefusalReason},
+};
+
+/// When to come back to a daemon that knows no settings yet.
+const NO_SETTINGS_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Part of the repeats that a nested call earns for the entry of the call; the entry of its root gets the rest.
+const CALL_PART: f64 = 0.5;
+
+impl MeshReducer {
+    pub(super) fn receive_call(&mut self, turn: &mut Turn<'_>, request: CallRequest) {
+        let id = request.call;
+        let (route, account) = match self.look_up(&request) {
+            Ok(found) => found,
+            Err(reason) => {
+                let retry_after = match reason {
+                    RefusalReason::StaleSettings => Some(self.jitter(NO_SETTINGS_RETRY_AFTER)),
+                    _ => None,
+                };
+                return self.refuse_early(turn, &request, reason, retry_after);
+            }
+        };
+        let fingerprint = fingerprint_of(&request, account.as_ref().map(|it| &it.name));
+        if let Some(span) = self.quarantine.blocks(turn.now, &fingerprint) {
+            return self.refuse_early(turn, &request, RefusalReason::Quarantined, Some(span));
+        }
+        let Some(service) = self.target_of(&route) else {
+            return self.refuse_early(turn, &request, RefusalReason::NoRoute, None);
+        };
+        let call = self.new_call(turn, request, route, account, service, fingerprint);
+        let n_requests = if call.is_nested() { CALL_PART } else { 1.0 };
+        self.repeats.note_requests(&self.options.repeats, &call.order.service, n_requests);
+        self.entry.timers.push(Reverse((call.deadline, id)));
+        self.entry.calls.insert(id, call);
+        self.check_quota(turn, id);
+    }
+
+    /// Finds the route of a request and the account of its key.
+    fn look_up(
+        &self,
+        request: &CallRequest,
+    ) -> Result<(Arc<RoutePolicy>, Option<Arc<AccountPolicy>>), RefusalReason> {
+        let settings = self.settings.as_ref().ok_or(RefusalReason::StaleSettings)?;
+        let route =
+            settings.route_of(&request.host, &request.target).ok_or(RefusalReason::NoRoute)?;
+        let account = match route.is_public {
+            true => None,
+            false => {
+                let key = request.key.as_ref().ok_or(RefusalReason::BadKey)?;
+                Some(settings.account_of(key).ok_or(RefusalReason::BadKey)?)
+            }
+        };
+        match request.request_id.is_empty() {
+            true => Err(RefusalReason::BadRequest),
+            false => Ok((Arc::clone(route), account.cloned())),
+        }
+    }
+
+    fn new_call(
+        &mut self,
+        turn: &Turn<'_>,
+        request: CallRequest,
+        route: Arc<RoutePolicy>,
+        account: Option<Arc<AccountPolicy>>,
+        service: ServiceName,
+        fingerprint: ContentDigest,
+    ) -> EntryCall {
+        let time_limit = request.time_limit.unwrap_or(route.timeout).min(route.timeout);
+        let parent = self.guard.parent_of(&request.request_id);
+        let root = parent.and_then(|it| self.guard.note_call(it, &route.name));
+        let priority = match (root, &account) {
+            (Some((priority, _)), _) => priority,
+            (None, Some(account)) => account.priority.unwrap_or(route.priority),
+            (None, None) => route.priority,
+        };
+        // Requests without a key are the calls of backend servers.
+        let rank = match account {
+            Some(_) => QueueRank::of_root(priority),
+            None => QueueRank::of_nested(priority),
+        };
+        let order = AttemptOrder {
+            serial: 0,
+            service,
+            route: route.name.clone(),
+            request_id: request.request_id,
+            method: request.method,
+            target: request.target,
+            headers: request.headers,
+            account: account.as_ref().map(|it| it.name.clone()),
+            caller_service: self.options.service.clone(),
+            is_idempotent: route.is_idempotent,
+            rank: rank.0,
+            priority,
+            root_age_us: 0,
+            time_left_us: 0,
+            max_wait_us: 0,
+            fingerprint,
+        };
+        EntryCall {
+            order,
+            body: request.body,
+            parent,
+            route,
+            account,
+            received_at: turn.now,
+            root_start: root.map_or(turn.now, |(_, start)| start),
+            deadline: turn.now.plus(time_limit),
+            stage: CallStage::Deciding,
+            tried: Vec::new(),
+            n_runs: 0,
+            may_have_run: false,
+            has_token: false,
+            fallback: None,
+            retry_after: None,
+        }
+    }
+
+    fn refuse_early(
+        &mut self,
+        turn: &mut Turn<'_>,
+        request: &CallRequest,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+    ) {
+        if self.log.allows(turn.now, LineWeight::Notable) {
+            turn.log(format!(
+                "event=call_refused request={} host={} target={} reason={reason} settings={} outcome=not-run",
+                request.request_id,
+                request.host,
+                request.target,
+                self.settings.as_ref().map_or(0, |it| it.version()),
+            ));
+        }
+        let answer = CallAnswer::Refused { outcome: CallOutcome::NotRun, reason, retry_after };
+        turn.out.push(MeshEffect::Answer { call: request.call, answer });
+    }
+
+    fn target_of(&mut self, route: &RoutePolicy) -> Option<ServiceName> {
+        if let [target] = route.targets.as_slice() {
+            return Some(target.service.clone());
+        }
+        let phase = rand::RngExt::random_range(&mut self.rng, 0.0..1.0);
+        let split = self.splits.entry(route.name.clone()).or_default();
+        if !split.fits(&route.targets) {
+            *split = WeightedSplit::new(&route.targets, phase);
+        }
+        split.next_target().cloned()
+    }
+
+    /// Counts the calls that a client's request will make for the budget of repeats, since a repeat of it makes them
+    /// again.
+    pub(super) fn note_coming_calls(&mut self, id: CallId) {
+        let Some(call) = self.entry.calls.get(&id) else { return };
+        for (service, n_arrivals) in self.costs.arrivals_of(&call.order.route).iter() {
+            if *service != call.order.service {
+                let n_requests = n_arrivals * (1.0 - CALL_PART);
+                self.repeats.note_requests(&self.options.repeats, service, n_requests);
+            }
+        }
+    }
+}
+
+fn fingerprint_of(request: &CallRequest, account: Option<&AccountName>) -> ContentDigest {
+    ContentDigest::of_parts(&[
+        account.map_or(&[], |it| it.as_str().as_bytes()),
+        request.host.as_bytes(),
+        request.target.as_bytes(),
+        &request.body,
+    ])
+}
