Let a costly route pay less of a shortage

Cause: of one rank each request could use the same slot time, so a route that costs twice as much at the short service got half the share.

Ruled out: the ranks; quote-read and track-read have the same.

Change: the share falls with the cost to the power of 0.7.

--- a/crates/ivytrail/src/mesh/gate.rs
+++ b/crates/ivytrail/src/mesh/gate.rs
@@ -3,8 +3,8 @@
 //! A root that is let in and fails at its last call has wasted every slot below it. So roots are decided before they
 //! use anything: the entry knows what a root of each route costs at every service ([`super::cost`]), how many roots the
 //! whole fleet is offered, and the slots of each service. Where the offered slot time exceeds the slots, each route
-//! gets the share that fits: all routes of one rank may use the same slot time for each request that they are offered,
-//! and more urgent ranks several times as much. Every daemon computes the same shares from the same figures.
+//! gets the share that fits: of one rank, more is let in of what costs less there, and of more urgent ranks several times
+//! as much. Every daemon computes the same shares from the same figures.
 //!
 //! Measured pressure on the slots trims what the figures say, since they lag and servers differ.
 
@@ -29,6 +29,9 @@
 const TARGET_USE: f64 = 0.95;
 /// Factor between the slot time that requests of one rank may use and that of the next.
 const RANK_FACTOR: f64 = 6.0;
+/// How much less of a costly route is let in than of a cheap one of its rank: 0 gives both the same share, 1 the same
+/// slot time, which serves most requests and starves the costly route.
+const COST_EXPONENT: f64 = 0.7;
 /// Priority from which on all requests are equally little urgent.
 const LEAST_URGENT: u8 = 6;
 /// Time over which offered requests are averaged.
@@ -284,11 +287,11 @@
         self.demand.get(service).map_or(0.0, |it| it.slot_time_s)
     }
 
-    /// Returns the share at which each request uses `allowance_s` of slot time at a service on average.
+    /// Returns the share that is let in of requests that cost `cost_s` where those that cost `allowance_s` just get in.
     fn share_at(&self, cost_s: f64, allowance_s: f64) -> f64 {
         let (_, rank) = &self.key;
         let steps = i32::from(LEAST_URGENT.saturating_sub(rank.priority()));
-        (allowance_s * RANK_FACTOR.powi(steps) / cost_s).min(1.0)
+        ((allowance_s / cost_s).powf(COST_EXPONENT) * RANK_FACTOR.powi(steps)).min(1.0)
     }
 }
 
