Name the ends of runs in one place

Cause: the guard's log lines and the metrics each had their own list of names. Change: RunEnd::name serves both; the metric tells misdirected runs from rejected ones.

--- a/crates/ivytrail-daemon/src/mesh/metrics.rs
+++ b/crates/ivytrail-daemon/src/mesh/metrics.rs
@@ -98,14 +98,7 @@
 
     /// Counts the end of a run.
     pub fn note_run(&self, end: &RunEnd) {
-        let end = match end {
-            RunEnd::Answered { .. } => "answered",
-            RunEnd::Rejected { .. } => "rejected",
-            RunEnd::NotSent => "not-sent",
-            RunEnd::Broken => "broken",
-            RunEnd::TimedOut => "timed-out",
-        };
-        self.runs.get_or_create(&RunLabels { end }).inc();
+        self.runs.get_or_create(&RunLabels { end: end.name() }).inc();
     }
 
     fn text(&self, shell: &MeshShell) -> String {
--- a/crates/ivytrail/src/mesh/event.rs
+++ b/crates/ivytrail/src/mesh/event.rs
@@ -85,6 +85,20 @@
     TimedOut,
 }
 
+impl RunEnd {
+    /// Returns a name for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            RunEnd::Answered { .. } => "answered",
+            RunEnd::Rejected { is_misdirected: false } => "rejected",
+            RunEnd::Rejected { is_misdirected: true } => "misdirected",
+            RunEnd::NotSent => "not-sent",
+            RunEnd::Broken => "broken",
+            RunEnd::TimedOut => "timed-out",
+        }
+    }
+}
+
 /// A run at the own backend server; unique within one run of the daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RunId(pub u64);
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -313,7 +313,7 @@
                 ended.order.route,
                 started.since(ended.arrived_at).as_millis(),
                 turn.now.since(started).as_millis(),
-                name_of(&end),
+                end.name(),
             ));
         }
         let mut verdicts = Vec::new();
@@ -468,9 +468,7 @@
             self.give_up_run(turn, run);
         }
     }
-}
 
-impl MeshReducer {
     /// Gives up what earlier runs of an entry daemon wait for.
     pub(super) fn give_up_earlier_runs(&mut self, turn: &mut Turn<'_>, member: &MemberId) {
         let earlier: Vec<RunId> = self
@@ -492,14 +490,3 @@
 fn not_run(reason: RefusalReason, retry_after: Option<Duration>) -> AttemptResult {
     AttemptResult::Refused { outcome: CallOutcome::NotRun, reason, retry_after, is_sent: false }
 }
-
-fn name_of(end: &RunEnd) -> &'static str {
-    match end {
-        RunEnd::Answered { .. } => "answered",
-        RunEnd::Rejected { is_misdirected: false } => "rejected",
-        RunEnd::Rejected { is_misdirected: true } => "misdirected",
-        RunEnd::NotSent => "not-sent",
-        RunEnd::Broken => "broken",
-        RunEnd::TimedOut => "timed-out",
-    }
-}
