Remember servers that leave for daemons that start anew beside them

Ruled out: a leave lost in the guard while it runs on; it closes the queue at once and ignores later announcements of the same run.

Change: each daemon remembers the runs of servers that it was told leave; a card that calls one of them ready is corrected, here and at its sender. A leave of a server that the daemon does not know yet is remembered, too.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -21,6 +21,7 @@
 pub mod gate;
 mod guard;
 mod intake;
+mod left;
 mod links;
 mod log_budget;
 pub mod picker;
@@ -43,6 +44,7 @@
     frame::{PeerCard, PeerFrame, ServerCard, ServerLoad},
     gate::EntryGate,
     guard::GuardRuns,
+    left::LeftServers,
     links::PeerLinks,
     log_budget::LogBudget,
     picker::ServerPicker,
@@ -91,6 +93,7 @@
     picker: ServerPicker,
     entry: EntryCalls,
     guard: GuardRuns,
+    left: LeftServers,
     quotas: QuotaBuckets,
     stash: TokenStash,
     repeats: RepeatBudgets,
@@ -136,6 +139,7 @@
             picker: ServerPicker::new(options.domain.clone()),
             entry: EntryCalls::default(),
             guard: GuardRuns::default(),
+            left: LeftServers::default(),
             quotas: QuotaBuckets::default(),
             stash: TokenStash::default(),
             repeats: RepeatBudgets::default(),
@@ -169,7 +173,7 @@
             MeshEvent::ServerAnnounced { card, sequence } => {
                 self.hear_server(&mut turn, card, sequence);
             }
-            MeshEvent::ServerLeft { id } => self.hear_server_leave(&mut turn, &id),
+            MeshEvent::ServerLeft { id } => self.hear_server_leave(&mut turn, &id, 0),
             MeshEvent::SettingsLearned { settings, document } => {
                 self.learn_settings(&mut turn, settings, document);
             }
--- a/crates/ivytrail/src/mesh/announced.rs
+++ b/crates/ivytrail/src/mesh/announced.rs
@@ -19,13 +19,19 @@
                 && current.phase == ServerPhase::Draining
                 && card.phase == ServerPhase::Ready;
             if is_old || is_back {
-                turn.log(format!(
-                    "event=announcement_ignored server={} sequence={sequence} known_sequence={} born_ms={}",
-                    card.id, self.guard.sequence, card.born_ms,
-                ));
-                return;
+                return self.ignore_announcement(turn, &card, sequence, "old");
             }
         }
+        let mut card = card;
+        match self.left.contradicts(turn.now, &card) {
+            // It may be a new run of the server: the next announcement decides.
+            Some(0) => return self.ignore_announcement(turn, &card, sequence, "left"),
+            Some(_) => card.phase = ServerPhase::Draining,
+            None => {}
+        }
+        if card.phase == ServerPhase::Draining {
+            self.left.note(turn.now, &card.id, card.born_ms);
+        }
         self.guard.sequence = sequence;
         let is_changed = self.guard.server.as_ref().is_none_or(|it| {
             it.id != card.id
@@ -47,8 +53,26 @@
         self.tell_peers(turn);
     }
 
-    pub(super) fn hear_server_leave(&mut self, turn: &mut Turn<'_>, id: &SmolStr) {
-        let Some(server) = self.guard.server.as_mut().filter(|it| it.id == *id) else { return };
+    fn ignore_announcement(
+        &self,
+        turn: &mut Turn<'_>,
+        card: &ServerCard,
+        sequence: u64,
+        cause: &str,
+    ) {
+        turn.log(format!(
+            "event=announcement_ignored cause={cause} server={} sequence={sequence} known_sequence={} born_ms={}",
+            card.id, self.guard.sequence, card.born_ms,
+        ));
+    }
+
+    /// Takes it that the server leaves. `born_ms` tells its run, and is 0 when it is not known.
+    pub(super) fn hear_server_leave(&mut self, turn: &mut Turn<'_>, id: &SmolStr, born_ms: u64) {
+        let known = self.guard.server.as_ref().filter(|it| it.id == *id);
+        let born_ms = born_ms.max(known.map_or(0, |it| it.born_ms));
+        self.left.note(turn.now, id, born_ms);
+        let is_of = |it: &&mut ServerCard| it.id == *id && it.born_ms <= born_ms;
+        let Some(server) = self.guard.server.as_mut().filter(is_of) else { return };
         if server.phase == ServerPhase::Draining {
             return;
         }
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -213,6 +213,13 @@
     },
     /// Tells of a request that may crash backend servers.
     Suspicion(Suspicion),
+    /// Tells a daemon that the server beside it has said that it leaves, to an earlier run of the daemon.
+    ServerLeft {
+        /// The server.
+        id: SmolStr,
+        /// Start of the run that leaves, or 0 when it is not known.
+        born_ms: u64,
+    },
     /// Tells of a daemon that has stopped answering.
     Silent {
         /// Its instance.
--- /dev/null
+++ b/crates/ivytrail/src/mesh/left.rs
@@ -0,0 +1,60 @@
+//! Backend servers that have said that they leave, remembered for daemons that start anew beside them.
+//!
+//! A daemon that has acknowledged a leave may end before the server does. Its next run knows nothing of it, and the server
+//! may still answer on its health page; the other daemons tell.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use smol_str::SmolStr;
+
+use super::frame::{ServerCard, ServerPhase};
+use crate::time::TimePoint;
+
+/// Time for which a leave is remembered; servers end some seconds after it.
+const LEAVE_LIFE: Duration = Duration::from_secs(60);
+/// The same, when the run of the server that leaves is not known: a new run may follow under the same name.
+const UNKNOWN_RUN_LIFE: Duration = Duration::from_secs(5);
+
+/// A run of a server that leaves.
+#[derive(Clone, Copy, Debug)]
+struct LeavingRun {
+    /// Start of the run, or 0 when it is not known.
+    born_ms: u64,
+    until: TimePoint,
+}
+
+/// Runs of backend servers that have said that they leave.
+#[derive(Debug, Default)]
+pub(super) struct LeftServers {
+    runs: HashMap<SmolStr, LeavingRun>,
+    order: VecDeque<(TimePoint, SmolStr)>,
+}
+
+impl LeftServers {
+    /// Records that a run of a server leaves. `born_ms` is 0 when the run is not known.
+    pub(super) fn note(&mut self, now: TimePoint, id: &SmolStr, born_ms: u64) {
+        let is_known = self.runs.get(id).is_some_and(|it| born_ms <= it.born_ms);
+        if is_known {
+            return;
+        }
+        let until = now.plus(if born_ms == 0 { UNKNOWN_RUN_LIFE } else { LEAVE_LIFE });
+        self.runs.insert(id.clone(), LeavingRun { born_ms, until });
+        self.order.push_back((now.plus(LEAVE_LIFE), id.clone()));
+        while self.order.front().is_some_and(|(expiry, _)| *expiry < now) {
+            let Some((_, id)) = self.order.pop_front() else { return };
+            if self.runs.get(&id).is_some_and(|it| it.until < now) {
+                self.runs.remove(&id);
+            }
+        }
+    }
+
+    /// Returns the start of the run that leaves, if the card is of it and says that the server takes work.
+    pub(super) fn contradicts(&self, now: TimePoint, card: &ServerCard) -> Option<u64> {
+        let run = self.runs.get(&card.id).filter(|it| now <= it.until)?;
+        let is_same_run = run.born_ms == 0 || card.born_ms <= run.born_ms;
+        (card.phase == ServerPhase::Ready && is_same_run).then_some(run.born_ms)
+    }
+}
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -7,7 +7,7 @@
 use super::{
     MeshReducer, Turn,
     event::{MeshEffect, PeerAddress},
-    frame::{PeerCard, PeerFrame},
+    frame::{PeerCard, PeerFrame, ServerPhase},
     quota::home_of,
 };
 use crate::{
@@ -221,7 +221,13 @@
     }
 
     fn note_card(&mut self, turn: &mut Turn<'_>, card: &PeerCard) {
-        self.picker.note_card(turn.now, card);
+        match card.server.as_ref().and_then(|it| self.left.contradicts(turn.now, it)) {
+            Some(born_ms) => self.correct_card(turn, card, born_ms),
+            None => self.picker.note_card(turn.now, card),
+        }
+        if let Some(server) = card.server.as_ref().filter(|it| it.phase == ServerPhase::Draining) {
+            self.left.note(turn.now, &server.id, server.born_ms);
+        }
         let Some(link) = self.links.get_mut(&card.member.instance) else { return };
         if !link.is_open {
             self.picker.set_reachable(&card.member.instance, false);
@@ -232,6 +238,22 @@
         }
     }
 
+    /// Takes a card that calls a leaving server ready as that of a leaving server, and tells its sender.
+    fn correct_card(&mut self, turn: &mut Turn<'_>, card: &PeerCard, born_ms: u64) {
+        let mut corrected = card.clone();
+        let Some(server) = &mut corrected.server else { return };
+        server.phase = ServerPhase::Draining;
+        let peer = &card.member.instance;
+        turn.log(format!("event=card_corrected peer={peer} server={} phase=Draining", server.id));
+        // Without the start of the run, the server may be a new one of the same name.
+        if born_ms != 0 {
+            let frame = PeerFrame::ServerLeft { id: server.id.clone(), born_ms };
+            turn.send(peer, frame.clone(), Bytes::new());
+            turn.send_back(peer, frame, Bytes::new());
+        }
+        self.picker.note_card(turn.now, &corrected);
+    }
+
     pub(super) fn receive_frame(
         &mut self,
         turn: &mut Turn<'_>,
@@ -276,6 +298,7 @@
                 self.gate.note_demand(peer, demand);
                 self.costs.note_report(peer, costs);
             }
+            PeerFrame::ServerLeft { id, born_ms } => self.hear_server_leave(turn, &id, born_ms),
             PeerFrame::Silent { instance } => self.hear_of_silence(turn, &instance),
             PeerFrame::Suspicion(suspicion) => self.quarantine.absorb(turn.now, &suspicion),
         }
