--- a/tests/src/fault.rs
+++ b/tests/src/fault.rs
@@ -28,7 +28,7 @@
 
 /// Services of the instances.
 const SERVICES: [&str; 6] = ["booking", "tracker", "booking", "tracker", "booking", "tracker"];
-/// Requests that each client sends at once; the next follows the answer.
+/// Clients at each instance; each sends one request after the other.
 const CLIENTS_PER_INSTANCE: usize = 3;
 /// Deadline of a request, as its client says it.
 const DEADLINE: Duration = Duration::from_millis(1_500);
