Take nothing new in the second half of a leaving daemon's grace

A daemon whose clients stayed took requests until two seconds before the end of its grace, and exits half a second before it; quotes run for up to 4.9 s.

Ruled out: the closing of connections with requests under way; hyper ends them only after the answer.

Change: the listener and idle connections close three seconds before the end of the grace, and not before clients had time to notice.

Test first: a_leaving_daemon_takes_nothing_that_it_can_not_finish (two requests that ran were cut).

--- a/crates/ivytrail-daemon/src/mesh.rs
+++ b/crates/ivytrail-daemon/src/mesh.rs
@@ -36,8 +36,9 @@
 const LEAVE_NOTICE: Duration = Duration::from_millis(2_300);
 /// Time for which nothing may be under way before a leaving daemon exits.
 const QUIET_BEFORE_EXIT: Duration = Duration::from_millis(150);
-/// Time before the end of the grace at which a daemon whose clients stay closes their connections.
-const CLOSING_TIME: Duration = Duration::from_millis(2_000);
+/// Time before the end of the grace at which a daemon whose clients stay takes nothing new and closes their
+/// connections, so that what it has taken ends before it exits.
+const CLOSING_TIME: Duration = Duration::from_millis(3_000);
 /// Time before the end of the grace at which the daemon exits whatever is under way.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Time for which written answers may still be on their way to clients.
@@ -163,7 +164,7 @@
         let is_quiet = QUIET_BEFORE_EXIT <= self.busy_at.elapsed();
         if !self.is_closing {
             let is_noticed = is_quiet && LEAVE_NOTICE <= elapsed;
-            if is_noticed || grace.saturating_sub(CLOSING_TIME) <= elapsed {
+            if is_noticed || grace.saturating_sub(CLOSING_TIME).max(LEAVE_NOTICE) <= elapsed {
                 self.is_closing = true;
                 self.busy_at = Instant::now();
                 log::info!("event=closing_clients elapsed_ms={}", elapsed.as_millis());
--- a/tests/tests/site_processes.rs
+++ b/tests/tests/site_processes.rs
@@ -182,3 +182,31 @@
     assert!(!site.table.has_row("ivytrail-daemons", "instance-gone"));
     Ok(())
 }
+
+/// Clients that keep sending until the end: what a leaving daemon still takes, it answers before it exits.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_daemon_takes_nothing_that_it_can_not_finish() -> Result<()> {
+    const N_CLIENTS: u64 = 10;
+    let _turn = MESH_TURN.lock().await;
+    let site = TestSite::start().await?;
+    let site_ref = &site;
+    site.terminate(0)?;
+
+    let clients = (0..N_CLIENTS).map(|client| async move {
+        sleep(Duration::from_millis(190 * client)).await;
+        let mut unanswered = Vec::new();
+        for n in 0..4 {
+            let id = format!("late-{client}-{n}");
+            let is_answered = site_ref.send(0, "/track/1900", &id).await.is_ok();
+            if !is_answered && 0 < site_ref.n_runs_of(&id) {
+                unanswered.push(id);
+            }
+        }
+        unanswered
+    });
+    let unanswered: Vec<String> =
+        futures_util::future::join_all(clients).await.into_iter().flatten().collect();
+
+    assert_eq!(unanswered, Vec::<String>::new(), "log:\n{}", site.log_of(0));
+    Ok(())
+}
