Count silence and evidence from a daemon's return after a suspension

A daemon that had been stopped for 6 s took the other member of its ring of two for silent, since its own silence had hidden the messages, and voted against it, while the other had voted against the stopped one. One vote blocks a lease in a ring of two and votes last, so that the ring had no owner again.

Ruled out: rings of one, relayed evidence.

Change: the reducer notices that no event came for a second and logs it; rings count silence from then on, the watch drops its evidence. Two tests, each seen to fail with its half of the change taken out.

--- a/crates/ivytrail/src/authority.rs
+++ b/crates/ivytrail/src/authority.rs
@@ -165,6 +165,15 @@
         self.standing.on_evidence(sent_at, head);
     }
 
+    /// Drops the evidence after this process was suspended: much may have been changed meanwhile, and a new question is
+    /// answered within milliseconds.
+    pub fn resume(&mut self) {
+        self.evidence = None;
+        self.rounds.clear();
+        self.next_ask = TimePoint::ORIGIN;
+        self.next_round = TimePoint::ORIGIN;
+    }
+
     /// Does what is due, and returns the messages to send.
     pub fn tick(&mut self, context: &AuthorityContext<'_>) -> Vec<(MemberId, AuthorityMessage)> {
         self.standing.refresh(&self.me.member, context);
--- a/crates/ivytrail/src/lease/ring.rs
+++ b/crates/ivytrail/src/lease/ring.rs
@@ -37,7 +37,8 @@
     pub(super) me: MemberId,
     pub(super) options: LeaseOptions,
     pub(super) definition: Option<RingDefinition>,
-    installed_at: TimePoint,
+    /// Since when this daemon has listened to the members of the definition in force.
+    listening_since: TimePoint,
     next_ask: TimePoint,
     /// Ends of the promises held in this epoch, on this daemon's clock.
     promises: BTreeMap<MemberId, TimePoint>,
@@ -59,7 +60,7 @@
             me,
             options,
             definition: None,
-            installed_at: TimePoint::ORIGIN,
+            listening_since: TimePoint::ORIGIN,
             next_ask: TimePoint::ORIGIN,
             promises: BTreeMap::new(),
             self_granted: false,
@@ -102,7 +103,7 @@
             self.join(&definition);
         }
         self.definition = Some(definition);
-        self.installed_at = now;
+        self.listening_since = now;
         self.next_ask = now;
         self.promises.clear();
         self.self_granted = false;
@@ -166,6 +167,12 @@
         }
     }
 
+    /// Notes that this process was suspended until `now`: it could not have heard the others before, so that their
+    /// silence proves nothing.
+    pub fn resume(&mut self, now: TimePoint) {
+        self.listening_since = now;
+    }
+
     /// Returns whether this daemon holds its lease at `now`.
     ///
     /// It must be checked at the moment of each start of a run, which must follow within
@@ -394,7 +401,7 @@
     fn is_silent(&self, now: TimePoint, member: &MemberId) -> bool {
         let heard = self.grants.heard_at(member).unwrap_or(TimePoint::ORIGIN);
         let patience = self.options.promise + self.options.fence_margin;
-        heard.max(self.installed_at).plus(patience) <= now && self.is_released(now, member)
+        heard.max(self.listening_since).plus(patience) <= now && self.is_released(now, member)
     }
 
     /// Records the first lease of this epoch: from now on no lease of an earlier epoch stands, so that members that
--- a/crates/ivytrail/src/lease/tests.rs
+++ b/crates/ivytrail/src/lease/tests.rs
@@ -103,6 +103,19 @@
     assert!(!rings[0].holds_lease(now));
 }
 
+#[test]
+fn two_members_do_not_vote_against_each_other_after_one_was_suspended() {
+    let mut rings = rings(&["a", "b"]);
+    run(&mut rings, &[0, 1], 0, 10);
+    run(&mut rings, &[1], 10, 16);
+
+    rings[0].resume(TimePoint::from_millis(16_000));
+    run(&mut rings, &[0, 1], 16, 20);
+
+    let now = TimePoint::from_millis(20_000);
+    assert!(rings[1].holds_lease(now) || rings[1].wanted_change(now, &[]).is_some());
+}
+
 #[test]
 fn a_member_is_added_only_after_a_fenced_one_is_dropped() {
     let mut rings = rings(&["a", "b", "c"]);
--- a/crates/ivytrail/src/reducer.rs
+++ b/crates/ivytrail/src/reducer.rs
@@ -98,6 +98,9 @@
 /// Time without an announcement after which the backend server counts as silent.
 const ANNOUNCEMENT_PATIENCE: Duration = Duration::from_secs(2);
 
+/// Time without any event after which this process counts as suspended; ticks come every few milliseconds.
+const SUSPENSION_GAP: Duration = Duration::from_secs(1);
+
 /// Who a daemon is.
 #[derive(Clone, Debug)]
 pub struct DaemonIdentity {
@@ -142,6 +145,8 @@
     quarantine: CrashQuarantine,
     backend: BackendWatch,
     control: ControlPlane,
+    /// Time of the last event.
+    active_at: TimePoint,
     rng: StdRng,
 }
 
@@ -229,6 +234,7 @@
             quarantine: CrashQuarantine::new(identity.member.clone()),
             backend: BackendWatch::default(),
             control: ControlPlane::new(&identity, number),
+            active_at: TimePoint::ORIGIN,
             rng: StdRng::seed_from_u64(number.rotate_left(17)),
             identity,
         }
@@ -237,6 +243,7 @@
     /// Applies one event and returns what has to be done for it.
     pub fn apply(&mut self, event: TimedEvent) -> Vec<DaemonEffect> {
         let mut turn = Turn { now: event.now, wall: event.wall, out: Vec::new() };
+        self.notice_suspension(&mut turn);
         match event.event {
             DaemonEvent::CallReceived(request) => self.receive_call(&mut turn, request),
             DaemonEvent::AttemptAnswered { reply, body } => {
@@ -309,6 +316,18 @@
         self.admission.load()
     }
 
+    /// Drops beliefs that rest on the silence of others when this process itself was silent.
+    fn notice_suspension(&mut self, turn: &mut Turn) {
+        let gap = turn.now.since(self.active_at);
+        let was_active = TimePoint::ORIGIN < self.active_at;
+        self.active_at = turn.now;
+        if was_active && SUSPENSION_GAP < gap {
+            turn.log(format!("event=suspended gap_ms={}", gap.as_millis()));
+            self.control.rings.resume(turn.now);
+            self.desk.watch.resume();
+        }
+    }
+
     fn tick(&mut self, turn: &mut Turn) {
         self.tick_calls(turn);
         self.tick_runs(turn);
--- a/crates/ivytrail/src/reducer/rings.rs
+++ b/crates/ivytrail/src/reducer/rings.rs
@@ -107,6 +107,13 @@
         }
     }
 
+    /// Notes in each ring that this process was suspended until `now`.
+    pub(super) fn resume(&mut self, now: TimePoint) {
+        for ring in self.rings.values_mut() {
+            ring.resume(now);
+        }
+    }
+
     /// Does what is due in each ring.
     pub(super) fn tick(&mut self, now: TimePoint, out: &mut Vec<(MemberId, LeaseMessage)>) {
         for ring in self.rings.values_mut() {
--- a/tests/src/daemons/platform.rs
+++ b/tests/src/daemons/platform.rs
@@ -52,6 +52,13 @@
         true
     }
 
+    /// Returns the definition of a ring in force.
+    pub(super) fn ring(&self, name: &str) -> Option<RingDefinition> {
+        let read = TableRead { keys: vec![format!("ring/{name}")], ranges: Vec::new() };
+        let row = self.table.read(&read).rows.pop()?;
+        Some(decode_row(&row).expect("a row of a ring"))
+    }
+
     pub(super) fn remove_member(&mut self, now: u64, member: &MemberId) {
         if self.down_until <= now {
             let key = MemberView::row_key(&member.instance);
--- a/tests/tests/reducer_faults.rs
+++ b/tests/tests/reducer_faults.rs
@@ -161,3 +161,24 @@
     let text = format!("{effects:?}");
     assert!(text.contains("outcome: Unknown"), "{text}");
 }
+
+/// A daemon that was suspended for less time than its evidence lasts used to let a withdrawn key in when it went on.
+#[test]
+fn a_daemon_that_was_suspended_relies_on_no_old_evidence() {
+    let firm = stratolift();
+    let services = [firm.service(RouteRole::OuterWriting), firm.service(RouteRole::InnerWriting)];
+    let mut fleet = Fleet::new(firm, &services, 5);
+    let withdrawn_at = 9_200 * MS;
+    fleet.schedule_fault(withdrawn_at, FleetFault::Withdraw(0));
+    fleet.schedule_fault(withdrawn_at + MS, FleetFault::Pause(1, 2_500, false));
+    for request in 1..=20 {
+        let route = fleet.firm.route(RouteRole::InnerWriting);
+        fleet.schedule_call(CallerScript::new(withdrawn_at + 2_000 * MS, request, route, 1));
+    }
+
+    fleet.run_until(20_000 * MS);
+
+    let let_in = fleet.calls.values().filter(|it| !it.attempts.is_empty()).count();
+    assert_eq!(let_in, 0, "requests with a withdrawn key were let in");
+    assert_eq!(check_fleet(&fleet), Vec::<String>::new());
+}
