Let what is held against a server fade while it gets no work

The picker's figure for its pace moves only with answers, of which it got none, and its guard's pressure only with arrivals, so that 0.7 stayed, 0.23 on average, and held the gate's trim at its lower bound. Ruled out: queues at the other servers (waits of 0 and 2 ms).

Change: pressure fades after 100 ms without an attempt; pace and failures fade to a third in 3 s without an answer, and the next answer counts the more. Three tests of these patterns fail without the change.

--- a/crates/ivytrail/src/mesh/picker.rs
+++ b/crates/ivytrail/src/mesh/picker.rs
@@ -13,8 +13,10 @@
 
 /// Weight of the newest sample in the mean of a route's run times.
 const ROUTE_GAIN: f64 = 0.05;
-/// Weight of the newest sample in a server's pace.
+/// Weight of the newest sample in a server's pace while answers come often.
 const PACE_GAIN: f64 = 0.05;
+/// Time in which what is held against a server fades to a third while it gets no work.
+const JUDGEMENT_LIFE: Duration = Duration::from_secs(3);
 /// Bounds of one sample of a server's pace.
 const PACE_BOUNDS: (f64, f64) = (0.2, 8.0);
 /// Run time that is assumed of a route before the first answer.
@@ -59,6 +61,8 @@
     n_outstanding: u32,
     pace: f64,
     failure_share: f64,
+    /// When the last answer or failure came.
+    judged_at: TimePoint,
     n_failures_in_a_row: u32,
     n_ejections: u32,
     ejected_until: TimePoint,
@@ -125,6 +129,7 @@
                 n_outstanding: 0,
                 pace: 1.0,
                 failure_share: 0.0,
+                judged_at: now,
                 n_failures_in_a_row: 0,
                 n_ejections: 0,
                 ejected_until: TimePoint::ORIGIN,
@@ -213,7 +218,7 @@
                 let mean = self.route_runs.entry(route.clone()).or_insert(run_s);
                 *mean += ROUTE_GAIN * (run_s - *mean);
                 let pace = (run_s / mean.max(1e-4)).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
-                record.pace += PACE_GAIN * (pace - record.pace);
+                record.note_pace(now, pace);
                 record.note_result(now, true);
             }
             AttemptNews::Failed => record.note_result(now, false),
@@ -267,9 +272,28 @@
         self.n_sent = 0;
     }
 
+    /// Returns how much of what is held against the server still counts.
+    fn judgement(&self, now: TimePoint) -> f64 {
+        (-now.since(self.judged_at).as_secs_f64() / JUDGEMENT_LIFE.as_secs_f64()).exp()
+    }
+
+    /// Returns the server's run time as a multiple of the mean.
+    fn pace_at(&self, now: TimePoint) -> f64 {
+        1.0 + (self.pace - 1.0) * self.judgement(now)
+    }
+
+    /// Takes a sample of the pace; the longer none came, the more it counts.
+    fn note_pace(&mut self, now: TimePoint, sample: f64) {
+        let gain = PACE_GAIN.max(1.0 - self.judgement(now));
+        let pace = self.pace_at(now);
+        self.pace = pace + gain * (sample - pace);
+    }
+
     fn note_result(&mut self, now: TimePoint, is_good: bool) {
         let sample = if is_good { 0.0 } else { 1.0 };
+        self.failure_share *= self.judgement(now);
         self.failure_share += FAILURE_GAIN * (sample - self.failure_share);
+        self.judged_at = now;
         self.n_failures_in_a_row = if is_good { 0 } else { self.n_failures_in_a_row + 1 };
         if is_good {
             if self.ejected_until <= now {
@@ -291,12 +315,13 @@
         let usage = busy / limit;
         let cold = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
         let nearly_full = ((usage - NEARLY_FULL) / (1.0 - NEARLY_FULL)).clamp(0.0, 1.0);
-        let run_s = route_run_s * self.pace * cold * (1.0 + FULL_PENALTY * nearly_full);
+        let run_s = route_run_s * self.pace_at(now) * cold * (1.0 + FULL_PENALTY * nearly_full);
         let mean_run_s = f64::from(self.load.mean_run_us) / 1e6;
         let wait_s = (busy + 1.0 - limit).max(0.0) / limit * mean_run_s.max(1e-3);
         let remote_part = if self.domain == *domain { nearly_full } else { 1.0 };
         let remote_s = REMOTE_PENALTY_S * remote_part;
-        (run_s + wait_s) * (1.0 + FAILURE_COST * self.failure_share) + remote_s
+        let failure_share = self.failure_share * self.judgement(now);
+        (run_s + wait_s) * (1.0 + FAILURE_COST * failure_share) + remote_s
     }
 }
 
--- a/crates/ivytrail/src/mesh/picker/tests.rs
+++ b/crates/ivytrail/src/mesh/picker/tests.rs
@@ -90,6 +90,43 @@
     assert_eq!(pick(&picker, NOW, &[]).as_deref(), Some("fast"));
 }
 
+/// Pattern: a server is slow for some seconds, gets no work, and recovers unseen while the others are overloaded.
+#[test]
+fn a_server_that_was_slow_is_tried_again_and_judged_by_the_first_answer() {
+    let mut picker = picker_of(&[card("slow", "kolkata"), card("fast", "kolkata")]);
+    let answered = |millis| AttemptNews::Answered { run: Duration::from_millis(millis) };
+    for _ in 0..200 {
+        picker.note_end(NOW, &"slow".into(), &"book".into(), answered(2_000), None);
+        picker.note_end(NOW, &"fast".into(), &"book".into(), answered(100), None);
+    }
+    let later = NOW.plus(JUDGEMENT_LIFE * 3);
+    let expected_s = |picker: &ServerPicker, now| {
+        picker.records[&InstanceName::from("slow")].expected_s(now, 0.1, &"kolkata".into())
+    };
+    let slow_s = expected_s(&picker, NOW);
+
+    let tried_again_s = expected_s(&picker, later);
+    picker.note_end(later, &"slow".into(), &"book".into(), answered(20_000), None);
+    let still_slow_s = expected_s(&picker, later);
+
+    assert!(tried_again_s < 0.12, "{slow_s} before, {tried_again_s} later");
+    assert!(slow_s < still_slow_s, "{slow_s} before, {still_slow_s} after one more slow answer");
+}
+
+/// Failures that lie back must not keep a server out for ever.
+#[test]
+fn a_server_that_failed_is_trusted_again_with_time() {
+    let mut picker = picker_of(&[card("bad", "kolkata")]);
+    for _ in 0..50 {
+        picker.note_end(NOW, &"bad".into(), &"book".into(), AttemptNews::Failed, None);
+    }
+    let expected_s =
+        |now| picker.records[&InstanceName::from("bad")].expected_s(now, 0.1, &"kolkata".into());
+
+    assert!(0.3 < expected_s(NOW));
+    assert!(expected_s(NOW.plus(JUDGEMENT_LIFE * 4)) < 0.12);
+}
+
 #[test]
 fn a_failing_server_is_left_alone_and_tried_again_later() {
     let mut picker = picker_of(&[card("bad", "kolkata"), card("good", "durgapur")]);
--- a/crates/ivytrail/src/mesh/queue.rs
+++ b/crates/ivytrail/src/mesh/queue.rs
@@ -24,6 +24,8 @@
 const FIRST_RUN_TIME: Duration = Duration::from_millis(100);
 /// Time over which the pressure on the slots is averaged.
 const PRESSURE_WINDOW: Duration = Duration::from_millis(500);
+/// Time without an attempt of a kind from which on its pressure fades.
+const PRESSURE_LULL: Duration = Duration::from_millis(100);
 
 /// Least weight of one attempt in the pressure.
 const MIN_PRESSURE_GAIN: f64 = 0.01;
@@ -201,8 +203,10 @@
         self.waiting.remove(&place).is_some()
     }
 
-    /// Refuses the attempts that have waited for as long as they may.
+    /// Refuses the attempts that have waited for as long as they may, and lets the pressure fade where none came.
     pub fn expire(&mut self, now: TimePoint, out: &mut Vec<SlotVerdict<K>>) {
+        self.nested.fade(now);
+        self.roots.fade(now);
         if self.waiting.is_empty() {
             return;
         }
@@ -281,6 +285,12 @@
         let gain = (1.0 - (-elapsed / PRESSURE_WINDOW.as_secs_f64()).exp()).max(MIN_PRESSURE_GAIN);
         self.share += gain * (sample - self.share);
     }
+
+    fn fade(&mut self, now: TimePoint) {
+        if PRESSURE_LULL <= now.since(self.noted_at) {
+            self.note(now, 0.0);
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/ivytrail/src/mesh/queue/tests.rs
+++ b/crates/ivytrail/src/mesh/queue/tests.rs
@@ -151,3 +151,20 @@
         }
     }
 }
+
+/// Pattern: a server that was overloaded gets no more work. Its pressure must not stay and close the gate for all.
+#[test]
+fn the_pressure_fades_when_nothing_arrives() {
+    let mut queue = queue_of(1);
+    for key in 0..100 {
+        let now = u64::from(key) * 5;
+        offer(&mut queue, now, ticket(key, QueueRank::of_nested(0), now + 20));
+    }
+    assert!(0.3 < queue.pressure(), "{}", queue.pressure());
+
+    for tick in 0..100 {
+        queue.expire(at(600 + tick * 20), &mut Vec::new());
+    }
+
+    assert!(queue.pressure() < 0.05, "{}", queue.pressure());
+}
