Guard the server beside a leaving daemon until its clients have gone elsewhere

The backend server lives on all the while. Ruled out: the restart itself (0.2 to 0.5 s).

Change: a stop request makes the daemon not ready; other daemons are told that it leaves only when it closes its clients' connections, after 2.3 s or in the second half of the grace. Test: a_leaving_daemon_takes_attempts_until_its_guard_closes (fails without the change). The test that a leaving daemon gets nothing new now plays both steps.

--- a/crates/ivytrail-daemon/src/mesh.rs
+++ b/crates/ivytrail-daemon/src/mesh.rs
@@ -144,7 +144,7 @@
 struct LeaveProgress {
     started: Instant,
     busy_at: Instant,
-    /// Whether clients' connections have been told to close.
+    /// Whether clients' connections have been told to close, and other daemons to send nothing more.
     is_closing: bool,
 }
 
@@ -153,10 +153,14 @@
         LeaveProgress { started: Instant::now(), busy_at: Instant::now(), is_closing: false }
     }
 
-    /// Returns whether the daemon may exit. It first serves on, until clients have gone elsewhere or little of the
-    /// grace is left; then it closes its connections as they become idle, and exits when nothing is under way.
-    fn is_over(&mut self, shell: &MeshShell, grace: Duration) -> bool {
-        let is_idle = shell.inspect(MeshReducer::is_idle);
+    /// Returns whether the daemon may exit. It first serves on, as entry until clients have gone elsewhere and as guard
+    /// so that the slots beside it stay in use. Then it closes its connections as they become idle, takes nothing more
+    /// from other daemons, and exits when nothing is under way.
+    fn is_over(&mut self, shell: &Rc<MeshShell>, grace: Duration) -> bool {
+        let is_idle = match self.is_closing {
+            true => shell.inspect(MeshReducer::is_idle),
+            false => shell.inspect(MeshReducer::is_entry_idle),
+        };
         if !is_idle {
             self.busy_at = Instant::now();
         }
@@ -168,6 +172,7 @@
                 self.is_closing = true;
                 self.busy_at = Instant::now();
                 log::info!("event=closing_clients elapsed_ms={}", elapsed.as_millis());
+                shell.apply(MeshEvent::GuardClosed);
                 shell.close_clients();
             }
             return false;
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -39,7 +39,7 @@
 use self::{
     budget::{RepeatBudgets, RepeatPolicy},
     cost::CostBook,
-    entry::EntryCalls,
+    entry::{EntryCall, EntryCalls},
     event::{MeshEffect, MeshEvent, PeerAddress},
     frame::{PeerCard, PeerFrame, ServerCard, ServerLoad},
     gate::EntryGate,
@@ -89,6 +89,8 @@
     /// The settings in force as they lie in the platform's table, for peers that lack them.
     document: Bytes,
     is_leaving: bool,
+    /// Whether others have been told to send no more attempts to the guard here.
+    is_guard_closed: bool,
     links: PeerLinks,
     picker: ServerPicker,
     entry: EntryCalls,
@@ -135,6 +137,7 @@
             settings: None,
             document: Bytes::new(),
             is_leaving: false,
+            is_guard_closed: false,
             links: PeerLinks::default(),
             picker: ServerPicker::new(options.domain.clone()),
             entry: EntryCalls::default(),
@@ -179,6 +182,7 @@
             }
             MeshEvent::PeersLearned(peers) => self.learn_peers(&mut turn, peers),
             MeshEvent::StopRequested => self.start_leaving(&mut turn),
+            MeshEvent::GuardClosed => self.close_guard(&mut turn),
             MeshEvent::Tick => self.tick(&mut turn),
         }
     }
@@ -193,6 +197,11 @@
         self.entry.is_empty() && self.guard.is_idle()
     }
 
+    /// Returns whether no client waits for an answer here.
+    pub fn is_entry_idle(&self) -> bool {
+        self.entry.calls.values().all(EntryCall::is_nested)
+    }
+
     /// Returns whether the daemon is about to exit.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving
@@ -236,7 +245,7 @@
             address: self.options.address.clone(),
             server: self.guard.server().cloned(),
             settings_version: self.settings.as_ref().map_or(0, |it| it.version()),
-            is_leaving: self.is_leaving,
+            is_leaving: self.is_guard_closed,
             load: self.guard.load(),
         }
     }
@@ -280,9 +289,18 @@
     }
 
     fn start_leaving(&mut self, turn: &mut Turn<'_>) {
-        if !self.is_leaving {
-            self.is_leaving = true;
-            turn.log("event=leaving".to_string());
+        if self.is_leaving {
+            return;
+        }
+        self.is_leaving = true;
+        turn.log("event=leaving".to_string());
+    }
+
+    fn close_guard(&mut self, turn: &mut Turn<'_>) {
+        self.start_leaving(turn);
+        if !self.is_guard_closed {
+            self.is_guard_closed = true;
+            turn.log(format!("event=guard_closed running={}", self.guard.attempts.len()));
             self.tell_peers(turn);
         }
     }
--- a/crates/ivytrail/src/mesh/event.rs
+++ b/crates/ivytrail/src/mesh/event.rs
@@ -175,6 +175,8 @@
     PeersLearned(Vec<PeerAddress>),
     /// A signal asks the daemon to leave.
     StopRequested,
+    /// The guard takes nothing more, since the daemon is about to exit.
+    GuardClosed,
     /// Time has passed.
     Tick,
 }
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -341,6 +341,7 @@
     let run = fleet.only_run();
 
     fleet.apply(1, MeshEvent::StopRequested);
+    fleet.apply(1, MeshEvent::GuardClosed);
     for id in 10..20 {
         fleet.call(0, call_of(id, "book"));
     }
@@ -353,6 +354,20 @@
     assert_eq!(fleet.status_of(1), Some(200));
 }
 
+/// Pattern: daemons are stopped and started in turn. The slots beside each stay in use until shortly before it ends.
+#[test]
+fn a_leaving_daemon_takes_attempts_until_its_guard_closes() {
+    let mut fleet = TestFleet::start();
+
+    fleet.apply(1, MeshEvent::StopRequested);
+    for id in 10..30 {
+        fleet.call(0, call_of(id, "book"));
+    }
+
+    assert!(!fleet.daemon(1).is_ready());
+    assert!(fleet.runs().iter().any(|it| it.daemon == 1), "the leaving daemon got no work");
+}
+
 #[test]
 fn a_silent_link_is_pinged_and_then_dialed_anew() {
     let mut fleet = TestFleet::start();
