Let a request over its quota come back within its target latency

Change: the wait after a denial is 300 ms at most and a quarter of the route's target latency at most, as after a refusal by the gate. Test: a_request_over_the_rate_may_come_back_within_its_target_latency (361 ms of 200 without the change).

--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -29,7 +29,7 @@
 /// Part of the target latency that a client's request may wait for a slot.
 const ROOT_WAIT_SHARE: f64 = 0.125;
 /// Part of the target latency after which a request that was not let in shall come back.
-const COMEBACK_SHARE: f64 = 0.25;
+pub(super) const COMEBACK_SHARE: f64 = 0.25;
 /// Part of the time left that a nested call may wait for a slot.
 const NESTED_WAIT_SHARE: f64 = 0.6;
 /// Guards that are asked for a slot before a request is refused.
--- a/crates/ivytrail/src/mesh/quota_flow.rs
+++ b/crates/ivytrail/src/mesh/quota_flow.rs
@@ -6,7 +6,7 @@
 
 use super::{
     MeshReducer, Turn,
-    entry::{CallStage, EntryCall},
+    entry::{COMEBACK_SHARE, CallStage, EntryCall},
     frame::PeerFrame,
     log_budget::LineWeight,
     policy::AccountPolicy,
@@ -20,7 +20,7 @@
 
 /// Longest wait for the answer of an account's home.
 const QUOTA_PATIENCE: Duration = Duration::from_millis(100);
-/// When to come back after the account's rate was spent.
+/// Longest wait that is asked for after the account's rate was spent.
 const DENIED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 impl MeshReducer {
@@ -134,7 +134,8 @@
                 call.account.as_ref().map_or("", |it| it.name.as_str()),
             ));
         }
-        let retry_after = Some(self.jitter(DENIED_RETRY_AFTER));
+        let wait = DENIED_RETRY_AFTER.min(call.route.target_latency.mul_f64(COMEBACK_SHARE));
+        let retry_after = Some(self.jitter(wait));
         self.refuse(turn, id, RefusalReason::OverQuota, retry_after);
     }
 
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use self::fleet::{CLIENT, TestFleet, answered, call_of, refused, server_card};
+use self::fleet::{CLIENT, RELEASE_TARGET, TestFleet, answered, call_of, refused, server_card};
 use super::{
     event::{CallAnswer, MeshEvent, RunEnd},
     frame::ServerPhase,
@@ -472,3 +472,19 @@
     // Two seconds at ten a second, and at most the burst.
     assert!((18..=31).contains(&n_served), "{n_served} served, {n_denied} denied");
 }
+
+/// A request that waits for its account's rate must come back while its answer still counts as prompt.
+#[test]
+fn a_request_over_the_rate_may_come_back_within_its_target_latency() {
+    let mut fleet = TestFleet::start();
+    fleet.set_quota(10.0, 10.0);
+
+    let answers = (0..60).map(|id| fleet.serve(0, call_of(id, "release"))).collect::<Vec<_>>();
+
+    let waits = answers.iter().filter_map(|answer| match answer {
+        CallAnswer::Refused { retry_after, .. } => *retry_after,
+        CallAnswer::Whole { .. } => None,
+    });
+    let longest = waits.max().expect("some are over the rate");
+    assert!(longest < RELEASE_TARGET / 2, "{longest:?}");
+}
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -106,14 +106,18 @@
     }
 }
 
+const READ_TARGET: Duration = Duration::from_millis(1_500);
+/// Target latency of the route `release`.
+pub(super) const RELEASE_TARGET: Duration = Duration::from_millis(200);
+
 fn settings_of(version: u64, rate_per_s: f64, burst: f64) -> Arc<FleetSettings> {
-    let route = |name: &str, service: &str, is_idempotent: bool| RoutePolicy {
+    let route = |name: &str, service: &str, is_idempotent: bool, target_latency| RoutePolicy {
         name: name.into(),
         host: "a.example".to_string(),
         prefix: format!("/{name}/"),
         is_idempotent,
         timeout: TIMEOUT,
-        target_latency: Duration::from_millis(1_500),
+        target_latency,
         priority: 0,
         targets: vec![RouteTarget { service: service.into(), weight: 1 }],
         max_attempts: 2,
@@ -128,7 +132,11 @@
     };
     Arc::new(FleetSettings::new(FleetDeclaration {
         version,
-        routes: vec![route("track", "tracker", true), route("book", "booking", false)],
+        routes: vec![
+            route("track", "tracker", true, READ_TARGET),
+            route("book", "booking", false, READ_TARGET),
+            route("release", "booking", false, RELEASE_TARGET),
+        ],
         accounts: vec![account],
         ..FleetDeclaration::default()
     }))
