Keep calls in their failure domain where all servers are full

Change: the lead shrinks by the product of the own server's fullness and the room of the emptiest remote one. Test: calls_stay_in_their_domain_where_all_are_full.

--- a/crates/ivytrail/src/mesh/picker.rs
+++ b/crates/ivytrail/src/mesh/picker.rs
@@ -242,7 +242,9 @@
         let run_s = self.route_run(route).as_secs_f64();
         let candidates =
             || self.open_servers(service).filter(|record| !tried.contains(&record.instance));
-        let cost = |record: &&ServerRecord| record.expected_s(now, run_s, &self.domain);
+        let spare = candidates().map(|it| self.remote_spare(it)).fold(0.0, f64::max);
+        let cost =
+            |record: &&ServerRecord| record.expected_s(now, run_s) + self.hop_s(record, spare);
         let best = |it: &&ServerRecord, other: &&ServerRecord| cost(it).total_cmp(&cost(other));
         candidates()
             .filter(|record| record.ejected_until <= now && !record.is_silent)
@@ -251,6 +253,18 @@
             .map(|record| &record.instance)
     }
 
+    /// Returns how much room a server in another domain has, from 0 (full) to 1.
+    fn remote_spare(&self, record: &ServerRecord) -> f64 {
+        if record.domain == self.domain { 0.0 } else { 1.0 - record.fullness() }
+    }
+
+    /// Returns what the hop to a server adds, in seconds: the own domain loses its lead as it fills while `spare` room is
+    /// left elsewhere. Where all servers are full, none is gained by crossing.
+    fn hop_s(&self, record: &ServerRecord, spare: f64) -> f64 {
+        let part = if record.domain == self.domain { record.fullness() * spare } else { 1.0 };
+        REMOTE_PENALTY_S * part
+    }
+
     /// Returns the servers of a service that take work.
     pub fn open_servers(&self, service: &ServiceName) -> impl Iterator<Item = &ServerRecord> {
         self.by_service
@@ -307,21 +321,27 @@
         }
     }
 
-    /// Returns the time until an answer can be expected, in seconds.
-    fn expected_s(&self, now: TimePoint, route_run_s: f64, domain: &DomainName) -> f64 {
-        let limit = f64::from(self.load.limit.max(1));
+    /// Returns the requests that run or wait there, as far as is known here.
+    fn n_busy(&self) -> f64 {
         let reported = self.load.running + self.load.queued + self.n_sent;
-        let busy = f64::from(reported.max(self.n_outstanding));
-        let usage = busy / limit;
+        f64::from(reported.max(self.n_outstanding))
+    }
+
+    /// Returns how far the server is on the way from nearly full (0) to full (1).
+    fn fullness(&self) -> f64 {
+        let usage = self.n_busy() / f64::from(self.load.limit.max(1));
+        ((usage - NEARLY_FULL) / (1.0 - NEARLY_FULL)).clamp(0.0, 1.0)
+    }
+
+    /// Returns the time until an answer can be expected, without the way there, in seconds.
+    fn expected_s(&self, now: TimePoint, route_run_s: f64) -> f64 {
+        let limit = f64::from(self.load.limit.max(1));
         let cold = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
-        let nearly_full = ((usage - NEARLY_FULL) / (1.0 - NEARLY_FULL)).clamp(0.0, 1.0);
-        let run_s = route_run_s * self.pace_at(now) * cold * (1.0 + FULL_PENALTY * nearly_full);
+        let run_s = route_run_s * self.pace_at(now) * cold * (1.0 + FULL_PENALTY * self.fullness());
         let mean_run_s = f64::from(self.load.mean_run_us) / 1e6;
-        let wait_s = (busy + 1.0 - limit).max(0.0) / limit * mean_run_s.max(1e-3);
-        let remote_part = if self.domain == *domain { nearly_full } else { 1.0 };
-        let remote_s = REMOTE_PENALTY_S * remote_part;
+        let wait_s = (self.n_busy() + 1.0 - limit).max(0.0) / limit * mean_run_s.max(1e-3);
         let failure_share = self.failure_share * self.judgement(now);
-        (run_s + wait_s) * (1.0 + FAILURE_COST * failure_share) + remote_s
+        (run_s + wait_s) * (1.0 + FAILURE_COST * failure_share)
     }
 }
 
--- a/crates/ivytrail/src/mesh/picker/tests.rs
+++ b/crates/ivytrail/src/mesh/picker/tests.rs
@@ -64,6 +64,21 @@
     assert_eq!(pick(&picker, NOW, &[]).as_deref(), Some("far"));
 }
 
+/// Pattern: a leaf is overloaded in all domains alike. Crossing between them only costs bytes and time.
+#[test]
+fn calls_stay_in_their_domain_where_all_are_full() {
+    let mut picker = picker_of(&[card("near", "kolkata"), card("far", "durgapur")]);
+    let full = ServerLoad { running: 10, queued: 2, limit: 10, mean_run_us: 30_000, pressure: 100 };
+    picker.set_load(&"near".into(), full);
+    picker.set_load(&"far".into(), ServerLoad { queued: 1, ..full });
+
+    assert_eq!(pick(&picker, NOW, &[]).as_deref(), Some("near"));
+
+    let has_room = ServerLoad { running: 5, queued: 0, ..full };
+    picker.set_load(&"far".into(), has_room);
+    assert_eq!(pick(&picker, NOW, &[]).as_deref(), Some("far"));
+}
+
 #[test]
 fn leaving_draining_unreachable_and_tried_servers_are_left_out() {
     let mut draining = card("a", "kolkata");
@@ -101,7 +116,7 @@
     }
     let later = NOW.plus(JUDGEMENT_LIFE * 3);
     let expected_s = |picker: &ServerPicker, now| {
-        picker.records[&InstanceName::from("slow")].expected_s(now, 0.1, &"kolkata".into())
+        picker.records[&InstanceName::from("slow")].expected_s(now, 0.1)
     };
     let slow_s = expected_s(&picker, NOW);
 
@@ -120,8 +135,7 @@
     for _ in 0..50 {
         picker.note_end(NOW, &"bad".into(), &"book".into(), AttemptNews::Failed, None);
     }
-    let expected_s =
-        |now| picker.records[&InstanceName::from("bad")].expected_s(now, 0.1, &"kolkata".into());
+    let expected_s = |now| picker.records[&InstanceName::from("bad")].expected_s(now, 0.1);
 
     assert!(0.3 < expected_s(NOW));
     assert!(expected_s(NOW.plus(JUDGEMENT_LIFE * 4)) < 0.12);
