Keep what became of every attempt that may have run; play randomised sessions of the mesh

Ruled out: late copies (buried attempts are kept).

Change: mesh/ended.rs owns what may be said of ended attempts. The reply to an abandoned run is kept; of what is forgotten the greatest serial number of each entry remains, and up to it the answer is unknown. Tests: a_run_that_ended_while_its_entry_was_away_is_answered and a_run_whose_reply_was_forgotten_is_unknown, both told not-run before.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -12,6 +12,7 @@
 mod announced;
 pub mod budget;
 pub mod cost;
+mod ended;
 mod entry;
 mod entry_links;
 pub mod event;
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -12,6 +12,7 @@
 use super::{
     MeshReducer, Turn,
     cost::CostLearner,
+    ended::{AttemptFate, EndedAttempts},
     event::{MeshEffect, RunEnd, RunId},
     frame::{AttemptOrder, AttemptResult, PeerFrame, ServerCard, ServerLoad, ServerPhase},
     log_budget::LineWeight,
@@ -25,12 +26,6 @@
 
 /// Share of the announced slots that is used; some servers slow down when their last slots fill.
 const USED_SLOTS: f64 = 0.95;
-/// Time for which a reply is kept for an entry whose link broke before it could read it.
-const REPLY_LIFE: Duration = Duration::from_millis(2_500);
-/// Bytes of bodies that kept replies may hold.
-const MAX_KEPT_BYTES: usize = 2 << 20;
-/// Time for which an attempt that must never run is remembered.
-const BURIAL_LIFE: Duration = Duration::from_secs(30);
 /// Time without the entry's link after which what it waits for is given up.
 const LOST_ENTRY_PATIENCE: Duration = Duration::from_millis(1_000);
 /// Stands between the identifier of a request and what tells its calls apart.
@@ -53,17 +48,6 @@
     has_failed_call: bool,
 }
 
-/// An attempt that has ended here.
-#[derive(Debug)]
-enum EndedAttempt {
-    Replied {
-        result: AttemptResult,
-        body: Bytes,
-    },
-    /// It never came, and must not run if it comes now.
-    Buried,
-}
-
 /// Attempts at the own backend server.
 #[derive(Debug, Default)]
 pub(super) struct GuardRuns {
@@ -72,9 +56,7 @@
     pub(super) queue: SlotQueue<RunId>,
     pub(super) attempts: HashMap<RunId, GuardAttempt>,
     runs: HashMap<AttemptId, RunId>,
-    ended: HashMap<AttemptId, EndedAttempt>,
-    ended_order: VecDeque<(TimePoint, AttemptId)>,
-    n_kept_bytes: usize,
+    ended: EndedAttempts,
     next_run: u64,
     /// Until when no run is started, since the backend server took no connection.
     pub(super) paused_until: TimePoint,
@@ -153,37 +135,6 @@
         }
         Some(ended)
     }
-
-    fn keep(&mut self, now: TimePoint, attempt: AttemptId, ended: EndedAttempt) {
-        let life = match &ended {
-            EndedAttempt::Replied { body, .. } => {
-                self.n_kept_bytes += body.len();
-                REPLY_LIFE
-            }
-            EndedAttempt::Buried => BURIAL_LIFE,
-        };
-        self.ended_order.push_back((now.plus(life), attempt.clone()));
-        self.ended.insert(attempt, ended);
-    }
-
-    fn forget_ended(&mut self, now: TimePoint) {
-        while let Some((expiry, _)) = self.ended_order.front() {
-            if now < *expiry && self.n_kept_bytes <= MAX_KEPT_BYTES {
-                return;
-            }
-            let Some((expiry, attempt)) = self.ended_order.pop_front() else { return };
-            match self.ended.get(&attempt) {
-                // Burials are short; only replies are dropped early.
-                Some(EndedAttempt::Buried) if now < expiry => {
-                    self.ended_order.push_back((expiry, attempt));
-                    return;
-                }
-                Some(EndedAttempt::Replied { body, .. }) => self.n_kept_bytes -= body.len(),
-                _ => {}
-            }
-            self.ended.remove(&attempt);
-        }
-    }
 }
 
 impl MeshReducer {
@@ -198,13 +149,16 @@
         if self.guard.runs.contains_key(&attempt) {
             return;
         }
-        match self.guard.ended.get(&attempt) {
-            Some(EndedAttempt::Buried) => {
+        match self.guard.ended.fate(&attempt) {
+            AttemptFate::Unseen => {}
+            AttemptFate::Buried => {
                 let result = not_run(RefusalReason::ConnectionLost, None);
                 return self.reply(turn, &attempt, result, Bytes::new());
             }
-            Some(EndedAttempt::Replied { .. }) => return,
-            None => {}
+            AttemptFate::Replied { .. } => return,
+            AttemptFate::Forgotten => {
+                return self.reply(turn, &attempt, reply_gone(), Bytes::new());
+            }
         }
         if let Some(reason) = self.reason_against(turn.now, &order) {
             return self.reply(turn, &attempt, not_run(reason, None), Bytes::new());
@@ -322,7 +276,8 @@
         self.carry_out(turn, verdicts);
         let (result, body) = self.result_of(&ended, turn.now, end);
         match ended.is_abandoned {
-            true => {}
+            // Its entry may come back and ask.
+            true => self.guard.ended.keep_reply(turn.now, ended.attempt, result, body),
             false => self.reply(turn, &ended.attempt, result, body),
         }
     }
@@ -371,7 +326,7 @@
     fn give_up_run(&mut self, turn: &mut Turn<'_>, run: RunId) {
         if self.guard.queue.withdraw(&run) {
             if let Some(ended) = self.guard.take(run) {
-                self.guard.keep(turn.now, ended.attempt, EndedAttempt::Buried);
+                self.guard.ended.bury(turn.now, ended.attempt);
             }
             return;
         }
@@ -379,7 +334,9 @@
         running.is_abandoned = true;
         if running.order.is_idempotent {
             turn.out.push(MeshEffect::CancelRun { run });
-            self.guard.take(run);
+            if let Some(cancelled) = self.guard.take(run) {
+                self.guard.ended.forget(&cancelled.attempt);
+            }
             let mut verdicts = Vec::new();
             self.guard.queue.release(turn.now, &run, false, &mut verdicts);
             self.carry_out(turn, verdicts);
@@ -392,31 +349,17 @@
         if self.guard.runs.contains_key(&attempt) {
             return;
         }
-        match self.guard.ended.get(&attempt) {
-            Some(EndedAttempt::Replied { result, body }) => {
-                let (result, body) = (result.clone(), body.clone());
-                let load = self.guard.load();
-                let frame = PeerFrame::Reply { serial, result, load };
-                turn.send_back(&from.instance, frame, body);
-            }
-            Some(EndedAttempt::Buried) => {
-                self.reply(
-                    turn,
-                    &attempt,
-                    not_run(RefusalReason::ConnectionLost, None),
-                    Bytes::new(),
-                );
-            }
-            None => {
-                self.guard.keep(turn.now, attempt.clone(), EndedAttempt::Buried);
-                self.reply(
-                    turn,
-                    &attempt,
-                    not_run(RefusalReason::ConnectionLost, None),
-                    Bytes::new(),
-                );
+        let (result, body) = match self.guard.ended.fate(&attempt) {
+            AttemptFate::Replied { result, body } => (result.clone(), body.clone()),
+            AttemptFate::Forgotten => (reply_gone(), Bytes::new()),
+            AttemptFate::Buried => (not_run(RefusalReason::ConnectionLost, None), Bytes::new()),
+            AttemptFate::Unseen => {
+                self.guard.ended.bury(turn.now, attempt);
+                (not_run(RefusalReason::ConnectionLost, None), Bytes::new())
             }
-        }
+        };
+        let frame = PeerFrame::Reply { serial, result, load: self.guard.load() };
+        turn.send_back(&from.instance, frame, body);
     }
 
     fn reply(
@@ -431,17 +374,13 @@
             let me = attempt.entry.instance.clone();
             return self.receive_reply(turn, &me, attempt.serial, result, Some(load), body);
         }
-        let is_buried = matches!(self.guard.ended.get(attempt), Some(EndedAttempt::Buried));
-        if !is_buried {
-            let ended = EndedAttempt::Replied { result: result.clone(), body: body.clone() };
-            self.guard.keep(turn.now, attempt.clone(), ended);
-        }
+        self.guard.ended.keep_reply(turn.now, attempt.clone(), result.clone(), body.clone());
         let frame = PeerFrame::Reply { serial: attempt.serial, result, load };
         turn.send_back(&attempt.entry.instance, frame, body);
     }
 
     pub(super) fn tick_runs(&mut self, turn: &mut Turn<'_>) {
-        self.guard.forget_ended(turn.now);
+        self.guard.ended.expire(turn.now);
         if self.guard.wanted_limit(turn.now) != self.guard.queue.limit() {
             self.fit_limit(turn);
         }
@@ -471,6 +410,7 @@
 
     /// Gives up what earlier runs of an entry daemon wait for.
     pub(super) fn give_up_earlier_runs(&mut self, turn: &mut Turn<'_>, member: &MemberId) {
+        self.guard.ended.end_earlier_runs(member);
         let earlier: Vec<RunId> = self
             .guard
             .attempts
@@ -490,3 +430,13 @@
 fn not_run(reason: RefusalReason, retry_after: Option<Duration>) -> AttemptResult {
     AttemptResult::Refused { outcome: CallOutcome::NotRun, reason, retry_after, is_sent: false }
 }
+
+/// Returns the reply to a question for an attempt that may have run, and whose reply is gone.
+fn reply_gone() -> AttemptResult {
+    AttemptResult::Refused {
+        outcome: CallOutcome::Unknown,
+        reason: RefusalReason::ConnectionLost,
+        retry_after: None,
+        is_sent: true,
+    }
+}
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -1,10 +1,13 @@
 //! Sessions of several daemons whose frames pass through a queue, with faults between them.
 
 mod fleet;
+mod random;
 
 use std::time::Duration;
 
-use self::fleet::{CLIENT, RELEASE_TARGET, TestFleet, answered, call_of, refused, server_card};
+use self::fleet::{
+    CLIENT, RELEASE_TARGET, TestFleet, answered, answered_with, call_of, refused, server_card,
+};
 use super::{
     event::{CallAnswer, MeshEvent, RunEnd},
     frame::ServerPhase,
@@ -91,6 +94,37 @@
     assert_eq!(fleet.n_runs_started(), 1);
 }
 
+/// The guard gives up a run whose entry is away for long; it goes on all the same, and the entry may come back.
+#[test]
+fn a_run_that_ended_while_its_entry_was_away_is_answered() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+
+    fleet.cut(0, run.daemon);
+    fleet.advance(Duration::from_millis(1_200));
+    fleet.end_run(&run, answered(200));
+    fleet.mend(0, run.daemon);
+
+    assert_eq!(fleet.status_of(1), Some(200));
+}
+
+/// Replies are kept for a bounded time and number of bytes. What was forgotten may have run.
+#[test]
+fn a_run_whose_reply_was_forgotten_is_unknown() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+
+    fleet.cut(0, run.daemon);
+    fleet.end_run(&run, answered_with(3 << 20));
+    fleet.advance(Duration::from_millis(100));
+    fleet.mend(0, run.daemon);
+
+    let (outcome, reason, _) = refused(fleet.answer_of(1));
+    assert_eq!((outcome, reason), (CallOutcome::Unknown, RefusalReason::ConnectionLost));
+}
+
 #[test]
 fn an_attempt_that_never_arrived_has_not_run_and_goes_elsewhere() {
     let mut fleet = TestFleet::start();
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -14,7 +14,7 @@
         MeshOptions, MeshReducer,
         budget::RepeatPolicy,
         event::{CallAnswer, CallRequest, MeshEffect, MeshEvent, PeerAddress, RunEnd, RunId},
-        frame::{AttemptOrder, PeerFrame, ServerCard, ServerPhase},
+        frame::{AttemptOrder, AttemptResult, PeerFrame, ServerCard, ServerPhase},
         policy::{AccountPolicy, FleetDeclaration, FleetSettings, RoutePolicy, RouteTarget},
         quota::home_of,
     },
@@ -52,7 +52,8 @@
     settings: Arc<FleetSettings>,
     answers: HashMap<u64, CallAnswer>,
     runs: Vec<TestRun>,
-    n_started: usize,
+    /// All runs that were ever started.
+    started: Vec<TestRun>,
     cancelled: HashSet<(usize, RunId)>,
     redialed: HashSet<(usize, InstanceName)>,
     undialed: HashSet<(usize, InstanceName)>,
@@ -95,6 +96,10 @@
     RunEnd::Answered { status, headers: Vec::new(), body: Bytes::from_static(b"answer") }
 }
 
+pub(super) fn answered_with(n_bytes: usize) -> RunEnd {
+    RunEnd::Answered { status: 200, headers: Vec::new(), body: Bytes::from(vec![0; n_bytes]) }
+}
+
 pub(super) fn refused(
     answer: Option<CallAnswer>,
 ) -> (CallOutcome, RefusalReason, Option<Duration>) {
@@ -172,7 +177,7 @@
             settings: settings_of(VERSION, 0.0, 0.0),
             answers: HashMap::new(),
             runs: Vec::new(),
-            n_started: 0,
+            started: Vec::new(),
             cancelled: HashSet::new(),
             redialed: HashSet::new(),
             undialed: HashSet::new(),
@@ -263,8 +268,9 @@
                 }
             }
             MeshEffect::StartRun { run, order, .. } => {
-                self.n_started += 1;
-                self.runs.push(TestRun { daemon, order, run });
+                let started = TestRun { daemon, order, run };
+                self.started.push(started.clone());
+                self.runs.push(started);
             }
             MeshEffect::CancelRun { run } => {
                 self.cancelled.insert((daemon, run));
@@ -322,10 +328,7 @@
     /// Cuts the links between two daemons.
     pub(super) fn cut(&mut self, a: usize, b: usize) {
         self.cuts.insert((a.min(b), a.max(b)));
-        for (one, other) in [(a, b), (b, a)] {
-            self.apply(one, MeshEvent::LinkClosed { peer: name_of(other) });
-            self.apply(one, MeshEvent::PeerLost { peer: name_of(other) });
-        }
+        self.break_link(a, b);
     }
 
     /// Opens the links between two daemons again.
@@ -340,8 +343,7 @@
         self.dead.insert(daemon);
         self.runs.retain(|it| it.daemon != daemon);
         for other in (0..self.daemons.len()).filter(|it| *it != daemon) {
-            self.apply(other, MeshEvent::LinkClosed { peer: name_of(daemon) });
-            self.apply(other, MeshEvent::PeerLost { peer: name_of(daemon) });
+            self.break_link(daemon, other);
         }
     }
 
@@ -427,7 +429,7 @@
     /// Makes calls until one has to wait, and returns how many there are.
     pub(super) fn fill(&mut self, route: &str) -> usize {
         let mut n_calls = 0;
-        while self.n_started == n_calls {
+        while self.started.len() == n_calls {
             self.call(0, call_of(10_000 + n_calls as u64, route));
             n_calls += 1;
         }
@@ -444,7 +446,80 @@
     }
 
     pub(super) fn n_runs_started(&self) -> usize {
-        self.n_started
+        self.started.len()
+    }
+
+    pub(super) fn started(&self) -> &[TestRun] {
+        &self.started
+    }
+
+    pub(super) fn is_dead(&self, daemon: usize) -> bool {
+        self.dead.contains(&daemon)
+    }
+
+    /// Starts a daemon with empty hands and lets it take up its place: server, settings, links that are not cut.
+    pub(super) fn rejoin(&mut self, daemon: usize) {
+        self.restart(daemon);
+        self.muted.remove(&daemon);
+        let event = self.settings_event(VERSION);
+        self.apply(daemon, event);
+        let card = server_card(daemon, SERVICES[daemon]);
+        self.apply(daemon, MeshEvent::ServerAnnounced { card, sequence: 1 });
+        self.relink(daemon);
+    }
+
+    /// Ends the silence of a daemon: its links break and are dialed anew, where they are not cut.
+    pub(super) fn unmute(&mut self, daemon: usize) {
+        if self.muted.remove(&daemon) {
+            for other in (0..self.daemons.len()).filter(|it| *it != daemon) {
+                self.break_link(daemon, other);
+            }
+            self.relink(daemon);
+        }
+    }
+
+    fn relink(&mut self, daemon: usize) {
+        for other in (0..self.daemons.len()).filter(|it| *it != daemon) {
+            if !self.is_cut(daemon, other) {
+                self.link(daemon, other);
+                self.link(other, daemon);
+            }
+        }
+    }
+
+    /// Breaks the links between two daemons; frames on them are lost.
+    fn break_link(&mut self, a: usize, b: usize) {
+        self.held.retain(|(from, to, _)| (*from.min(to), *from.max(to)) != (a.min(b), a.max(b)));
+        for (one, other) in [(a, b), (b, a)] {
+            self.apply(one, MeshEvent::LinkClosed { peer: name_of(other) });
+            self.apply(one, MeshEvent::PeerLost { peer: name_of(other) });
+        }
+    }
+
+    /// Delivers the frames that were held, in order; those between daemons whose link is cut are lost.
+    pub(super) fn release_held(&mut self) {
+        self.is_holding = false;
+        for frame in self.take_held_frames() {
+            let is_lost = self.is_cut(frame.0, frame.1) || self.dead.contains(&frame.0);
+            if !is_lost {
+                self.deliver(frame);
+            }
+        }
+    }
+
+    /// Loses the frames that were held; the links that they were on break.
+    pub(super) fn lose_held(&mut self) {
+        self.is_holding = false;
+        let mut pairs: Vec<(usize, usize)> =
+            self.take_held_frames().iter().map(|(a, b, _)| (*a.min(b), *a.max(b))).collect();
+        pairs.sort_unstable();
+        pairs.dedup();
+        for (a, b) in pairs {
+            if !self.is_cut(a, b) {
+                self.cut(a, b);
+                self.mend(a, b);
+            }
+        }
     }
 
     pub(super) fn is_cancelled(&self, run: &TestRun) -> bool {
@@ -460,6 +535,19 @@
         self.apply(run.daemon, MeshEvent::RunEnded { run: run.run, end });
     }
 
+    /// Delivers a reply to an attempt to whatever run of its entry there is now.
+    pub(super) fn reply_to(&mut self, entry: usize, run: &TestRun) {
+        let result = AttemptResult::Answered {
+            status: 200,
+            headers: Vec::new(),
+            run_us: 1_000,
+            is_call_failed: false,
+        };
+        let load = self.daemons[run.daemon].load();
+        let frame = PeerFrame::Reply { serial: run.order.serial, result, load };
+        self.deliver((run.daemon, entry, (frame, Bytes::new())));
+    }
+
     pub(super) fn answer_of(&self, id: u64) -> Option<CallAnswer> {
         self.answers.get(&id).cloned()
     }
--- /dev/null
+++ b/crates/ivytrail/src/mesh/tests/random.rs
@@ -0,0 +1,220 @@
+//! Randomised sessions of whole reducers with faults that overlap: no request is doubled, lost or misreported.
+
+use std::{collections::HashMap, time::Duration};
+
+use proptest::{
+    prelude::*,
+    strategy::ValueTree,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+
+use super::fleet::{TIMEOUT, TestFleet, answered, call_of};
+use crate::{
+    mesh::event::{CallAnswer, RunEnd},
+    message::CallOutcome,
+};
+
+/// Sessions in one test run; `IVYTRAIL_RANDOM_RUNS` sets another number.
+const N_SESSIONS: u64 = 400;
+/// Steps of one session.
+const N_STEPS: usize = 120;
+/// Daemons of the fleet.
+const N_DAEMONS: usize = 4;
+/// Time after its timeout within which a call has its answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
+
+/// Something that happens in a session.
+#[derive(Clone, Debug)]
+enum SessionStep {
+    Call { daemon: usize, route: &'static str },
+    EndRun { idx: usize, end: TestEnd },
+    Advance { millis: u64 },
+    Cut { a: usize, b: usize },
+    Mend { a: usize, b: usize },
+    Kill { daemon: usize },
+    Rejoin { daemon: usize },
+    Mute { daemon: usize },
+    Unmute { daemon: usize },
+    Hold,
+    Release,
+    Lose,
+}
+
+/// How a backend server ends a run.
+#[derive(Clone, Copy, Debug)]
+enum TestEnd {
+    Whole,
+    Failure,
+    Rejected,
+    NotSent,
+    Broken,
+}
+
+impl TestEnd {
+    fn run_end(self) -> RunEnd {
+        match self {
+            TestEnd::Whole => answered(200),
+            TestEnd::Failure => answered(500),
+            TestEnd::Rejected => RunEnd::Rejected { is_misdirected: false },
+            TestEnd::NotSent => RunEnd::NotSent,
+            TestEnd::Broken => RunEnd::Broken,
+        }
+    }
+
+    /// Returns whether the backend server says that it has not begun.
+    fn is_unrun(self) -> bool {
+        matches!(self, TestEnd::Rejected | TestEnd::NotSent)
+    }
+}
+
+fn step() -> impl Strategy<Value = SessionStep> {
+    let daemon = 0..N_DAEMONS;
+    let route = prop_oneof![1 => Just("track"), 3 => Just("book")];
+    let end = prop_oneof![
+        8 => Just(TestEnd::Whole),
+        1 => Just(TestEnd::Failure),
+        2 => Just(TestEnd::Rejected),
+        1 => Just(TestEnd::NotSent),
+        2 => Just(TestEnd::Broken),
+    ];
+    let pair = (daemon.clone(), 1..N_DAEMONS).prop_map(|(a, step)| (a, (a + step) % N_DAEMONS));
+    prop_oneof![
+        12 => (daemon.clone(), route).prop_map(|(daemon, route)| SessionStep::Call { daemon, route }),
+        12 => (0..16usize, end).prop_map(|(idx, end)| SessionStep::EndRun { idx, end }),
+        8 => (10..400u64).prop_map(|millis| SessionStep::Advance { millis }),
+        2 => pair.clone().prop_map(|(a, b)| SessionStep::Cut { a, b }),
+        3 => pair.prop_map(|(a, b)| SessionStep::Mend { a, b }),
+        1 => daemon.clone().prop_map(|daemon| SessionStep::Kill { daemon }),
+        2 => daemon.clone().prop_map(|daemon| SessionStep::Rejoin { daemon }),
+        1 => daemon.clone().prop_map(|daemon| SessionStep::Mute { daemon }),
+        2 => daemon.prop_map(|daemon| SessionStep::Unmute { daemon }),
+        3 => Just(SessionStep::Hold),
+        3 => Just(SessionStep::Release),
+        1 => Just(SessionStep::Lose),
+    ]
+}
+
+/// One session: the fleet, and what its clients and backend servers have seen.
+struct RandomSession {
+    fleet: TestFleet,
+    /// Entry and route of each call whose entry has not been killed since.
+    open_calls: HashMap<u64, (usize, &'static str)>,
+    /// Runs by request that the backend server did not deny.
+    n_unrun: HashMap<String, usize>,
+    n_whole: HashMap<String, usize>,
+    next_call: u64,
+}
+
+impl RandomSession {
+    fn start() -> RandomSession {
+        RandomSession {
+            fleet: TestFleet::start(),
+            open_calls: HashMap::new(),
+            n_unrun: HashMap::new(),
+            n_whole: HashMap::new(),
+            next_call: 1,
+        }
+    }
+
+    fn play(&mut self, step: &SessionStep) {
+        match *step {
+            SessionStep::Call { daemon, route } if !self.fleet.is_dead(daemon) => {
+                let id = self.next_call;
+                self.next_call += 1;
+                self.open_calls.insert(id, (daemon, route));
+                self.fleet.call(daemon, call_of(id, route));
+            }
+            SessionStep::EndRun { idx, end } => self.end_run(idx, end),
+            SessionStep::Advance { millis } => self.fleet.advance(Duration::from_millis(millis)),
+            SessionStep::Cut { a, b } => self.fleet.cut(a, b),
+            SessionStep::Mend { a, b } => self.fleet.mend(a, b),
+            SessionStep::Kill { daemon } if !self.fleet.is_dead(daemon) => {
+                self.open_calls.retain(|_, (entry, _)| *entry != daemon);
+                self.fleet.kill(daemon);
+            }
+            SessionStep::Rejoin { daemon } if self.fleet.is_dead(daemon) => {
+                self.fleet.rejoin(daemon);
+            }
+            SessionStep::Mute { daemon } => self.fleet.mute(daemon),
+            SessionStep::Unmute { daemon } => self.fleet.unmute(daemon),
+            SessionStep::Hold => self.fleet.hold_frames(true),
+            SessionStep::Release => self.fleet.release_held(),
+            SessionStep::Lose => self.fleet.lose_held(),
+            SessionStep::Call { .. } | SessionStep::Kill { .. } | SessionStep::Rejoin { .. } => {}
+        }
+    }
+
+    fn end_run(&mut self, idx: usize, end: TestEnd) {
+        let runs = self.fleet.runs();
+        let Some(run) = runs.get(idx % runs.len().max(1)) else { return };
+        let request = run.order.request_id.to_string();
+        match end {
+            TestEnd::Whole => *self.n_whole.entry(request).or_default() += 1,
+            _ if end.is_unrun() => *self.n_unrun.entry(request).or_default() += 1,
+            _ => {}
+        }
+        self.fleet.end_run(run, end.run_end());
+    }
+
+    /// Lets all calls come to their end and returns what was broken.
+    fn violations(&mut self) -> Vec<String> {
+        self.fleet.release_held();
+        self.fleet.advance(TIMEOUT + ANSWER_MARGIN);
+        let mut n_runs: HashMap<String, usize> = HashMap::new();
+        for run in self.fleet.started() {
+            *n_runs.entry(run.order.request_id.to_string()).or_default() += 1;
+        }
+        let mut broken = Vec::new();
+        for id in 1..self.next_call {
+            let request = format!("r{id}");
+            let n_unrun = self.n_unrun.get(&request).copied().unwrap_or(0);
+            let n_runs = n_runs.get(&request).map_or(0, |it| it - n_unrun);
+            let answer = self.fleet.answer_of(id);
+            let route = self.open_calls.get(&id).map(|(_, route)| *route);
+            if route == Some("book") && 1 < n_runs {
+                broken.push(format!("{request} ran {n_runs} times"));
+            }
+            match answer {
+                None if route.is_some() => broken.push(format!("{request} got no answer")),
+                Some(CallAnswer::Refused { outcome: CallOutcome::NotRun, reason, .. })
+                    if 0 < n_runs =>
+                {
+                    broken.push(format!("{request} ran, told not run because {reason}"));
+                }
+                Some(CallAnswer::Whole { status: 200, .. })
+                    if !self.n_whole.contains_key(&request) =>
+                {
+                    broken.push(format!("{request} got an answer that no run gave"));
+                }
+                _ => {}
+            }
+        }
+        broken
+    }
+}
+
+fn number_from(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|it| it.parse().ok()).unwrap_or(default)
+}
+
+#[test]
+fn no_request_is_doubled_lost_or_misreported_under_overlapping_faults() {
+    let n_sessions = number_from("IVYTRAIL_RANDOM_RUNS", N_SESSIONS);
+    let mut seed = [0; 32];
+    seed[..8].copy_from_slice(&number_from("IVYTRAIL_RANDOM_SEED", 1).to_be_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
+    let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+    let mut n_runs = 0;
+    for n_session in 0..n_sessions {
+        let steps = prop::collection::vec(step(), N_STEPS);
+        let steps = steps.new_tree(&mut runner).expect("a session").current();
+        let mut session = RandomSession::start();
+        steps.iter().for_each(|it| session.play(it));
+
+        let violations = session.violations();
+
+        n_runs += session.fleet.n_runs_started();
+        assert!(violations.is_empty(), "session {n_session}: {violations:#?}\n{steps:?}");
+    }
+    assert!(n_sessions * 10 < n_runs as u64, "the sessions do hardly any work: {n_runs} runs");
+}
