Give each run of a daemon serial numbers of its own

A guard that is suspended while an entry restarts reads what the earlier run had sent after the new link is open. Ruled out: the queue of the tests (the reply had been sent to a daemon that was down; the guard has no other way to tell runs apart than the name).

Change: serial numbers start at the incarnation times 2^22. Test: a_reply_to_an_earlier_run_of_the_entry_answers_nothing, failing before.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -141,7 +141,7 @@
             is_guard_closed: false,
             links: PeerLinks::default(),
             picker: ServerPicker::new(options.domain.clone()),
-            entry: EntryCalls::default(),
+            entry: EntryCalls::new(options.member.incarnation),
             guard: GuardRuns::default(),
             left: LeftServers::default(),
             quotas: QuotaBuckets::default(),
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -80,8 +80,12 @@
     }
 }
 
+/// Serial numbers of attempts that one run of a daemon has to itself: more than it uses in the milliseconds that lie
+/// between two runs, which are numbered by the time of their start.
+const SERIALS_PER_INCARNATION: u64 = 1 << 22;
+
 /// All calls without an answer at this daemon.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct EntryCalls {
     pub(super) calls: HashMap<CallId, EntryCall>,
     pub(super) attempts: HashMap<u64, CallId>,
@@ -90,6 +94,17 @@
 }
 
 impl EntryCalls {
+    /// Returns the calls of a daemon's run that has just started. No earlier run of it has used the serial numbers, so that
+    /// a late reply to one never answers a call of this run.
+    pub(super) fn new(incarnation: u64) -> EntryCalls {
+        EntryCalls {
+            calls: HashMap::new(),
+            attempts: HashMap::new(),
+            timers: BinaryHeap::new(),
+            next_serial: incarnation.wrapping_mul(SERIALS_PER_INCARNATION),
+        }
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.calls.is_empty()
     }
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -522,3 +522,18 @@
     let longest = waits.max().expect("some are over the rate");
     assert!(longest < RELEASE_TARGET / 2, "{longest:?}");
 }
+
+/// A guard that was slow to notice may still reply to an entry's earlier run.
+#[test]
+fn a_reply_to_an_earlier_run_of_the_entry_answers_nothing() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+    fleet.kill(0);
+    fleet.rejoin(0);
+    fleet.call(0, call_of(2, "book"));
+
+    fleet.reply_to(0, &run);
+
+    assert_eq!(fleet.answer_of(2), None);
+}
