Mend the fault soak's supervisor

Change: the supervisor waits for killed daemons too, and sends no signal to one that it has killed. join_all of the library is called directly.

--- a/tests/src/fault.rs
+++ b/tests/src/fault.rs
@@ -8,7 +8,6 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use anyhow::Result;
-use ivytrail_fakes::process::ChildSignal;
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use reqwest::Client;
@@ -97,7 +96,7 @@
         is_over.send_replace(true);
         process_faults
     };
-    let (process_faults, ..) = tokio::join!(faults, join_all(clients));
+    let (process_faults, ..) = tokio::join!(faults, futures_util::future::join_all(clients));
     let process_faults = process_faults?;
     check_recovery(&site, &mut report.violations).await;
     sleep(SETTLING).await;
@@ -116,13 +115,6 @@
     Ok(report)
 }
 
-async fn join_all<F>(futures: impl Iterator<Item = F>)
-where
-    F: Future<Output = ()>,
-{
-    futures_util::future::join_all(futures).await;
-}
-
 /// Sends one request after the other over kept connections until told to stop.
 async fn drive_client(
     client_id: usize,
@@ -206,7 +198,7 @@
             }
             FaultKind::Kill { instance } => supervisor.kill(site, instance)?,
             FaultKind::Terminate { instance } => supervisor.terminate(site, instance)?,
-            FaultKind::HangUp { instance } => site.daemons[instance].signal(ChildSignal::HangUp)?,
+            FaultKind::HangUp { instance } => supervisor.hang_up(site, instance)?,
             FaultKind::Table(mood) => site.table.set_mood(mood),
             FaultKind::ForgetHistory => site.table.forget_history(),
             FaultKind::NewSettings => {
@@ -223,7 +215,7 @@
             proxy_of(site, idx, path).set(PathState::Open, PathState::Open, false);
         }
     }
-    while supervisor.is_any_leaving() {
+    while supervisor.is_any_ending() {
         supervisor.look(site, violations)?;
         sleep(LOOK_INTERVAL).await;
     }
--- a/tests/src/fault/supervisor.rs
+++ b/tests/src/fault/supervisor.rs
@@ -52,15 +52,26 @@
         }
     }
 
-    pub(super) fn is_any_leaving(&self) -> bool {
-        self.leaving.iter().any(Option::is_some)
+    /// Returns whether a daemon has ended, or was asked to, and has not been started again.
+    pub(super) fn is_any_ending(&self) -> bool {
+        self.leaving.iter().any(Option::is_some) || self.killed.contains(&true)
     }
 
     pub(super) fn pause(&mut self, site: &TestSite, instance: usize) -> Result<()> {
+        if self.killed[instance] {
+            return Ok(());
+        }
         self.paused[instance] = true;
         site.daemons[instance].signal(ChildSignal::Stop)
     }
 
+    pub(super) fn hang_up(&self, site: &TestSite, instance: usize) -> Result<()> {
+        match self.killed[instance] {
+            true => Ok(()),
+            false => site.daemons[instance].signal(ChildSignal::HangUp),
+        }
+    }
+
     pub(super) fn resume(
         &mut self,
         site: &TestSite,
@@ -81,12 +92,16 @@
 
     pub(super) fn kill(&mut self, site: &mut TestSite, instance: usize) -> Result<()> {
         self.killed[instance] = true;
+        self.paused[instance] = false;
         let now = Instant::now();
         self.process_faults.push(ProcessFault { instance, from: now, until: now + RECOVERY });
         site.daemons[instance].kill()
     }
 
     pub(super) fn terminate(&mut self, site: &TestSite, instance: usize) -> Result<()> {
+        if self.killed[instance] {
+            return Ok(());
+        }
         if self.leaving[instance].is_none() {
             let asked_at = Instant::now();
             self.leaving[instance] = Some(Leave { asked_at, end_by: asked_at + EXIT_PATIENCE });
