Take the leave of an earlier run for what it is, and give up what entries have left that are gone

Change: an unknown start is None in place of 0, and only then the known run counts as the one that leaves. Dropping a daemon gives up its runs and forgets its report of costs. Also: one broadcast in place of four loops, one place that tells the arrivals below a route.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -177,7 +177,7 @@
             MeshEvent::ServerAnnounced { card, sequence } => {
                 self.hear_server(&mut turn, card, sequence);
             }
-            MeshEvent::ServerLeft { id } => self.hear_server_leave(&mut turn, &id, 0),
+            MeshEvent::ServerLeft { id } => self.hear_server_leave(&mut turn, &id, None),
             MeshEvent::SettingsLearned { settings, document } => {
                 self.learn_settings(&mut turn, settings, document);
             }
@@ -310,7 +310,11 @@
     fn tell_peers(&mut self, turn: &mut Turn<'_>) {
         let card = self.card();
         self.picker.note_card(turn.now, &card);
-        let frame = PeerFrame::Card(Box::new(card));
+        self.broadcast(turn, &PeerFrame::Card(Box::new(card)));
+    }
+
+    /// Sends a frame to all daemons that can be reached.
+    fn broadcast(&self, turn: &mut Turn<'_>, frame: &PeerFrame) {
         for peer in self.links.open_peers() {
             turn.send(peer, frame.clone(), Bytes::new());
         }
@@ -322,10 +326,7 @@
         self.tell_peers(turn);
         let costs = self.guard.learner.report(turn.now);
         self.costs.note_report(&self.options.member.instance, costs.clone());
-        let frame = PeerFrame::Demand { demand: self.gate.own_demand(), costs };
-        for peer in self.links.open_peers() {
-            turn.send(peer, frame.clone(), Bytes::new());
-        }
+        self.broadcast(turn, &PeerFrame::Demand { demand: self.gate.own_demand(), costs });
     }
 
     fn tick(&mut self, turn: &mut Turn<'_>) {
--- a/crates/ivytrail/src/mesh/announced.rs
+++ b/crates/ivytrail/src/mesh/announced.rs
@@ -5,6 +5,7 @@
 use super::{
     MeshReducer, Turn,
     frame::{ServerCard, ServerPhase},
+    left::LeftRun,
 };
 use crate::time::TimePoint;
 
@@ -23,14 +24,16 @@
             }
         }
         let mut card = card;
-        match self.left.contradicts(turn.now, &card) {
+        match self.left.contradicted(turn.now, &card) {
             // It may be a new run of the server: the next announcement decides.
-            Some(0) => return self.ignore_announcement(turn, &card, sequence, "left"),
-            Some(_) => card.phase = ServerPhase::Draining,
+            Some(LeftRun::Unknown) => {
+                return self.ignore_announcement(turn, &card, sequence, "left");
+            }
+            Some(LeftRun::Started { .. }) => card.phase = ServerPhase::Draining,
             None => {}
         }
         if card.phase == ServerPhase::Draining {
-            self.left.note(turn.now, &card.id, card.born_ms);
+            self.left.note(turn.now, &card.id, Some(card.born_ms));
         }
         self.guard.sequence = sequence;
         let is_changed = self.guard.server.as_ref().is_none_or(|it| {
@@ -66,12 +69,17 @@
         ));
     }
 
-    /// Takes it that the server leaves. `born_ms` tells its run, and is 0 when it is not known.
-    pub(super) fn hear_server_leave(&mut self, turn: &mut Turn<'_>, id: &SmolStr, born_ms: u64) {
+    /// Takes it that a run of the server leaves: the one that started at `born_ms`, or else the one that is known.
+    pub(super) fn hear_server_leave(
+        &mut self,
+        turn: &mut Turn<'_>,
+        id: &SmolStr,
+        born_ms: Option<u64>,
+    ) {
         let known = self.guard.server.as_ref().filter(|it| it.id == *id);
-        let born_ms = born_ms.max(known.map_or(0, |it| it.born_ms));
+        let born_ms = born_ms.or(known.map(|it| it.born_ms));
         self.left.note(turn.now, id, born_ms);
-        let is_of = |it: &&mut ServerCard| it.id == *id && it.born_ms <= born_ms;
+        let is_of = |it: &&mut ServerCard| it.id == *id && Some(it.born_ms) <= born_ms;
         let Some(server) = self.guard.server.as_mut().filter(is_of) else { return };
         if server.phase == ServerPhase::Draining {
             return;
--- a/crates/ivytrail/src/mesh/cost.rs
+++ b/crates/ivytrail/src/mesh/cost.rs
@@ -154,7 +154,7 @@
     }
 
     /// Returns the requests that one request of `route` brings to each service.
-    pub fn arrivals_of(&mut self, route: &RouteName) -> Arc<ServiceArrivals> {
+    fn arrivals_of(&mut self, route: &RouteName) -> Arc<ServiceArrivals> {
         if let Some(arrivals) = self.arrivals.get(route) {
             return Arc::clone(arrivals);
         }
@@ -165,6 +165,12 @@
         arrivals
     }
 
+    /// Returns the requests that the calls of one request of `route` bring to services other than `own`.
+    pub fn arrivals_below(&mut self, route: &RouteName, own: &ServiceName) -> ServiceArrivals {
+        let arrivals = self.arrivals_of(route);
+        arrivals.iter().filter(|(service, _)| service != own).cloned().collect()
+    }
+
     /// Returns what a request of `route` takes at each service.
     pub fn demand_of(&self, route: &RouteName) -> HashMap<ServiceName, ServiceDemand> {
         let mut total = HashMap::new();
--- a/crates/ivytrail/src/mesh/evidence.rs
+++ b/crates/ivytrail/src/mesh/evidence.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-
 use super::{MeshReducer, Turn, event::RunEnd, frame::PeerFrame, guard::GuardAttempt};
 use crate::{id::ContentDigest, quarantine::Suspicion};
 
@@ -86,9 +84,7 @@
 
     fn spread(&mut self, turn: &mut Turn<'_>, suspicions: Vec<Suspicion>) {
         for suspicion in suspicions {
-            for peer in self.links.open_peers() {
-                turn.send(peer, PeerFrame::Suspicion(suspicion.clone()), Bytes::new());
-            }
+            self.broadcast(turn, &PeerFrame::Suspicion(suspicion));
         }
     }
 }
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -217,7 +217,7 @@
     ServerLeft {
         /// The server.
         id: SmolStr,
-        /// Start of the run that leaves, or 0 when it is not known.
+        /// Start of the run that leaves, in milliseconds since the Unix epoch.
         born_ms: u64,
     },
     /// Tells of a daemon that has stopped answering.
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -392,36 +392,42 @@
     /// Gives up what entries wait for whose links have been away for long.
     pub(super) fn give_up_lost_entries(&mut self, turn: &mut Turn<'_>) {
         let now = turn.now;
-        let lost: Vec<RunId> = self
+        let lost: Vec<MemberId> = self
             .guard
             .attempts
-            .iter()
-            .filter(|(_, it)| {
-                let link = self.links.get(&it.attempt.entry.instance);
-                let lost_at = link.and_then(|link| link.lost_at);
-                !it.is_abandoned && lost_at.is_some_and(|at| LOST_ENTRY_PATIENCE <= now.since(at))
+            .values()
+            .filter(|it| !it.is_abandoned)
+            .map(|it| &it.attempt.entry)
+            .filter(|entry| {
+                let lost_at = self.links.get(&entry.instance).and_then(|link| link.lost_at);
+                lost_at.is_some_and(|at| LOST_ENTRY_PATIENCE <= now.since(at))
             })
-            .map(|(run, _)| *run)
+            .cloned()
             .collect();
-        for run in lost {
-            self.give_up_run(turn, run);
+        if !lost.is_empty() {
+            self.give_up_runs(turn, |entry| lost.contains(entry));
         }
     }
 
     /// Gives up what earlier runs of an entry daemon wait for.
     pub(super) fn give_up_earlier_runs(&mut self, turn: &mut Turn<'_>, member: &MemberId) {
         self.guard.ended.end_earlier_runs(member);
-        let earlier: Vec<RunId> = self
-            .guard
-            .attempts
-            .iter()
-            .filter(|(_, it)| {
-                let entry = &it.attempt.entry;
-                entry.instance == member.instance && entry.incarnation != member.incarnation
-            })
+        self.give_up_runs(turn, |entry| {
+            entry.instance == member.instance && entry.incarnation != member.incarnation
+        });
+    }
+
+    /// Gives up what the entries wait for that are meant.
+    pub(super) fn give_up_runs<F>(&mut self, turn: &mut Turn<'_>, is_meant: F)
+    where
+        F: Fn(&MemberId) -> bool,
+    {
+        let attempts = self.guard.attempts.iter();
+        let runs: Vec<RunId> = attempts
+            .filter(|(_, it)| !it.is_abandoned && is_meant(&it.attempt.entry))
             .map(|(run, _)| *run)
             .collect();
-        for run in earlier {
+        for run in runs {
             self.give_up_run(turn, run);
         }
     }
--- a/crates/ivytrail/src/mesh/intake.rs
+++ b/crates/ivytrail/src/mesh/intake.rs
@@ -166,11 +166,10 @@
     /// again.
     pub(super) fn note_coming_calls(&mut self, id: CallId) {
         let Some(call) = self.entry.calls.get(&id) else { return };
-        for (service, n_arrivals) in self.costs.arrivals_of(&call.order.route).iter() {
-            if *service != call.order.service {
-                let n_requests = n_arrivals * (1.0 - CALL_PART);
-                self.repeats.note_requests(&self.options.repeats, service, n_requests);
-            }
+        let below = self.costs.arrivals_below(&call.order.route, &call.order.service);
+        for (service, n_arrivals) in below {
+            let n_requests = n_arrivals * (1.0 - CALL_PART);
+            self.repeats.note_requests(&self.options.repeats, &service, n_requests);
         }
     }
 }
--- a/crates/ivytrail/src/mesh/left.rs
+++ b/crates/ivytrail/src/mesh/left.rs
@@ -21,11 +21,20 @@
 /// A run of a server that leaves.
 #[derive(Clone, Copy, Debug)]
 struct LeavingRun {
-    /// Start of the run, or 0 when it is not known.
-    born_ms: u64,
+    /// Start of the run, where it is known.
+    born_ms: Option<u64>,
     until: TimePoint,
 }
 
+/// Which run of a server has said that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LeftRun {
+    /// The one that started then, in milliseconds since the Unix epoch.
+    Started { born_ms: u64 },
+    /// One under that name; a new one may have followed.
+    Unknown,
+}
+
 /// Runs of backend servers that have said that they leave.
 #[derive(Debug, Default)]
 pub(super) struct LeftServers {
@@ -34,13 +43,13 @@
 }
 
 impl LeftServers {
-    /// Records that a run of a server leaves. `born_ms` is 0 when the run is not known.
-    pub(super) fn note(&mut self, now: TimePoint, id: &SmolStr, born_ms: u64) {
+    /// Records that a run of a server leaves: the one that started at `born_ms`, or one that is not known.
+    pub(super) fn note(&mut self, now: TimePoint, id: &SmolStr, born_ms: Option<u64>) {
         let is_known = self.runs.get(id).is_some_and(|it| born_ms <= it.born_ms);
         if is_known {
             return;
         }
-        let until = now.plus(if born_ms == 0 { UNKNOWN_RUN_LIFE } else { LEAVE_LIFE });
+        let until = now.plus(born_ms.map_or(UNKNOWN_RUN_LIFE, |_| LEAVE_LIFE));
         self.runs.insert(id.clone(), LeavingRun { born_ms, until });
         self.order.push_back((now.plus(LEAVE_LIFE), id.clone()));
         while self.order.front().is_some_and(|(expiry, _)| *expiry < now) {
@@ -51,10 +60,14 @@
         }
     }
 
-    /// Returns the start of the run that leaves, if the card is of it and says that the server takes work.
-    pub(super) fn contradicts(&self, now: TimePoint, card: &ServerCard) -> Option<u64> {
+    /// Returns which run leaves, if the card may be of it and says that the server takes work.
+    pub(super) fn contradicted(&self, now: TimePoint, card: &ServerCard) -> Option<LeftRun> {
         let run = self.runs.get(&card.id).filter(|it| now <= it.until)?;
-        let is_same_run = run.born_ms == 0 || card.born_ms <= run.born_ms;
-        (card.phase == ServerPhase::Ready && is_same_run).then_some(run.born_ms)
+        match run.born_ms {
+            _ if card.phase != ServerPhase::Ready => None,
+            Some(born_ms) if card.born_ms <= born_ms => Some(LeftRun::Started { born_ms }),
+            Some(_) => None,
+            None => Some(LeftRun::Unknown),
+        }
     }
 }
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -8,6 +8,7 @@
     MeshReducer, Turn,
     event::{MeshEffect, PeerAddress},
     frame::{PeerCard, PeerFrame, ServerPhase},
+    left::LeftRun,
     quota::home_of,
 };
 use crate::{
@@ -211,6 +212,8 @@
     fn drop_link(&mut self, turn: &mut Turn<'_>, peer: &InstanceName) {
         self.links.links.remove(peer);
         self.picker.remove(peer);
+        self.costs.note_report(peer, Vec::new());
+        self.give_up_runs(turn, |entry| entry.instance == *peer);
         turn.out.push(MeshEffect::Undial { peer: peer.clone() });
     }
 
@@ -221,12 +224,12 @@
     }
 
     fn note_card(&mut self, turn: &mut Turn<'_>, card: &PeerCard) {
-        match card.server.as_ref().and_then(|it| self.left.contradicts(turn.now, it)) {
-            Some(born_ms) => self.correct_card(turn, card, born_ms),
+        match card.server.as_ref().and_then(|it| self.left.contradicted(turn.now, it)) {
+            Some(run) => self.correct_card(turn, card, run),
             None => self.picker.note_card(turn.now, card),
         }
         if let Some(server) = card.server.as_ref().filter(|it| it.phase == ServerPhase::Draining) {
-            self.left.note(turn.now, &server.id, server.born_ms);
+            self.left.note(turn.now, &server.id, Some(server.born_ms));
         }
         let Some(link) = self.links.get_mut(&card.member.instance) else { return };
         if !link.is_open {
@@ -239,14 +242,13 @@
     }
 
     /// Takes a card that calls a leaving server ready as that of a leaving server, and tells its sender.
-    fn correct_card(&mut self, turn: &mut Turn<'_>, card: &PeerCard, born_ms: u64) {
+    fn correct_card(&mut self, turn: &mut Turn<'_>, card: &PeerCard, run: LeftRun) {
         let mut corrected = card.clone();
         let Some(server) = &mut corrected.server else { return };
         server.phase = ServerPhase::Draining;
         let peer = &card.member.instance;
         turn.log(format!("event=card_corrected peer={peer} server={} phase=Draining", server.id));
-        // Without the start of the run, the server may be a new one of the same name.
-        if born_ms != 0 {
+        if let LeftRun::Started { born_ms } = run {
             let frame = PeerFrame::ServerLeft { id: server.id.clone(), born_ms };
             turn.send(peer, frame.clone(), Bytes::new());
             turn.send_back(peer, frame, Bytes::new());
@@ -298,7 +300,9 @@
                 self.gate.note_demand(peer, demand);
                 self.costs.note_report(peer, costs);
             }
-            PeerFrame::ServerLeft { id, born_ms } => self.hear_server_leave(turn, &id, born_ms),
+            PeerFrame::ServerLeft { id, born_ms } => {
+                self.hear_server_leave(turn, &id, Some(born_ms));
+            }
             PeerFrame::Silent { instance } => self.hear_of_silence(turn, &instance),
             PeerFrame::Suspicion(suspicion) => self.quarantine.absorb(turn.now, &suspicion),
         }
@@ -364,10 +368,7 @@
                         "event=peer_silent peer={peer} silence_ms={}",
                         silence.as_millis()
                     ));
-                    let frame = PeerFrame::Silent { instance: peer.clone() };
-                    for other in self.links.open_peers().filter(|it| **it != peer) {
-                        turn.send(other, frame.clone(), Bytes::new());
-                    }
+                    self.broadcast(turn, &PeerFrame::Silent { instance: peer.clone() });
                 }
                 Some(at) if SILENCE_AFTER_PING <= turn.now.since(at) => {
                     turn.log(format!(
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -10,7 +10,7 @@
 };
 use super::{
     event::{CallAnswer, MeshEvent, RunEnd},
-    frame::ServerPhase,
+    frame::{PeerFrame, ServerPhase},
 };
 use crate::{
     id::AccountName,
@@ -259,6 +259,32 @@
     assert_eq!(fleet.daemon(1).server().map(|it| it.phase), Some(ServerPhase::Ready));
 }
 
+/// Another daemon tells late of a run that has left, when the server has already started again under its name.
+#[test]
+fn a_leave_of_an_earlier_run_leaves_the_new_one_at_work() {
+    let mut fleet = TestFleet::start();
+    let left = server_card(1, "booking");
+    let mut reborn = left.clone();
+    reborn.born_ms += 5_000;
+    fleet.apply(1, MeshEvent::ServerAnnounced { card: reborn, sequence: 1 });
+
+    fleet.tell(0, 1, PeerFrame::ServerLeft { id: left.id, born_ms: left.born_ms });
+
+    assert_eq!(fleet.daemon(1).server().map(|it| it.phase), Some(ServerPhase::Ready));
+}
+
+/// An entry that was replaced at its address never comes back for what it had under way.
+#[test]
+fn a_run_is_given_up_when_its_entry_is_gone() {
+    let mut fleet = TestFleet::start();
+    fleet.call(1, call_of(1, "track"));
+    let run = fleet.only_run();
+
+    fleet.replace(1, run.daemon);
+
+    assert!(fleet.is_cancelled(&run));
+}
+
 #[test]
 fn a_late_announcement_of_an_earlier_run_is_ignored() {
     let mut fleet = TestFleet::start();
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -535,6 +535,19 @@
         self.apply(run.daemon, MeshEvent::RunEnded { run: run.run, end });
     }
 
+    /// Delivers a frame from one daemon to another.
+    pub(super) fn tell(&mut self, from: usize, to: usize, frame: PeerFrame) {
+        self.deliver((from, to, (frame, Bytes::new())));
+    }
+
+    /// Lets another daemon introduce itself to `at` with the address of `gone`.
+    pub(super) fn replace(&mut self, gone: usize, at: usize) {
+        let mut card = self.daemons[gone].card();
+        card.member = MemberId { instance: "i-9".into(), incarnation: 1 };
+        card.server = None;
+        self.apply(at, MeshEvent::PeerAccepted(Box::new(card)));
+    }
+
     /// Delivers a reply to an attempt to whatever run of its entry there is now.
     pub(super) fn reply_to(&mut self, entry: usize, run: &TestRun) {
         let result = AttemptResult::Answered {
@@ -544,8 +557,7 @@
             is_call_failed: false,
         };
         let load = self.daemons[run.daemon].load();
-        let frame = PeerFrame::Reply { serial: run.order.serial, result, load };
-        self.deliver((run.daemon, entry, (frame, Bytes::new())));
+        self.tell(run.daemon, entry, PeerFrame::Reply { serial: run.order.serial, result, load });
     }
 
     pub(super) fn answer_of(&self, id: u64) -> Option<CallAnswer> {
