Bound repeats by the operators' windows instead of two seconds of savings

Ruled out: the bound of attempts for each call (2, seldom reached).

Change: each daemon counts requests and repeats of a service in slices of half a second and spends up to half of what the window that counts allows (this one, the one before or the one half a window ago). The tests of the bound are unchanged and pass.

--- a/crates/ivytrail/src/mesh/budget.rs
+++ b/crates/ivytrail/src/mesh/budget.rs
@@ -1,6 +1,6 @@
 //! Bound on repeated sends to each service, over the whole fleet.
 
-use std::{collections::HashMap, time::Duration};
+use std::collections::{HashMap, VecDeque};
 
 use crate::{id::ServiceName, time::TimePoint};
 
@@ -21,29 +21,39 @@
     }
 }
 
-/// Part of the allowance that is spent; the rest covers runs that make more calls than the mean of their route.
+/// Part of the allowance that is spent; the rest covers runs that make more calls than the mean of their route, and
+/// traffic that moves between daemons.
 const SPENT_SHARE: f64 = 0.5;
-/// Time whose requests earn the repeats that are kept for later.
-const SAVING_SPAN: Duration = Duration::from_secs(2);
+/// Slices in which a window is counted.
+const SLICES_PER_WINDOW: u64 = 20;
+/// Least length of a slice, in seconds.
+const MIN_SLICE_S: f64 = 1e-3;
 
 /// Requests that one request brings to each service, itself and the calls below it.
 pub type ServiceArrivals = Vec<(ServiceName, f64)>;
 
 /// One daemon's part of the repeats that services may get.
 ///
-/// Each request earns a part of a repeat, and each daemon gets its part of the slack. Unspent repeats lapse, so that the
-/// sum over all daemons stays within the allowance in any window. A repeat makes its calls again, and so spends at every
-/// service that they reach.
+/// Operators allow a service so many repeats in each window for each request of that window, of the one before it or of
+/// the one half a window earlier, whichever had most: an episode of failures may spend what the calm before it has earned.
+/// Each daemon keeps to that with the requests that it saw itself, and has its part of the slack. A repeat makes its calls
+/// again, and so spends at every service that they reach.
 #[derive(Debug, Default)]
 pub struct RepeatBudgets {
-    tokens: HashMap<ServiceName, RepeatTokens>,
+    ledgers: HashMap<ServiceName, RepeatLedger>,
 }
 
 impl RepeatBudgets {
     /// Records requests for a service.
-    pub fn note_requests(&mut self, policy: &RepeatPolicy, service: &ServiceName, n_requests: f64) {
-        let tokens = self.tokens.entry(service.clone()).or_default();
-        tokens.earned += n_requests * policy.ratio * SPENT_SHARE;
+    pub fn note_requests(
+        &mut self,
+        now: TimePoint,
+        policy: &RepeatPolicy,
+        service: &ServiceName,
+        n_requests: f64,
+    ) {
+        let ledger = self.ledgers.entry(service.clone()).or_default();
+        ledger.slice_at(now, policy).n_requests += n_requests;
     }
 
     /// Spends a repeat at all services that it reaches, or at none. Returns whether it did; `n_daemons` share the slack.
@@ -54,16 +64,16 @@
         n_daemons: usize,
         arrivals: &ServiceArrivals,
     ) -> bool {
-        let part = policy.slack * SPENT_SHARE / n_daemons.max(1) as f64;
+        let slack = policy.slack / n_daemons.max(1) as f64;
         let is_allowed = arrivals.iter().all(|(service, n_arrivals)| {
-            let tokens = self.tokens.entry(service.clone()).or_default();
-            tokens.settle(now, policy, part);
-            *n_arrivals <= tokens.balance
+            let ledger = self.ledgers.entry(service.clone()).or_default();
+            let allowance = policy.ratio * ledger.most_requests(now, policy) + slack;
+            ledger.spent(now, policy) + n_arrivals <= SPENT_SHARE * allowance
         });
         if is_allowed {
             for (service, n_arrivals) in arrivals {
-                if let Some(tokens) = self.tokens.get_mut(service) {
-                    tokens.balance -= n_arrivals;
+                if let Some(ledger) = self.ledgers.get_mut(service) {
+                    ledger.slice_at(now, policy).n_repeats += n_arrivals;
                 }
             }
         }
@@ -71,30 +81,57 @@
     }
 }
 
-/// Repeats that may be sent to one service.
+/// Requests and repeats of one service in one slice of time.
 #[derive(Clone, Copy, Debug, Default)]
-struct RepeatTokens {
-    balance: f64,
-    /// Earned since the balance was settled.
-    earned: f64,
-    earned_per_s: f64,
-    settled_at: TimePoint,
+struct LedgerSlice {
+    number: u64,
+    n_requests: f64,
+    n_repeats: f64,
 }
 
-impl RepeatTokens {
-    /// Adds what was earned and drops what is too old.
-    fn settle(&mut self, now: TimePoint, policy: &RepeatPolicy, part: f64) {
-        let elapsed = now.since(self.settled_at).as_secs_f64();
-        if 0.0 < elapsed {
-            let gain = 1.0 - (-elapsed / SAVING_SPAN.as_secs_f64()).exp();
-            self.earned_per_s += gain * (self.earned / elapsed - self.earned_per_s);
-            self.settled_at = now;
+/// The slices of the last two windows, the oldest first.
+#[derive(Debug, Default)]
+struct RepeatLedger {
+    slices: VecDeque<LedgerSlice>,
+}
+
+impl RepeatLedger {
+    fn slice_at(&mut self, now: TimePoint, policy: &RepeatPolicy) -> &mut LedgerSlice {
+        let number = slice_number(now, policy);
+        while self.slices.front().is_some_and(|it| it.number + 2 * SLICES_PER_WINDOW < number) {
+            self.slices.pop_front();
+        }
+        if self.slices.back().is_none_or(|it| it.number < number) {
+            self.slices.push_back(LedgerSlice { number, ..LedgerSlice::default() });
         }
-        let savings = part.max(1.0) + self.earned_per_s * SAVING_SPAN.as_secs_f64();
-        let income = self.earned + part * elapsed / policy.window_s;
-        self.balance = (self.balance + income).min(savings);
-        self.earned = 0.0;
+        let newest = self.slices.len() - 1;
+        &mut self.slices[newest]
     }
+
+    /// Returns the requests of the window that counts: this one, or an earlier one that had more.
+    fn most_requests(&self, now: TimePoint, policy: &RepeatPolicy) -> f64 {
+        let newest = slice_number(now, policy);
+        let ends = [0, SLICES_PER_WINDOW / 2, SLICES_PER_WINDOW];
+        let windows = ends.map(|slices_ago| {
+            let end = newest.saturating_sub(slices_ago);
+            let is_inside =
+                |it: &&LedgerSlice| it.number <= end && end < it.number + SLICES_PER_WINDOW;
+            self.slices.iter().filter(is_inside).map(|it| it.n_requests).sum()
+        });
+        windows.into_iter().fold(0.0, f64::max)
+    }
+
+    /// Returns the repeats in this window, with those of the slice that it only touches.
+    fn spent(&self, now: TimePoint, policy: &RepeatPolicy) -> f64 {
+        let newest = slice_number(now, policy);
+        let is_inside = |it: &&LedgerSlice| newest <= it.number + SLICES_PER_WINDOW;
+        self.slices.iter().filter(is_inside).map(|it| it.n_repeats).sum()
+    }
+}
+
+fn slice_number(now: TimePoint, policy: &RepeatPolicy) -> u64 {
+    let slice_s = policy.window_s / SLICES_PER_WINDOW as f64;
+    (now.since(TimePoint::ORIGIN).as_secs_f64() / slice_s.max(MIN_SLICE_S)) as u64
 }
 
 #[cfg(test)]
--- a/crates/ivytrail/src/mesh/budget/tests.rs
+++ b/crates/ivytrail/src/mesh/budget/tests.rs
@@ -25,7 +25,12 @@
 
     for tick in 0..3_000_u64 {
         for n in 0..REQUESTS_PER_TICK {
-            budgets[(tick as usize + n) % N_DAEMONS].note_requests(&POLICY, &service, 1.0);
+            budgets[(tick as usize + n) % N_DAEMONS].note_requests(
+                at_tick(tick),
+                &POLICY,
+                &service,
+                1.0,
+            );
         }
         for budget in &mut budgets {
             if budget.try_spend(at_tick(tick), &POLICY, N_DAEMONS, &arrivals) {
@@ -57,8 +62,8 @@
     for tick in 0..3_000_u64 {
         for n in 0..ROOTS_PER_TICK {
             let budget = &mut budgets[(tick as usize + n) % N_DAEMONS];
-            budget.note_requests(&POLICY, &root, 1.0);
-            budget.note_requests(&POLICY, &leaf, ADMITTED * CALLS);
+            budget.note_requests(at_tick(tick), &POLICY, &root, 1.0);
+            budget.note_requests(at_tick(tick), &POLICY, &leaf, ADMITTED * CALLS);
         }
         for budget in &mut budgets {
             if budget.try_spend(at_tick(tick), &POLICY, N_DAEMONS, &arrivals) {
@@ -78,7 +83,7 @@
 fn a_repeat_that_one_service_forbids_spends_nothing_at_the_others() {
     let (root, leaf) = (ServiceName::from("catalogue"), ServiceName::from("cellar"));
     let mut budgets = RepeatBudgets::default();
-    budgets.note_requests(&POLICY, &root, 20.0);
+    budgets.note_requests(at_tick(100), &POLICY, &root, 20.0);
     let both = vec![(root.clone(), 1.0), (leaf, 50.0)];
 
     let is_allowed = budgets.try_spend(at_tick(100), &POLICY, N_DAEMONS, &both);
@@ -87,3 +92,39 @@
     assert!(!is_allowed);
     assert!(is_root_allowed);
 }
+
+/// Pattern: a leaf answers well for a long time, and then fails a quarter of its calls for four seconds.
+#[test]
+fn an_episode_of_failures_spends_what_the_calm_before_it_has_earned() {
+    const REQUESTS_PER_TICK: u64 = 10;
+    const EPISODE: std::ops::Range<u64> = 2_500..2_900;
+    let service = ServiceName::from("quoting");
+    let arrivals = vec![(service.clone(), 1.0)];
+    let mut budget = RepeatBudgets::default();
+    let (mut n_wanted, mut n_spent) = (0, 0);
+
+    for tick in 0..EPISODE.end {
+        for n in 0..REQUESTS_PER_TICK {
+            budget.note_requests(at_tick(tick), &POLICY, &service, 1.0);
+            if EPISODE.contains(&tick) && n % 4 == 0 {
+                n_wanted += 1;
+                n_spent += u32::from(budget.try_spend(at_tick(tick), &POLICY, 1, &arrivals));
+            }
+        }
+    }
+
+    assert!(n_wanted * 8 / 10 <= n_spent, "{n_spent} of {n_wanted}");
+}
+
+/// Traffic that ends leaves its allowance for two windows and no longer.
+#[test]
+fn the_allowance_of_traffic_that_ended_lapses() {
+    let service = ServiceName::from("quoting");
+    let arrivals = vec![(service.clone(), 10.0)];
+    let policy = RepeatPolicy { slack: 0.0, ..POLICY };
+    let mut budget = RepeatBudgets::default();
+    budget.note_requests(at_tick(0), &policy, &service, 1_000.0);
+
+    assert!(budget.try_spend(at_tick(1_500), &policy, 1, &arrivals));
+    assert!(!budget.try_spend(at_tick(2_100), &policy, 1, &arrivals));
+}
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -153,7 +153,7 @@
         let target_latency = call.route.target_latency;
         let request_id = call.order.request_id.clone();
         if self.gate.admit(turn.now, &route, rank, &fingerprint) {
-            self.note_coming_calls(id);
+            self.note_coming_calls(turn.now, id);
             return self.dispatch(turn, id);
         }
         let wait = self.jitter(target_latency.mul_f64(COMEBACK_SHARE));
--- a/crates/ivytrail/src/mesh/intake.rs
+++ b/crates/ivytrail/src/mesh/intake.rs
@@ -15,6 +15,7 @@
 use crate::{
     id::{AccountName, CallId, ContentDigest, ServiceName},
     message::{CallOutcome, RefusalReason},
+    time::TimePoint,
 };
 
 /// When to come back to a daemon that knows no settings yet.
@@ -44,7 +45,12 @@
         };
         let call = self.new_call(turn, request, route, account, service, fingerprint);
         let n_requests = if call.is_nested() { CALL_PART } else { 1.0 };
-        self.repeats.note_requests(&self.options.repeats, &call.order.service, n_requests);
+        self.repeats.note_requests(
+            turn.now,
+            &self.options.repeats,
+            &call.order.service,
+            n_requests,
+        );
         self.entry.timers.push(Reverse((call.deadline, id)));
         self.entry.calls.insert(id, call);
         self.check_quota(turn, id);
@@ -164,12 +170,12 @@
 
     /// Counts the calls that a client's request will make for the budget of repeats, since a repeat of it makes them
     /// again.
-    pub(super) fn note_coming_calls(&mut self, id: CallId) {
+    pub(super) fn note_coming_calls(&mut self, now: TimePoint, id: CallId) {
         let Some(call) = self.entry.calls.get(&id) else { return };
         let below = self.costs.arrivals_below(&call.order.route, &call.order.service);
         for (service, n_arrivals) in below {
             let n_requests = n_arrivals * (1.0 - CALL_PART);
-            self.repeats.note_requests(&self.options.repeats, &service, n_requests);
+            self.repeats.note_requests(now, &self.options.repeats, &service, n_requests);
         }
     }
 }
