Give up an account's bucket when another daemon is its home again

A daemon that had been an account's home for a moment kept its bucket, which filled up to the whole burst while it was not asked, and granted that when it became the home again. Ruled out: tokens that come back (none do over the rate); parts for unreachable daemons (no link was cut there).

Change: when a link opens, a daemon forgets the buckets of accounts whose home the other is now.

--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -156,6 +156,7 @@
         ));
         self.note_card(turn, card);
         self.note_answering(turn.now, peer);
+        self.keep_homes();
         self.picker.set_reachable(peer, true);
         if is_other_run {
             self.lose_attempts(turn, peer);
--- a/crates/ivytrail/src/mesh/quota.rs
+++ b/crates/ivytrail/src/mesh/quota.rs
@@ -72,6 +72,15 @@
         bucket.take(now, account.rate_per_s * reachable, account.burst * reachable, wanted)
     }
 
+    /// Forgets the buckets of accounts that this daemon is not the home of any more. Where it becomes the home again, it
+    /// can't tell what was spent meanwhile.
+    pub fn keep_homes<F>(&mut self, is_home: F)
+    where
+        F: Fn(&AccountName) -> bool,
+    {
+        self.homes.retain(|account, _| is_home(account));
+    }
+
     /// Grants up to `wanted` tokens while the home can't be asked.
     pub fn take_fallback(
         &mut self,
--- a/crates/ivytrail/src/mesh/quota_flow.rs
+++ b/crates/ivytrail/src/mesh/quota_flow.rs
@@ -50,6 +50,14 @@
         home_of(account, self.links.open_peers().chain([me])).cloned()
     }
 
+    /// Forgets the buckets of accounts whose home another daemon is, now that it can be reached.
+    pub(super) fn keep_homes(&mut self) {
+        let me = &self.options.member.instance;
+        let links = &self.links;
+        self.quotas
+            .keep_homes(|account| home_of(account, links.open_peers().chain([me])) == Some(me));
+    }
+
     fn ask_home(&mut self, turn: &mut Turn<'_>, account: &AccountPolicy, wanted: u32) {
         match self.home(&account.name) {
             Some(home) if home != self.options.member.instance => {
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -563,3 +563,24 @@
 
     assert_eq!(fleet.answer_of(2), None);
 }
+
+/// Pattern: daemons are stopped and started in turn, so that an account's home moves to and fro. Its burst must not be
+/// granted anew with each move.
+#[test]
+fn a_daemon_that_becomes_the_home_again_starts_with_part_of_the_burst() {
+    let mut fleet = TestFleet::start();
+    fleet.set_quota(1.0, 100.0);
+    let home = fleet.home_of_client();
+    let entry = (home + 1) % 4;
+    fleet.kill(home);
+    fleet.serve(entry, call_of(1, "book"));
+    fleet.rejoin(home);
+    fleet.set_quota(1.0, 100.0);
+    fleet.advance(Duration::from_secs(100));
+    fleet.kill(home);
+
+    let answers = (100..200).map(|id| fleet.serve(entry, call_of(id, "book")));
+    let n_served = answers.filter(|it| matches!(it, CallAnswer::Whole { .. })).count();
+
+    assert!((1..=30).contains(&n_served), "{n_served} of a burst of 100");
+}
