Walk cached arrivals without copying them; look up an account's home in one place

The home of an account among the daemons that can be reached was worked out in three places; PeerLinks::home_of serves them.

No behaviour changes.

--- a/crates/ivytrail/src/mesh/cost.rs
+++ b/crates/ivytrail/src/mesh/cost.rs
@@ -4,7 +4,7 @@
 //! which routes it makes. Daemons tell each other; with all reports a daemon follows the calls of a route down to its
 //! leaves and adds up the slot time that one root request takes at every service.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -136,7 +136,7 @@
 pub struct CostBook {
     reports: HashMap<RouteName, HashMap<InstanceName, RouteCost>>,
     /// Arrivals by route, as far as they were asked for since the last report.
-    arrivals: HashMap<RouteName, Arc<ServiceArrivals>>,
+    arrivals: HashMap<RouteName, ServiceArrivals>,
 }
 
 impl CostBook {
@@ -153,22 +153,18 @@
         self.arrivals.clear();
     }
 
-    /// Returns the requests that one request of `route` brings to each service.
-    fn arrivals_of(&mut self, route: &RouteName) -> Arc<ServiceArrivals> {
-        if let Some(arrivals) = self.arrivals.get(route) {
-            return Arc::clone(arrivals);
-        }
-        let demand = self.demand_of(route).into_iter();
-        let arrivals: Arc<ServiceArrivals> =
-            Arc::new(demand.map(|(service, it)| (service, it.n_arrivals)).collect());
-        self.arrivals.insert(route.clone(), Arc::clone(&arrivals));
-        arrivals
-    }
-
     /// Returns the requests that the calls of one request of `route` bring to services other than `own`.
-    pub fn arrivals_below(&mut self, route: &RouteName, own: &ServiceName) -> ServiceArrivals {
-        let arrivals = self.arrivals_of(route);
-        arrivals.iter().filter(|(service, _)| service != own).cloned().collect()
+    pub fn arrivals_below(
+        &mut self,
+        route: &RouteName,
+        own: &ServiceName,
+    ) -> impl Iterator<Item = &(ServiceName, f64)> {
+        if !self.arrivals.contains_key(route) {
+            let demand = self.demand_of(route).into_iter();
+            let arrivals = demand.map(|(service, it)| (service, it.n_arrivals)).collect();
+            self.arrivals.insert(route.clone(), arrivals);
+        }
+        self.arrivals[route].iter().filter(move |(service, _)| service != own)
     }
 
     /// Returns what a request of `route` takes at each service.
--- a/crates/ivytrail/src/mesh/intake.rs
+++ b/crates/ivytrail/src/mesh/intake.rs
@@ -175,7 +175,7 @@
         let below = self.costs.arrivals_below(&call.order.route, &call.order.service);
         for (service, n_arrivals) in below {
             let n_requests = n_arrivals * (1.0 - CALL_PART);
-            self.repeats.note_requests(now, &self.options.repeats, &service, n_requests);
+            self.repeats.note_requests(now, &self.options.repeats, service, n_requests);
         }
     }
 }
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -12,7 +12,7 @@
     quota::home_of,
 };
 use crate::{
-    id::{InstanceName, MemberId},
+    id::{AccountName, InstanceName, MemberId},
     time::TimePoint,
 };
 
@@ -120,6 +120,15 @@
         self.links.iter().filter(|(_, link)| link.is_open).map(|(name, _)| name)
     }
 
+    /// Returns the account's home among this daemon, `me`, and those that it can reach.
+    pub(super) fn home_of<'l>(
+        &'l self,
+        account: &AccountName,
+        me: &'l InstanceName,
+    ) -> Option<&'l InstanceName> {
+        home_of(account, self.open_peers().chain([me]))
+    }
+
     pub(super) fn n_open(&self) -> usize {
         self.open_peers().count()
     }
@@ -415,9 +424,8 @@
             .collect();
         for address in gone {
             let me = &self.options.member.instance;
-            let digest_key = crate::id::AccountName::from(address.instance.as_str());
-            let members = self.links.open_peers().chain([me]);
-            let is_mine = home_of(&digest_key, members) == Some(me);
+            let digest_key = AccountName::from(address.instance.as_str());
+            let is_mine = self.links.home_of(&digest_key, me) == Some(me);
             turn.log(format!("event=peer_gone peer={}", address.instance));
             self.drop_link(turn, &address.instance);
             if is_mine && 0 < self.links.n_open() {
--- a/crates/ivytrail/src/mesh/quota_flow.rs
+++ b/crates/ivytrail/src/mesh/quota_flow.rs
@@ -10,7 +10,7 @@
     frame::PeerFrame,
     log_budget::LineWeight,
     policy::AccountPolicy,
-    quota::{TokenVerdict, home_of},
+    quota::TokenVerdict,
 };
 use crate::{
     id::{AccountName, CallId, InstanceName},
@@ -47,15 +47,14 @@
 
     fn home(&self, account: &AccountName) -> Option<InstanceName> {
         let me = &self.options.member.instance;
-        home_of(account, self.links.open_peers().chain([me])).cloned()
+        self.links.home_of(account, me).cloned()
     }
 
     /// Forgets the buckets of accounts whose home another daemon is, now that it can be reached.
     pub(super) fn keep_homes(&mut self) {
         let me = &self.options.member.instance;
         let links = &self.links;
-        self.quotas
-            .keep_homes(|account| home_of(account, links.open_peers().chain([me])) == Some(me));
+        self.quotas.keep_homes(|account| links.home_of(account, me) == Some(me));
     }
 
     fn ask_home(&mut self, turn: &mut Turn<'_>, account: &AccountPolicy, wanted: u32) {
