Log what the table's watch waits for and where it starts from

Each failed request is logged with the number of failures and the time since the first, each configuration that is read with its cursor, a changed history as table_restored, and older settings as settings_ignored. ivytrail_settings_watch_age_seconds is the time since the table's last response about the configuration. No decision changes.

--- a/crates/ivytrail-daemon/src/mesh/metrics.rs
+++ b/crates/ivytrail-daemon/src/mesh/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of the mesh daemon and the endpoint that serves them.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::atomic::AtomicU64, time::Duration};
 
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -15,6 +15,7 @@
     },
     registry::{Registry, Unit},
 };
+use tokio::time::Instant;
 
 use super::{driver::MeshDriver, local_api};
 use crate::metrics::AnswerLabels;
@@ -38,6 +39,9 @@
     limit: Gauge,
     links: Gauge,
     settings_version: Gauge,
+    settings_watch_age: Gauge<f64, AtomicU64>,
+    /// Time of the last response to a request for the configuration.
+    table_responded_at: Cell<Instant>,
 }
 
 impl MeshMetrics {
@@ -58,6 +62,13 @@
         registry.register("runs", "Runs ended at the own backend server", runs.clone());
         let callers_gone = Counter::default();
         registry.register("callers_gone", "Callers that left early", callers_gone.clone());
+        let settings_watch_age = Gauge::<f64, AtomicU64>::default();
+        registry.register_with_unit(
+            "settings_watch_age",
+            "Time since the table's last response about the configuration",
+            Unit::Seconds,
+            settings_watch_age.clone(),
+        );
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -69,6 +80,8 @@
             limit: gauge("concurrency_limit", "Requests that may run at once"),
             links: gauge("links_open", "Daemons that can be reached"),
             settings_version: gauge("settings_version", "Version of the settings in force"),
+            settings_watch_age,
+            table_responded_at: Cell::new(Instant::now()),
             registry,
             answers,
             call_duration,
@@ -101,6 +114,11 @@
         self.runs.get_or_create(&RunLabels { end: end.name() }).inc();
     }
 
+    /// Records a response of the platform's table to a request for the configuration.
+    pub fn record_table_response(&self) {
+        self.table_responded_at.set(Instant::now());
+    }
+
     fn render(&self, driver: &MeshDriver) -> String {
         let (load, n_links, version) = driver.inspect(|it| {
             (it.load(), it.n_open_links(), it.settings().map_or(0, |it| it.version()))
@@ -110,6 +128,7 @@
         self.limit.set(i64::from(load.limit));
         self.links.set(i64::try_from(n_links).unwrap_or(i64::MAX));
         self.settings_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.settings_watch_age.set(self.table_responded_at.get().elapsed().as_secs_f64());
         let mut text = String::new();
         // Writing to a string can't fail.
         let _ = encode(&mut text, &self.registry);
--- a/crates/ivytrail-daemon/src/mesh/table_loop.rs
+++ b/crates/ivytrail-daemon/src/mesh/table_loop.rs
@@ -9,7 +9,7 @@
 };
 use ivytrail_platform::table::{TableClient, TableError};
 use rand::RngExt;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::Instant};
 
 use super::driver::MeshDriver;
 
@@ -39,36 +39,46 @@
     Ok(())
 }
 
-/// Exponential backoff for requests to a dependency. Logs once when the dependency becomes unavailable and once when it
-/// is available again.
+/// Exponential backoff for requests to a dependency. Logs each failure, and once when the dependency is available again.
 struct DependencyBackoff {
     dependency: &'static str,
     delay: Duration,
-    is_unavailable: bool,
+    /// Time of the first failure since the last success.
+    failing_since: Option<Instant>,
+    n_failures: u32,
 }
 
 impl DependencyBackoff {
     fn new(dependency: &'static str) -> DependencyBackoff {
-        DependencyBackoff { dependency, delay: MIN_BACKOFF, is_unavailable: false }
+        DependencyBackoff { dependency, delay: MIN_BACKOFF, failing_since: None, n_failures: 0 }
     }
 
     fn record_success(&mut self) {
         self.delay = MIN_BACKOFF;
-        if self.is_unavailable {
-            self.is_unavailable = false;
-            log::info!("event=dependency_regained dependency={}", self.dependency);
+        if let Some(since) = self.failing_since.take() {
+            log::info!(
+                "event=dependency_regained dependency={} failures={} failing_ms={}",
+                self.dependency,
+                std::mem::take(&mut self.n_failures),
+                since.elapsed().as_millis()
+            );
         }
     }
 
     async fn wait_after_failure(&mut self, cause: &TableError) {
-        if !self.is_unavailable {
-            self.is_unavailable = true;
-            log::warn!(
-                "event=dependency_lost dependency={} cause={:?}",
-                self.dependency,
-                cause.to_string()
-            );
-        }
+        let event = match self.failing_since {
+            None => "dependency_lost",
+            Some(_) => "dependency_retry_failed",
+        };
+        let since = *self.failing_since.get_or_insert_with(Instant::now);
+        self.n_failures += 1;
+        log::warn!(
+            "event={event} dependency={} failures={} failing_ms={} cause={:?}",
+            self.dependency,
+            self.n_failures,
+            since.elapsed().as_millis(),
+            cause.to_string()
+        );
         let jitter = rand::rng().random_range(0.5..1.0);
         tokio::time::sleep(self.delay.mul_f64(jitter)).await;
         self.delay = (self.delay * 2).min(MAX_BACKOFF);
@@ -88,13 +98,27 @@
         match update {
             Ok(update) => {
                 backoff.record_success();
+                if cursor.is_some_and(|before| before.history != update.cursor.history) {
+                    log::warn!(
+                        "event=table_restored cursor={} before={}",
+                        update.cursor,
+                        cursor.map_or_else(String::new, |it| it.to_string())
+                    );
+                }
                 cursor = Some(update.cursor);
+                driver.metrics.record_table_response();
                 if let Some(document) = update.document {
+                    log::info!(
+                        "event=config_read cursor={} bytes={}",
+                        update.cursor,
+                        document.len()
+                    );
                     driver.apply_document(document);
                 }
             }
             Err(TableError::HistoryExpired) => {
-                log::info!("event=feed_history_gone cursor={}", cursor.unwrap_or(0));
+                let cursor_text = cursor.map_or_else(|| "-".to_string(), |it| it.to_string());
+                log::info!("event=feed_history_gone cursor={cursor_text}");
                 cursor = None;
             }
             Err(cause) => backoff.wait_after_failure(&cause).await,
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -267,6 +267,12 @@
     ) {
         let current = self.settings.as_ref().map_or(0, |it| it.version());
         if settings.version() <= current {
+            if settings.version() < current {
+                step.log(format!(
+                    "event=settings_ignored version={} in_force={current} cause=older",
+                    settings.version()
+                ));
+            }
             return;
         }
         step.log(format!(
