Reproduce what a table that comes back from an older copy hides

A daemon's cursor from before is then greater than the versions of the new rows. Two tests fail on the present code: the daemons never see the configuration, and do not write the rows again through which daemons find each other.

--- a/tests/src/site/table.rs
+++ b/tests/src/site/table.rs
@@ -96,6 +96,7 @@
 pub struct SiteTable {
     server: LocalServer,
     shared: Arc<SharedTable>,
+    initial_copy: TableCopy,
 }
 
 #[derive(Debug, Default)]
@@ -104,6 +105,13 @@
     changed: Notify,
 }
 
+impl SharedTable {
+    fn copy(&self) -> TableCopy {
+        let state = self.state.lock();
+        TableCopy { version: state.version, rows: state.rows.clone() }
+    }
+}
+
 impl SiteTable {
     /// Starts a table that contains the platform configuration `config`.
     ///
@@ -113,9 +121,10 @@
     pub async fn start(config: Value) -> Result<SiteTable> {
         let shared = Arc::new(SharedTable::default());
         shared.state.lock().put("op", "config", STANDARD.encode(config.to_string()));
+        let initial_copy = shared.copy();
         let handler = TableHandler(Arc::clone(&shared));
         let server = LocalServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
-        Ok(SiteTable { server, shared })
+        Ok(SiteTable { server, shared, initial_copy })
     }
 
     /// Returns the address on which the table accepts calls.
@@ -156,8 +165,12 @@
 
     /// Returns a copy of all rows.
     pub fn copy(&self) -> TableCopy {
-        let state = self.shared.state.lock();
-        TableCopy { version: state.version, rows: state.rows.clone() }
+        self.shared.copy()
+    }
+
+    /// Returns the copy of the rows with which the table started.
+    pub fn initial_copy(&self) -> &TableCopy {
+        &self.initial_copy
     }
 
     /// Replaces all rows by those of an earlier copy and starts a new history. Versions go back to the copy's, so later
--- a/tests/tests/site_processes.rs
+++ b/tests/tests/site_processes.rs
@@ -108,6 +108,40 @@
     Ok(())
 }
 
+/// A table that comes back from an older copy gives versions out again. A version read before the restore must not hide
+/// changes that are made after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restored_table_hides_no_configuration() -> Result<()> {
+    let _lock = MESH_LOCK.lock().await;
+    let site = TestSite::start().await?;
+    let copy = site.table.copy();
+    for version in 2..8 {
+        site.table.put_config(&config_with_keys(version, &[API_KEY]));
+    }
+    sleep(Duration::from_millis(300)).await;
+
+    site.table.restore(&copy);
+
+    assert_eq!(statuses_after_recovery(&site).await, [401; 3], "log:\n{}", site.daemon_log(0));
+    Ok(())
+}
+
+/// A table that comes back from an older copy has lost the rows that daemons wrote since.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_write_rows_again_that_a_restored_table_has_lost() -> Result<()> {
+    let _lock = MESH_LOCK.lock().await;
+    let site = TestSite::start().await?;
+    let has_row = |idx: usize| site.table.has_row("ivytrail-daemons", &format!("instance-{idx}"));
+    assert_eq!([0, 1, 2].map(has_row), [true; 3]);
+
+    site.table.restore(site.table.initial_copy());
+    assert_eq!([0, 1, 2].map(has_row), [false; 3]);
+    sleep(TABLE_RECOVERY_TIME).await;
+
+    assert_eq!([0, 1, 2].map(has_row), [true; 3], "log:\n{}", site.daemon_log(0));
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_that_starts_during_a_table_outage_gets_settings_from_its_peers() -> Result<()> {
     let _lock = MESH_LOCK.lock().await;
