Bound how long a lost request keeps a daemon from its configuration

Cause: the daemons follow the configuration by one request at a time. A long poll that the store received during the outage was never answered, and its timeout, the wait of 5 s plus 0.7 s, had nothing to do with the time within which a daemon has to follow again (3 s).

The settings now name that time (table_recovery_ms, the platform's stability_window), and every wait, timeout and delay is a fraction of it: a lost poll and the delay after it take 0.7 of it at most, and after a failure a short read follows in place of another long poll. Polls of a large fleet are spread over a range that grows with it, so that they stay within the store's rate; its daemons get most changes from their peers.

A property test plays outages of any start and length against the schedule.

--- a/crates/ivytrail-daemon/src/mesh/table_loop.rs
+++ b/crates/ivytrail-daemon/src/mesh/table_loop.rs
@@ -4,8 +4,10 @@
 use std::{rc::Rc, time::Duration};
 
 use ivytrail::mesh::{
+    MeshReducer,
     event::{MeshEvent, PeerAddress},
     settings_file::MeshSettings,
+    table_watch::{TableWatch, WatchRequest, WatchTiming},
 };
 use ivytrail_platform::table::{TableClient, TableError};
 use rand::RngExt;
@@ -13,12 +15,6 @@
 
 use super::driver::MeshDriver;
 
-/// Wait time of a long poll for changes. A dead connection is detected after this time.
-const LONG_POLL_WAIT: Duration = Duration::from_secs(5);
-/// Initial backoff after a failed request.
-const MIN_BACKOFF: Duration = Duration::from_millis(100);
-/// Maximum backoff after a failed request.
-const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
 /// Interval between reads of the daemons' table after a successful discovery.
 const PEER_REFRESH_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -28,11 +24,12 @@
 ///
 /// Returns an error if the HTTP client can't be created.
 pub fn spawn(driver: &Rc<MeshDriver>, settings: &MeshSettings) -> anyhow::Result<()> {
-    let table = TableClient::new(&settings.table_address.to_string())?;
+    let timing = WatchTiming::new(settings.table_recovery);
+    let table = TableClient::new(&settings.table_address.to_string(), timing)?;
     let address = settings.advertised_address.to_string();
     let local_peer = PeerAddress { instance: settings.name.clone(), address };
-    tokio::task::spawn_local(watch_config(Rc::clone(driver), table.clone()));
-    tokio::task::spawn_local(discover_peers(Rc::clone(driver), table.clone(), local_peer));
+    tokio::task::spawn_local(watch_config(Rc::clone(driver), table.clone(), timing));
+    tokio::task::spawn_local(discover_peers(Rc::clone(driver), table.clone(), timing, local_peer));
     if let Some(removals) = driver.take_removals() {
         tokio::task::spawn_local(remove_rows(table, removals));
     }
@@ -42,19 +39,18 @@
 /// Exponential backoff for requests to a dependency. Logs each failure, and once when the dependency is available again.
 struct DependencyBackoff {
     dependency: &'static str,
-    delay: Duration,
+    timing: WatchTiming,
     /// Time of the first failure since the last success.
     failing_since: Option<Instant>,
     n_failures: u32,
 }
 
 impl DependencyBackoff {
-    fn new(dependency: &'static str) -> DependencyBackoff {
-        DependencyBackoff { dependency, delay: MIN_BACKOFF, failing_since: None, n_failures: 0 }
+    fn new(dependency: &'static str, timing: WatchTiming) -> DependencyBackoff {
+        DependencyBackoff { dependency, timing, failing_since: None, n_failures: 0 }
     }
 
     fn record_success(&mut self) {
-        self.delay = MIN_BACKOFF;
         if let Some(since) = self.failing_since.take() {
             log::info!(
                 "event=dependency_regained dependency={} failures={} failing_ms={}",
@@ -80,56 +76,56 @@
             cause.to_string()
         );
         let jitter = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(self.delay.mul_f64(jitter)).await;
-        self.delay = (self.delay * 2).min(MAX_BACKOFF);
+        tokio::time::sleep(self.timing.backoff(self.n_failures).mul_f64(jitter)).await;
     }
 }
 
-/// Reads the configuration and long-polls for changes. Reads it again if the platform no longer has the changes after
-/// the cursor.
-async fn watch_config(driver: Rc<MeshDriver>, table: TableClient) {
-    let mut backoff = DependencyBackoff::new("table-config");
-    let mut cursor = None;
+/// Follows the operators' configuration by reads and long polls.
+async fn watch_config(driver: Rc<MeshDriver>, table: TableClient, timing: WatchTiming) {
+    let mut backoff = DependencyBackoff::new("table-config", timing);
+    let mut watch = TableWatch::default();
     loop {
-        let update = match cursor {
-            None => table.read_config().await,
-            Some(after) => table.poll_config(after, LONG_POLL_WAIT).await,
+        let request = watch.next_request();
+        let result = match request {
+            WatchRequest::Read => table.read_config().await,
+            WatchRequest::Poll { after } => {
+                let n_daemons = 1 + driver.inspect(MeshReducer::n_open_links);
+                let spread = rand::rng().random_range(0.0..1.0);
+                table.poll_config(after, timing.poll_wait(n_daemons, spread)).await
+            }
         };
-        match update {
-            Ok(update) => {
+        match (result, request) {
+            (Ok(update), _) => {
                 backoff.record_success();
-                if cursor.is_some_and(|before| before.history != update.cursor.history) {
-                    log::warn!(
-                        "event=table_restored cursor={} before={}",
-                        update.cursor,
-                        cursor.map_or_else(String::new, |it| it.to_string())
-                    );
-                }
-                cursor = Some(update.cursor);
                 driver.metrics.record_table_response();
+                watch.record_response(update.cursor);
                 if let Some(document) = update.document {
-                    log::info!(
-                        "event=config_read cursor={} bytes={}",
-                        update.cursor,
-                        document.len()
-                    );
+                    let cursor = update.cursor;
+                    log::info!("event=config_read cursor={cursor} bytes={}", document.len());
                     driver.apply_document(document);
                 }
             }
-            Err(TableError::HistoryExpired) => {
-                let cursor_text = cursor.map_or_else(|| "-".to_string(), |it| it.to_string());
-                log::info!("event=feed_history_gone cursor={cursor_text}");
-                cursor = None;
+            (Err(TableError::HistoryExpired), WatchRequest::Poll { after }) => {
+                log::info!("event=feed_history_gone cursor={after}");
+                watch.record_failure();
+            }
+            (Err(cause), _) => {
+                watch.record_failure();
+                backoff.wait_after_failure(&cause).await;
             }
-            Err(cause) => backoff.wait_after_failure(&cause).await,
         }
     }
 }
 
 /// Writes this daemon's row and reads all others. A daemon that writes its row later finds this one and opens a link,
 /// which makes it known here; so the table is read at the start and only rarely afterwards.
-async fn discover_peers(driver: Rc<MeshDriver>, table: TableClient, local_peer: PeerAddress) {
-    let mut backoff = DependencyBackoff::new("table-daemons");
+async fn discover_peers(
+    driver: Rc<MeshDriver>,
+    table: TableClient,
+    timing: WatchTiming,
+    local_peer: PeerAddress,
+) {
+    let mut backoff = DependencyBackoff::new("table-daemons", timing);
     loop {
         match sync_peers(&driver, &table, &local_peer).await {
             Ok(()) => {
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -32,6 +32,7 @@
 mod run_outcome;
 mod server_announcements;
 pub mod settings_file;
+pub mod table_watch;
 pub mod weighted_split;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
--- a/crates/ivytrail/src/mesh/settings_file.rs
+++ b/crates/ivytrail/src/mesh/settings_file.rs
@@ -19,9 +19,15 @@
 };
 
 const SECONDS_ALLOWED: &str = "a number of seconds from 0 to 600";
+const RECOVERY_ALLOWED: &str = "a number of milliseconds from 0 to 600000";
 const RATIO_ALLOWED: &str = "a number from 0 to 1";
 const BASE_ALLOWANCE_ALLOWED: &str = "a number from 0 to 100000";
 
+/// Default of [`MeshSettings::table_recovery`].
+const DEFAULT_TABLE_RECOVERY: Duration = Duration::from_secs(3);
+/// Minimum of [`MeshSettings::table_recovery`]; shorter timeouts would end requests that the table still answers.
+const MIN_TABLE_RECOVERY: Duration = Duration::from_millis(500);
+
 /// Settings of one daemon in a mesh, read at start.
 ///
 /// # Example
@@ -56,6 +62,8 @@
     pub server_address: SocketAddr,
     /// Address of the platform's table.
     pub table_address: SocketAddr,
+    /// Time after a failure of the table, or of the connection to it, within which the daemon follows it again.
+    pub table_recovery: Duration,
     /// Maximum time from the shutdown signal until the daemon exits.
     pub shutdown_grace: Duration,
     /// Maximum number of file descriptors that the process may hold.
@@ -97,6 +105,8 @@
     let grace_s = reader.required("shutdown_grace_s", SECONDS_ALLOWED, |it| number_in(it, 600.0));
     let bounds = NumberBounds { min: 64, max: 1 << 20, default: 4_096 };
     let max_descriptors = reader.bounded("max_descriptors", bounds) as usize;
+    let table_recovery_ms =
+        reader.optional("table_recovery_ms", RECOVERY_ALLOWED, |it| number_in(it, 600_000.0));
     let retry_policy = read_retry_policy(&mut reader);
     reader.finish();
     Some(MeshSettings {
@@ -111,6 +121,9 @@
         metrics_address: metrics_address?,
         server_address: server_address?,
         table_address: table_address?,
+        table_recovery: table_recovery_ms
+            .map_or(DEFAULT_TABLE_RECOVERY, |it| Duration::from_secs_f64(it / 1e3))
+            .max(MIN_TABLE_RECOVERY),
         shutdown_grace: Duration::from_secs_f64(grace_s?),
         max_descriptors,
         retry_policy,
--- /dev/null
+++ b/crates/ivytrail/src/mesh/table_watch.rs
@@ -0,0 +1,121 @@
+//! Schedule of the requests that follow the operators' configuration in the platform's table.
+//!
+//! A request can be lost without any sign: the table stops responding while a long poll waits, or a connection goes
+//! silent. [`WatchTiming`] bounds how long a daemon waits for each request, so that it follows the configuration again
+//! within a given recovery time after the table responds again.
+
+use std::time::Duration;
+
+use derive_more::Display;
+
+/// Mean interval between the long polls of all daemons together. It bounds the load on the table: daemons of a large
+/// fleet poll less often and get most changes from their peers.
+const FLEET_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Maximum wait time of a long poll.
+const MAX_POLL_WAIT: Duration = Duration::from_secs(20);
+/// Fraction of the recovery time for which a long poll waits in a small fleet.
+const POLL_WAIT_FRACTION: f64 = 1.0 / 2.0;
+/// Fraction of the recovery time after which the response to a long poll is overdue, counted from the end of its wait.
+const POLL_MARGIN_FRACTION: f64 = 1.0 / 6.0;
+/// Fraction of the recovery time after which the response to a read is overdue.
+const READ_TIMEOUT_FRACTION: f64 = 1.0 / 3.0;
+/// Fraction of the recovery time before the first retry.
+const MIN_BACKOFF_FRACTION: f64 = 1.0 / 30.0;
+/// Fraction of the recovery time to which the delay between retries grows.
+const MAX_BACKOFF_FRACTION: f64 = 1.0 / 6.0;
+
+/// Serial number of the table's history. The table starts a new one when it comes back from an older copy; its versions
+/// then go back, and versions of different histories are unrelated.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HistoryId(pub u64);
+
+/// Version of the table up to which its changes have been read.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("{history}:{version}")]
+pub struct TableCursor {
+    /// History to which the version belongs.
+    pub history: HistoryId,
+    /// Version after which to poll for changes.
+    pub version: u64,
+}
+
+/// Timeouts and delays of requests to the table, derived from the time within which a daemon has to recover.
+///
+/// The longest time without a response, a long poll and the delay after it, is 0.7 of the recovery time. The rest is
+/// left for the read that follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchTiming {
+    recovery: Duration,
+}
+
+impl WatchTiming {
+    /// Creates the timing for daemons that follow the table again within `recovery` after it responds again.
+    pub fn new(recovery: Duration) -> WatchTiming {
+        WatchTiming { recovery }
+    }
+
+    /// Returns the wait time of a long poll in a fleet of `n_daemons`. `spread`, from 0 to 1, places it in the range
+    /// over which the polls of a large fleet are spread.
+    pub fn poll_wait(&self, n_daemons: usize, spread: f64) -> Duration {
+        let min = self.recovery.mul_f64(POLL_WAIT_FRACTION).min(MAX_POLL_WAIT);
+        let n_daemons = u32::try_from(n_daemons).unwrap_or(u32::MAX);
+        let max = FLEET_POLL_INTERVAL.saturating_mul(n_daemons).clamp(min, MAX_POLL_WAIT);
+        min + (max - min).mul_f64(spread.clamp(0.0, 1.0))
+    }
+
+    /// Returns the time after which the response to a long poll that waits for `wait` is overdue.
+    pub fn poll_timeout(&self, wait: Duration) -> Duration {
+        wait + self.recovery.mul_f64(POLL_MARGIN_FRACTION)
+    }
+
+    /// Returns the time after which the response to a read or a transaction is overdue.
+    pub fn read_timeout(&self) -> Duration {
+        self.recovery.mul_f64(READ_TIMEOUT_FRACTION)
+    }
+
+    /// Returns the longest delay before the retry of a request that has failed `n_failures` times in a row.
+    pub fn backoff(&self, n_failures: u32) -> Duration {
+        let min = self.recovery.mul_f64(MIN_BACKOFF_FRACTION);
+        let factor = 1_u32.checked_shl(n_failures.saturating_sub(1)).unwrap_or(u32::MAX);
+        min.saturating_mul(factor).min(self.recovery.mul_f64(MAX_BACKOFF_FRACTION))
+    }
+}
+
+/// A request for the operators' configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchRequest {
+    /// Reads the configuration.
+    Read,
+    /// Waits for a change after the cursor.
+    Poll {
+        /// Version up to which changes have been read.
+        after: TableCursor,
+    },
+}
+
+/// Position of a daemon in the table's changes. After a failure the daemon reads the configuration instead of polling:
+/// a read is answered at once or is lost, and it needs no cursor.
+#[derive(Debug, Default)]
+pub struct TableWatch {
+    cursor: Option<TableCursor>,
+}
+
+impl TableWatch {
+    /// Returns the next request to send.
+    pub fn next_request(&self) -> WatchRequest {
+        self.cursor.map_or(WatchRequest::Read, |after| WatchRequest::Poll { after })
+    }
+
+    /// Records the cursor of a response to the last request.
+    pub fn record_response(&mut self, cursor: TableCursor) {
+        self.cursor = Some(cursor);
+    }
+
+    /// Records that the last request failed, or that the table no longer has the changes after the cursor.
+    pub fn record_failure(&mut self) {
+        self.cursor = None;
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/ivytrail/src/mesh/table_watch/tests.rs
@@ -0,0 +1,91 @@
+use std::time::Duration;
+
+use proptest::{prop_assert, proptest};
+
+use super::{HistoryId, TableCursor, TableWatch, WatchRequest, WatchTiming};
+
+/// Time within which a daemon has to follow the table again.
+const RECOVERY: Duration = Duration::from_secs(3);
+/// Time that the table takes for a response.
+const RESPONSE_TIME: Duration = Duration::from_millis(10);
+
+fn cursor(history: u64, version: u64) -> TableCursor {
+    TableCursor { history: HistoryId(history), version }
+}
+
+/// Returns the time of the first response after an outage of a table that never answers what it received before the
+/// outage ended. The daemon sends requests without a pause until the outage begins.
+fn first_response_after(outage: std::ops::Range<Duration>, n_daemons: usize) -> Duration {
+    let timing = WatchTiming::new(RECOVERY);
+    let mut watch = TableWatch::default();
+    let (mut now, mut n_failures) = (Duration::ZERO, 0);
+    loop {
+        let (response_time, timeout) = match watch.next_request() {
+            WatchRequest::Read => (RESPONSE_TIME, timing.read_timeout()),
+            WatchRequest::Poll { .. } => {
+                let wait = timing.poll_wait(n_daemons, 1.0);
+                (wait + RESPONSE_TIME, timing.poll_timeout(wait))
+            }
+        };
+        let is_lost = now < outage.end && outage.start < now + response_time;
+        if is_lost {
+            watch.record_failure();
+            n_failures += 1;
+            now += timeout + timing.backoff(n_failures);
+            continue;
+        }
+        if outage.end <= now {
+            return now + RESPONSE_TIME;
+        }
+        watch.record_response(cursor(0, 1));
+        n_failures = 0;
+        now += response_time;
+    }
+}
+
+proptest! {
+    #[test]
+    fn a_daemon_follows_the_table_again_within_the_recovery_time(
+        start_ms in 0_u64..4_000, length_ms in 1_u64..20_000, n_daemons in 1_usize..=80,
+    ) {
+        let start = Duration::from_millis(start_ms);
+        let end = start + Duration::from_millis(length_ms);
+
+        let responded_at = first_response_after(start..end, n_daemons);
+
+        prop_assert!(responded_at - end <= RECOVERY, "{:?}", responded_at - end);
+    }
+}
+
+#[test]
+fn a_large_fleet_polls_less_often_and_at_different_times() {
+    let timing = WatchTiming::new(RECOVERY);
+
+    let small = [0.0, 1.0].map(|spread| timing.poll_wait(12, spread));
+    let large = [0.0, 0.5, 1.0].map(|spread| timing.poll_wait(400, spread));
+    let huge = timing.poll_wait(100_000, 1.0);
+
+    assert_eq!(small, [Duration::from_millis(1_500); 2]);
+    assert_eq!(large, [1_500, 5_750, 10_000].map(Duration::from_millis));
+    assert_eq!(huge, Duration::from_secs(20));
+}
+
+#[test]
+fn the_delay_between_retries_grows_up_to_a_bound() {
+    let timing = WatchTiming::new(RECOVERY);
+
+    let delays = [1, 2, 3, 4, 40].map(|n_failures| timing.backoff(n_failures));
+
+    assert_eq!(delays, [100, 200, 400, 500, 500].map(Duration::from_millis));
+}
+
+#[test]
+fn a_failed_poll_is_followed_by_a_read() {
+    let mut watch = TableWatch::default();
+    watch.record_response(cursor(0, 7));
+    assert_eq!(watch.next_request(), WatchRequest::Poll { after: cursor(0, 7) });
+
+    watch.record_failure();
+
+    assert_eq!(watch.next_request(), WatchRequest::Read);
+}
