Follow a table that comes back from an older copy

Cause: a daemon keeps a version of the table and compares it with later ones, on the assumption that versions only rise. A restored table gives versions out again, so a cursor from before hides new rows. In the same way a daemon takes its own row for written once, and looks at it again after a minute only.

A response to a poll that belongs to another history, or to a lower version, is followed by a read of the whole configuration. When the history changes, each daemon reads the daemons' rows again and writes its own if it is missing, spread over a time that grows with the fleet, and once more after 10 s, since a removal from before may still be executed at a version that was given out again.

Configurations in force are kept as before: only a greater version replaces one, whatever the restored table holds.

--- a/crates/ivytrail-daemon/src/mesh/table_loop.rs
+++ b/crates/ivytrail-daemon/src/mesh/table_loop.rs
@@ -7,16 +7,22 @@
     MeshReducer,
     event::{MeshEvent, PeerAddress},
     settings_file::MeshSettings,
-    table_watch::{TableWatch, WatchRequest, WatchTiming},
+    table_watch::{HistoryId, TableWatch, WatchRequest, WatchTiming},
 };
 use ivytrail_platform::table::{TableClient, TableError};
 use rand::RngExt;
-use tokio::{sync::mpsc, time::Instant};
+use tokio::{
+    sync::{mpsc, watch},
+    time::Instant,
+};
 
 use super::driver::MeshDriver;
 
 /// Interval between reads of the daemons' table after a successful discovery.
 const PEER_REFRESH_INTERVAL: Duration = Duration::from_secs(60);
+/// Interval to the next read of the daemons' table after it came back from an older copy. Transactions from before may
+/// still be executed for some seconds, and remove a row that has been written again.
+const RESTORED_REFRESH_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Starts the tasks.
 ///
@@ -28,8 +34,16 @@
     let table = TableClient::new(&settings.table_address.to_string(), timing)?;
     let address = settings.advertised_address.to_string();
     let local_peer = PeerAddress { instance: settings.name.clone(), address };
-    tokio::task::spawn_local(watch_config(Rc::clone(driver), table.clone(), timing));
-    tokio::task::spawn_local(discover_peers(Rc::clone(driver), table.clone(), timing, local_peer));
+    let (histories, history_receiver) = watch::channel(HistoryId::default());
+    tokio::task::spawn_local(watch_config(Rc::clone(driver), table.clone(), timing, histories));
+    let discovery = PeerDiscovery {
+        driver: Rc::clone(driver),
+        table: table.clone(),
+        timing,
+        local_peer,
+        histories: history_receiver,
+    };
+    tokio::task::spawn_local(discovery.run());
     if let Some(removals) = driver.take_removals() {
         tokio::task::spawn_local(remove_rows(table, removals));
     }
@@ -80,8 +94,13 @@
     }
 }
 
-/// Follows the operators' configuration by reads and long polls.
-async fn watch_config(driver: Rc<MeshDriver>, table: TableClient, timing: WatchTiming) {
+/// Follows the operators' configuration by reads and long polls, and passes on the table's history.
+async fn watch_config(
+    driver: Rc<MeshDriver>,
+    table: TableClient,
+    timing: WatchTiming,
+    histories: watch::Sender<HistoryId>,
+) {
     let mut backoff = DependencyBackoff::new("table-config", timing);
     let mut watch = TableWatch::default();
     loop {
@@ -98,9 +117,15 @@
             (Ok(update), _) => {
                 backoff.record_success();
                 driver.metrics.record_table_response();
-                watch.record_response(update.cursor);
+                let cursor = update.cursor;
+                if watch.record_response(request, cursor) {
+                    log::warn!("event=poll_outdated request={request} cursor={cursor}");
+                }
+                let history = histories.send_replace(cursor.history);
+                if history != cursor.history {
+                    log::warn!("event=table_history history={} before={history}", cursor.history);
+                }
                 if let Some(document) = update.document {
-                    let cursor = update.cursor;
                     log::info!("event=config_read cursor={cursor} bytes={}", document.len());
                     driver.apply_document(document);
                 }
@@ -118,37 +143,65 @@
 }
 
 /// Writes this daemon's row and reads all others. A daemon that writes its row later finds this one and opens a link,
-/// which makes it known here; so the table is read at the start and only rarely afterwards.
-async fn discover_peers(
+/// which makes it known here; so the table is read at the start, when it has come back from an older copy, which may lack
+/// this daemon's row, and only rarely otherwise.
+struct PeerDiscovery {
     driver: Rc<MeshDriver>,
     table: TableClient,
     timing: WatchTiming,
     local_peer: PeerAddress,
-) {
-    let mut backoff = DependencyBackoff::new("table-daemons", timing);
-    loop {
-        match sync_peers(&driver, &table, &local_peer).await {
-            Ok(()) => {
-                backoff.record_success();
-                tokio::time::sleep(PEER_REFRESH_INTERVAL).await;
+    /// Latest known history of the table.
+    histories: watch::Receiver<HistoryId>,
+}
+
+impl PeerDiscovery {
+    async fn run(mut self) {
+        let mut backoff = DependencyBackoff::new("table-daemons", self.timing);
+        let mut synced_history = None;
+        loop {
+            match self.sync().await {
+                Ok(history) => {
+                    backoff.record_success();
+                    let is_restored = synced_history.is_some_and(|before| before != history);
+                    synced_history = Some(history);
+                    let refresh_interval = match is_restored {
+                        true => RESTORED_REFRESH_INTERVAL,
+                        false => PEER_REFRESH_INTERVAL,
+                    };
+                    self.wait_for_history(history, refresh_interval).await;
+                }
+                Err(cause) => backoff.wait_after_failure(&cause).await,
             }
-            Err(cause) => backoff.wait_after_failure(&cause).await,
         }
     }
-}
 
-async fn sync_peers(
-    driver: &Rc<MeshDriver>,
-    table: &TableClient,
-    local_peer: &PeerAddress,
-) -> Result<(), TableError> {
-    let mut peers = table.list_peers().await?;
-    if !peers.contains(local_peer) {
-        table.register_peer(local_peer).await?;
-        peers = table.list_peers().await?;
+    /// Waits until the table has another history than `synced`, for up to `refresh_interval`.
+    async fn wait_for_history(&mut self, synced: HistoryId, refresh_interval: Duration) {
+        let restored = self.histories.wait_for(|history| synced < *history);
+        let is_restored = match tokio::time::timeout(refresh_interval, restored).await {
+            Ok(result) => result.is_ok(),
+            Err(_elapsed) => false,
+        };
+        if is_restored {
+            // All daemons learn of the new history at about the same time.
+            let n_daemons = 1 + self.driver.inspect(MeshReducer::n_open_links);
+            let spread = self.timing.fleet_spread(n_daemons);
+            tokio::time::sleep(spread.mul_f64(rand::rng().random_range(0.0..1.0))).await;
+        }
+    }
+
+    /// Returns the history of the table in which this daemon's row was read or written.
+    async fn sync(&self) -> Result<HistoryId, TableError> {
+        let (mut peers, history) = self.table.list_peers().await?;
+        if !peers.contains(&self.local_peer) {
+            self.table.register_peer(&self.local_peer).await?;
+            log::info!("event=row_written history={history}");
+            // A restore after the write shows in `histories`.
+            peers = self.table.list_peers().await?.0;
+        }
+        self.driver.apply(MeshEvent::PeersDiscovered(peers));
+        Ok(history)
     }
-    driver.apply(MeshEvent::PeersDiscovered(peers));
-    Ok(())
 }
 
 async fn remove_rows(table: TableClient, mut removals: mpsc::UnboundedReceiver<PeerAddress>) {
--- a/crates/ivytrail/src/mesh/table_watch.rs
+++ b/crates/ivytrail/src/mesh/table_watch.rs
@@ -8,10 +8,10 @@
 
 use derive_more::Display;
 
-/// Mean interval between the long polls of all daemons together. It bounds the load on the table: daemons of a large
-/// fleet poll less often and get most changes from their peers.
-const FLEET_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Maximum wait time of a long poll.
+/// Minimum mean interval between the requests of all daemons together. It bounds the load on the table: daemons of a
+/// large fleet poll less often and get most changes from their peers.
+const FLEET_REQUEST_INTERVAL: Duration = Duration::from_millis(25);
+/// Maximum wait time of a long poll, and maximum time over which a fleet spreads its requests.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(20);
 /// Fraction of the recovery time for which a long poll waits in a small fleet.
 const POLL_WAIT_FRACTION: f64 = 1.0 / 2.0;
@@ -58,11 +58,16 @@
     /// over which the polls of a large fleet are spread.
     pub fn poll_wait(&self, n_daemons: usize, spread: f64) -> Duration {
         let min = self.recovery.mul_f64(POLL_WAIT_FRACTION).min(MAX_POLL_WAIT);
-        let n_daemons = u32::try_from(n_daemons).unwrap_or(u32::MAX);
-        let max = FLEET_POLL_INTERVAL.saturating_mul(n_daemons).clamp(min, MAX_POLL_WAIT);
+        let max = self.fleet_spread(n_daemons).max(min);
         min + (max - min).mul_f64(spread.clamp(0.0, 1.0))
     }
 
+    /// Returns the time over which a fleet of `n_daemons` spreads requests that all of them send once.
+    pub fn fleet_spread(&self, n_daemons: usize) -> Duration {
+        let n_daemons = u32::try_from(n_daemons).unwrap_or(u32::MAX);
+        FLEET_REQUEST_INTERVAL.saturating_mul(n_daemons).min(MAX_POLL_WAIT)
+    }
+
     /// Returns the time after which the response to a long poll that waits for `wait` is overdue.
     pub fn poll_timeout(&self, wait: Duration) -> Duration {
         wait + self.recovery.mul_f64(POLL_MARGIN_FRACTION)
@@ -82,19 +87,21 @@
 }
 
 /// A request for the operators' configuration.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum WatchRequest {
     /// Reads the configuration.
+    #[display("read")]
     Read,
     /// Waits for a change after the cursor.
+    #[display("poll({after})")]
     Poll {
         /// Version up to which changes have been read.
         after: TableCursor,
     },
 }
 
-/// Position of a daemon in the table's changes. After a failure the daemon reads the configuration instead of polling:
-/// a read is answered at once or is lost, and it needs no cursor.
+/// Position of a daemon in the table's changes. After a failure, and when the table has started a new history, the daemon
+/// reads the configuration instead of polling: a read is answered at once or is lost, and it needs no cursor.
 #[derive(Debug, Default)]
 pub struct TableWatch {
     cursor: Option<TableCursor>,
@@ -106,9 +113,17 @@
         self.cursor.map_or(WatchRequest::Read, |after| WatchRequest::Poll { after })
     }
 
-    /// Records the cursor of a response to the last request.
-    pub fn record_response(&mut self, cursor: TableCursor) {
-        self.cursor = Some(cursor);
+    /// Records the cursor of a response to `request`. Returns whether the response to a poll shows that the table came
+    /// back from an older copy: the poll's cursor then means nothing, and changes below it may have been missed.
+    pub fn record_response(&mut self, request: WatchRequest, cursor: TableCursor) -> bool {
+        let is_restored = match request {
+            WatchRequest::Read => false,
+            WatchRequest::Poll { after } => {
+                after.history != cursor.history || cursor.version < after.version
+            }
+        };
+        self.cursor = (!is_restored).then_some(cursor);
+        is_restored
     }
 
     /// Records that the last request failed, or that the table no longer has the changes after the cursor.
--- a/crates/ivytrail/src/mesh/table_watch/tests.rs
+++ b/crates/ivytrail/src/mesh/table_watch/tests.rs
@@ -20,7 +20,8 @@
     let mut watch = TableWatch::default();
     let (mut now, mut n_failures) = (Duration::ZERO, 0);
     loop {
-        let (response_time, timeout) = match watch.next_request() {
+        let request = watch.next_request();
+        let (response_time, timeout) = match request {
             WatchRequest::Read => (RESPONSE_TIME, timing.read_timeout()),
             WatchRequest::Poll { .. } => {
                 let wait = timing.poll_wait(n_daemons, 1.0);
@@ -37,7 +38,7 @@
         if outage.end <= now {
             return now + RESPONSE_TIME;
         }
-        watch.record_response(cursor(0, 1));
+        watch.record_response(request, cursor(0, 1));
         n_failures = 0;
         now += response_time;
     }
@@ -82,10 +83,26 @@
 #[test]
 fn a_failed_poll_is_followed_by_a_read() {
     let mut watch = TableWatch::default();
-    watch.record_response(cursor(0, 7));
+    watch.record_response(WatchRequest::Read, cursor(0, 7));
     assert_eq!(watch.next_request(), WatchRequest::Poll { after: cursor(0, 7) });
 
     watch.record_failure();
 
     assert_eq!(watch.next_request(), WatchRequest::Read);
 }
+
+#[test]
+fn a_poll_of_another_history_is_followed_by_a_read() {
+    let after = cursor(1, 7);
+    for response in [cursor(2, 9), cursor(2, 7), cursor(2, 3), cursor(1, 6)] {
+        let mut watch = TableWatch::default();
+        watch.record_response(WatchRequest::Read, after);
+
+        let is_restored = watch.record_response(WatchRequest::Poll { after }, response);
+
+        assert!(is_restored, "{response}");
+        assert_eq!(watch.next_request(), WatchRequest::Read, "{response}");
+        watch.record_response(WatchRequest::Read, response);
+        assert_eq!(watch.next_request(), WatchRequest::Poll { after: response });
+    }
+}
