Let the fault soak restore the table from a copy

The soak now brings the table back from a copy that is up to four seconds old, after an outage of up to 1.5 s, beside all other faults.

--- a/tests/src/fault.rs
+++ b/tests/src/fault.rs
@@ -34,8 +34,10 @@
 const REQUEST_DEADLINE: Duration = Duration::from_millis(1_500);
 /// Time after its deadline within which a request must be answered, as the documented timeout rules require.
 const RESPONSE_TOLERANCE: Duration = Duration::from_millis(500);
-/// Time after the last fault within which all daemons must serve again and apply the current settings.
+/// Time after the last fault within which all daemons must serve again.
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
+/// Time after the last fault within which all daemons must follow the table again.
+const TABLE_RECOVERY_TIME: Duration = Duration::from_secs(3);
 /// Time for runs still in progress to finish before the checks.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Number of requests sent to each instance after the recovery time.
@@ -181,6 +183,7 @@
     let started_at = Instant::now();
     let mut supervisor = Supervisor::new(INSTANCE_SERVICES.len());
     let mut version = 2;
+    let mut copy = site.table.copy();
     // The steps are sorted by time and include the ends of faults.
     for step in steps {
         while Instant::now() < started_at + step.at {
@@ -204,6 +207,8 @@
             FaultKind::ReloadSettings { instance } => supervisor.reload_settings(site, instance)?,
             FaultKind::SetTableMode(mode) => site.table.set_mode(mode),
             FaultKind::CompactHistory => site.table.compact_history(),
+            FaultKind::CopyTable => copy = site.table.copy(),
+            FaultKind::RestoreTable => site.table.restore(&copy),
             FaultKind::PublishSettings => {
                 version += 1;
                 site.table.put_config(&config_with_keys(version, &[API_KEY, SECOND_API_KEY]));
@@ -234,10 +239,23 @@
     }
 }
 
-/// Checks that every instance serves again and has applied the final configuration.
+/// Checks that every instance has applied the final configuration, has its row in the table and serves again.
 async fn check_recovery(site: &TestSite, violations: &mut Vec<String>) {
-    sleep(RECOVERY_TIME).await;
+    sleep(TABLE_RECOVERY_TIME).await;
     let client = Client::builder().no_proxy().build().expect("a plain client can be built");
+    for (idx, addresses) in site.addresses.iter().enumerate() {
+        let id = format!("revoked-{idx}");
+        let response =
+            send_request(&client, addresses.caller, "/track/x/0", &id, SECOND_API_KEY).await;
+        let status = response.map(|it| it.0);
+        if status != Some(401) {
+            violations.push(format!("instance {idx} answers {status:?} to a withdrawn API key"));
+        }
+        if !site.table.has_row("ivytrail-daemons", &format!("instance-{idx}")) {
+            violations.push(format!("instance {idx} has no row in the table"));
+        }
+    }
+    sleep(RECOVERY_TIME.saturating_sub(TABLE_RECOVERY_TIME)).await;
     for (idx, addresses) in site.addresses.iter().enumerate() {
         let mut statuses = BTreeMap::<u16, usize>::new();
         for n in 0..N_PROBES {
@@ -250,13 +268,6 @@
         if statuses.get(&200) != Some(&N_PROBES) {
             violations.push(format!("instance {idx} has not recovered: {statuses:?}"));
         }
-        let id = format!("revoked-{idx}");
-        let response =
-            send_request(&client, addresses.caller, "/track/x/0", &id, SECOND_API_KEY).await;
-        let status = response.map(|it| it.0);
-        if status != Some(401) {
-            violations.push(format!("instance {idx} answers {status:?} to a withdrawn API key"));
-        }
     }
 }
 
--- a/tests/src/fault/plan.rs
+++ b/tests/src/fault/plan.rs
@@ -15,6 +15,15 @@
 /// Range of the delay on a network path, in milliseconds.
 const PATH_DELAY_MS: std::ops::Range<u64> = 5..120;
 
+/// Mean time between two restores of the table.
+const MEAN_RESTORE_INTERVAL: Duration = Duration::from_secs(5);
+/// Range of the age of the copy when the outage begins, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 200..4_000;
+/// Range of the outage before a restore, in milliseconds.
+const RESTORE_DURATION_MS: std::ops::Range<u64> = 50..1_500;
+/// Distinguishes the random sequence of the restores from that of the other faults, which keeps their schedules.
+const RESTORE_SEED: u64 = 0x7265_7374_6f72_6531;
+
 /// A proxied network path of an instance.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[display(rename_all = "kebab-case")]
@@ -101,6 +110,12 @@
     /// Publishes a configuration in which only the version changes.
     #[display("new configuration version")]
     PublishSettings,
+    /// Copies the rows of the table.
+    #[display("table copied")]
+    CopyTable,
+    /// Brings the table back from its last copy; what was written since is lost.
+    #[display("table restored from a copy")]
+    RestoreTable,
 }
 
 /// The start or end of a fault.
@@ -123,10 +138,27 @@
         add_fault(&mut rng, &mut steps, at, duration, instance);
         at += MEAN_FAULT_INTERVAL.mul_f64(rng.random_range(0.2..1.8));
     }
+    add_restores(&mut SmallRng::seed_from_u64(seed ^ RESTORE_SEED), &mut steps, fault_duration);
     steps.sort_by_key(|it| it.at);
     steps
 }
 
+/// Adds outages after which the table comes back from a copy.
+fn add_restores(rng: &mut SmallRng, steps: &mut Vec<FaultStep>, fault_duration: Duration) {
+    let mut at = MEAN_RESTORE_INTERVAL.mul_f64(rng.random_range(0.2..1.0));
+    while at < fault_duration {
+        let copied_at = at.saturating_sub(Duration::from_millis(rng.random_range(COPY_AGE_MS)));
+        let duration = Duration::from_millis(rng.random_range(RESTORE_DURATION_MS));
+        let mode = [TableMode::Down, TableMode::Unresponsive][rng.random_range(0..2)];
+        steps.push(FaultStep { at: copied_at, kind: FaultKind::CopyTable });
+        steps.push(FaultStep { at, kind: FaultKind::SetTableMode(mode) });
+        let restored_at = at + duration;
+        steps.push(FaultStep { at: restored_at, kind: FaultKind::RestoreTable });
+        steps.push(FaultStep { at: restored_at, kind: FaultKind::SetTableMode(TableMode::Normal) });
+        at += MEAN_RESTORE_INTERVAL.mul_f64(rng.random_range(0.2..1.8));
+    }
+}
+
 fn add_fault(
     rng: &mut SmallRng,
     steps: &mut Vec<FaultStep>,
