Log what a backend server reports about itself in its answers

The guard now parses Server-Limit and Server-Leaving (names in platform/), also from the health check at its start, and logs each change as server_notice with the limit before. No decision changes.

--- a/crates/ivytrail-daemon/src/mesh/backend_pool.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool.rs
@@ -15,19 +15,20 @@
     body::Incoming,
     client::conn::http1::{self, SendRequest},
     header::{CONNECTION, HeaderMap, HeaderName, HeaderValue},
+    http::response::Parts,
 };
 use hyper_util::rt::TokioIo;
 use ivytrail::{
     id::ServiceName,
     mesh::{
         event::{MeshEvent, RunEnd},
-        frame::{AttemptRequest, HeaderList, ServerAdvertisement, ServerPhase},
+        frame::{AttemptRequest, HeaderList, ServerAdvertisement, ServerNotice, ServerPhase},
     },
     message::is_hop_by_hop_header,
 };
 use ivytrail_platform::headers::{
     ACCOUNT, CALLER_SERVICE, DEADLINE, EXPECTED_SERVER, NOT_EXECUTED, REQUEST_ID, SERVER_ID,
-    SERVER_LOAD, SIGNATURE,
+    SERVER_LOAD, SIGNATURE, parse_notice,
 };
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::{
@@ -65,6 +66,21 @@
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How a run ended, and what the backend server reported about itself in its response.
+#[derive(Debug)]
+pub struct RunReport {
+    /// How the run ended.
+    pub end: RunEnd,
+    /// What the server reported, or `None` if no response of the server arrived.
+    pub notice: Option<ServerNotice>,
+}
+
+impl From<RunEnd> for RunReport {
+    fn from(end: RunEnd) -> RunReport {
+        RunReport { end, notice: None }
+    }
+}
+
 /// The task that performs a connection's I/O. Dropping it aborts the task.
 #[derive(Debug)]
 struct ConnectionTask(AbortHandle);
@@ -186,25 +202,25 @@
         server_id: &str,
         body: Bytes,
         time_left: Duration,
-    ) -> RunEnd {
+    ) -> RunReport {
         let Some(request) = build_request(attempt, server_id, body, time_left) else {
-            return RunEnd::NotSent;
+            return RunEnd::NotSent.into();
         };
         let time_limit = time_left + RESPONSE_MARGIN;
         match timeout(time_limit, self.exchange(attempt, request)).await {
-            Ok(end) => end,
-            Err(_) => RunEnd::TimedOut,
+            Ok(report) => report,
+            Err(_) => RunEnd::TimedOut.into(),
         }
     }
 
-    async fn exchange(&self, attempt: &AttemptRequest, request: Request<Full<Bytes>>) -> RunEnd {
+    async fn exchange(&self, attempt: &AttemptRequest, request: Request<Full<Bytes>>) -> RunReport {
         let mut request = request;
         loop {
             let (mut connection, is_reused) = match self.take_idle(attempt.is_idempotent) {
                 Some(connection) => (connection, true),
                 None => match self.connect().await {
                     Some(connection) => (connection, false),
-                    None => return RunEnd::NotSent,
+                    None => return RunEnd::NotSent.into(),
                 },
             };
             let idle_for = connection.idle_since.elapsed();
@@ -220,7 +236,7 @@
             // hyper returns the request if no part of it was written.
             match failed.take_message() {
                 Some(unsent) if is_reused => request = unsent,
-                Some(_) => return RunEnd::NotSent,
+                Some(_) => return RunEnd::NotSent.into(),
                 None => {
                     if is_reused {
                         self.lower_idle_limit(idle_for);
@@ -230,7 +246,7 @@
                         attempt.request_id,
                         failed.error().to_string()
                     );
-                    return RunEnd::Broken;
+                    return RunEnd::Broken.into();
                 }
             }
         }
@@ -282,16 +298,14 @@
     async fn read_response(
         &self,
         attempt: &AttemptRequest,
-        mut connection: BackendConnection,
+        connection: BackendConnection,
         response: Response<Incoming>,
-    ) -> RunEnd {
+    ) -> RunReport {
         let (parts, body) = response.into_parts();
         let echoed = parts.headers.get(REQUEST_ID).map(HeaderValue::as_bytes);
-        let is_not_executed = parts.headers.contains_key(NOT_EXECUTED)
-            || parts.status == StatusCode::MISDIRECTED_REQUEST;
         let is_matching = match echoed {
             Some(id) => id == attempt.request_id.as_bytes(),
-            None => is_not_executed,
+            None => is_not_executed(&parts),
         };
         if !is_matching {
             log::info!(
@@ -300,8 +314,22 @@
                 echoed.map(String::from_utf8_lossy),
                 parts.status
             );
-            return RunEnd::Broken;
+            return RunEnd::Broken.into();
         }
+        let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
+        let notice = (!is_misdirected).then(|| notice_of(&parts.headers));
+        let end = self.read_end(attempt, connection, &parts, body).await;
+        RunReport { end, notice }
+    }
+
+    /// Reads the body of a response whose head belongs to the request.
+    async fn read_end(
+        &self,
+        attempt: &AttemptRequest,
+        mut connection: BackendConnection,
+        parts: &Parts,
+        body: Incoming,
+    ) -> RunEnd {
         let body = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
             Ok(body) => body.to_bytes(),
             Err(cause) => {
@@ -320,7 +348,7 @@
             connection.idle_since = Instant::now();
             self.idle.borrow_mut().push_back(connection);
         }
-        if is_not_executed {
+        if is_not_executed(parts) {
             let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
             return RunEnd::Rejected { is_misdirected };
         }
@@ -364,6 +392,15 @@
     Some(request)
 }
 
+/// Returns whether a response states that the server has not run the request.
+fn is_not_executed(parts: &Parts) -> bool {
+    parts.headers.contains_key(NOT_EXECUTED) || parts.status == StatusCode::MISDIRECTED_REQUEST
+}
+
+fn notice_of(headers: &HeaderMap) -> ServerNotice {
+    parse_notice(|name| headers.get(name).and_then(|it| it.to_str().ok()))
+}
+
 fn keep_alive_timeout(headers: &HeaderMap) -> Duration {
     headers
         .get("keep-alive")
@@ -396,10 +433,12 @@
         if let Some(path) = path {
             n_probes += 1;
             let result = timeout(PROBE_TIMEOUT, probe(&driver.pool, &path, &service)).await;
-            if let Ok(Some(advertisement)) = result
+            if let Ok(Some((advertisement, notice))) = result
                 && driver.inspect(|it| it.server().is_none())
             {
+                let id = advertisement.id.clone();
                 driver.apply(MeshEvent::ServerAnnounced { advertisement, sequence: 0 });
+                driver.apply(MeshEvent::ServerNoticed { id, notice });
             }
         }
         tokio::time::sleep(PROBE_INTERVAL).await;
@@ -410,7 +449,7 @@
     pool: &BackendPool,
     path: &str,
     service: &ServiceName,
-) -> Option<ServerAdvertisement> {
+) -> Option<(ServerAdvertisement, ServerNotice)> {
     let mut connection = pool.connect().await?;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse().ok()?;
@@ -423,14 +462,15 @@
     let id = response.headers().get(SERVER_ID)?.to_str().ok()?.to_smolstr();
     let load = response.headers().get(SERVER_LOAD)?.to_str().ok()?;
     let slots = load.split(',').nth(2)?.trim().parse().ok()?;
-    Some(ServerAdvertisement {
+    let advertisement = ServerAdvertisement {
         id,
         started_at_ms: 0,
         service: service.clone(),
         slots,
         phase: ServerPhase::Ready,
         warm_up: Duration::ZERO,
-    })
+    };
+    Some((advertisement, notice_of(response.headers())))
 }
 
 #[cfg(test)]
--- a/crates/ivytrail-daemon/src/mesh/driver.rs
+++ b/crates/ivytrail-daemon/src/mesh/driver.rs
@@ -186,10 +186,13 @@
             MeshEffect::StartRun { run, request, server_id, body, time_left } => {
                 let driver = Rc::clone(self);
                 let task = tokio::task::spawn_local(async move {
-                    let end = driver.pool.run(&request, &server_id, body, time_left).await;
-                    driver.metrics.record_run(&end);
+                    let report = driver.pool.run(&request, &server_id, body, time_left).await;
+                    driver.metrics.record_run(&report.end);
                     driver.remove_run(run);
-                    driver.apply(MeshEvent::RunEnded { run, end });
+                    if let Some(notice) = report.notice {
+                        driver.apply(MeshEvent::ServerNoticed { id: server_id, notice });
+                    }
+                    driver.apply(MeshEvent::RunEnded { run, end: report.end });
                 });
                 self.runs.borrow_mut().insert(run, task.abort_handle());
             }
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -187,6 +187,9 @@
                 self.handle_server_announcement(&mut step, advertisement, sequence);
             }
             MeshEvent::ServerLeaving { id } => self.handle_server_shutdown(&mut step, &id, None),
+            MeshEvent::ServerNoticed { id, notice } => {
+                self.handle_server_notice(&mut step, &id, notice);
+            }
             MeshEvent::SettingsReceived { settings, document } => {
                 self.apply_settings(&mut step, settings, document);
             }
--- a/crates/ivytrail/src/mesh/event.rs
+++ b/crates/ivytrail/src/mesh/event.rs
@@ -8,7 +8,10 @@
 use crate::{
     id::{CallId, ContentDigest, InstanceName, MemberId},
     mesh::{
-        frame::{AttemptRequest, HeaderList, PeerAdvertisement, PeerFrame, ServerAdvertisement},
+        frame::{
+            AttemptRequest, HeaderList, PeerAdvertisement, PeerFrame, ServerAdvertisement,
+            ServerNotice,
+        },
         policy::FleetSettings,
     },
     message::{CallOutcome, RefusalReason},
@@ -164,6 +167,13 @@
         /// Identity of the backend server.
         id: SmolStr,
     },
+    /// The local backend server reported its state in a response.
+    ServerNoticed {
+        /// Identity of the backend server.
+        id: SmolStr,
+        /// What it reported.
+        notice: ServerNotice,
+    },
     /// Settings were decoded, either from the platform's table or from a peer.
     SettingsReceived {
         /// The decoded settings.
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -81,6 +82,30 @@
     pub pressure: u16,
 }
 
+/// Rate of requests that a backend server accepts from all instances together.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Serialize, Deserialize)]
+pub enum RequestLimit {
+    /// The server has not reported yet whether it has a limit.
+    #[default]
+    #[display("unknown")]
+    Unknown,
+    /// The server has no limit.
+    #[display("none")]
+    Unlimited,
+    /// The server accepts this number of requests per second.
+    #[display("{_0}/s")]
+    PerSecond(f64),
+}
+
+/// What a backend server reports about itself in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerNotice {
+    /// Rate of requests that it accepts until a later response says otherwise.
+    pub request_limit: RequestLimit,
+    /// Whether it is about to exit and accepts no new requests.
+    pub is_leaving: bool,
+}
+
 /// A request to a guard to run one attempt of a call.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AttemptRequest {
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -15,7 +15,8 @@
     ended_attempts::{AttemptStatus, EndedAttempts},
     event::{MeshEffect, RunEnd, RunId},
     frame::{
-        AttemptRequest, AttemptResult, PeerFrame, ServerAdvertisement, ServerLoad, ServerPhase,
+        AttemptRequest, AttemptResult, PeerFrame, ServerAdvertisement, ServerLoad, ServerNotice,
+        ServerPhase,
     },
     log_limit::LogPriority,
     queue::{QueueRank, SlotDecision, SlotQueue, SlotRequest},
@@ -54,6 +55,8 @@
 #[derive(Debug, Default)]
 pub(super) struct GuardState {
     pub(super) server: Option<ServerAdvertisement>,
+    /// What the server reported in its last response.
+    pub(super) notice: ServerNotice,
     /// Sequence number of the last accepted announcement.
     pub(super) sequence: u64,
     pub(super) queue: SlotQueue<RunId>,
--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -4,7 +4,7 @@
 
 use super::{
     MeshReducer, ReducerStep,
-    frame::{ServerAdvertisement, ServerPhase},
+    frame::{ServerAdvertisement, ServerNotice, ServerPhase},
     leaving_servers::LeavingRun,
 };
 use crate::time::TimePoint;
@@ -75,6 +75,23 @@
         ));
     }
 
+    /// Handles what the local backend server reported in a response.
+    pub(super) fn handle_server_notice(
+        &mut self,
+        step: &mut ReducerStep<'_>,
+        id: &SmolStr,
+        notice: ServerNotice,
+    ) {
+        if self.guard.server.as_ref().is_none_or(|it| it.id != *id) || self.guard.notice == notice {
+            return;
+        }
+        step.log(format!(
+            "event=server_notice server={id} limit={} before={} leaving={}",
+            notice.request_limit, self.guard.notice.request_limit, notice.is_leaving
+        ));
+        self.guard.notice = notice;
+    }
+
     /// Handles the notice that a run of the server is shutting down: the run that started at `started_at_ms`, or else
     /// the current one.
     pub(super) fn handle_server_shutdown(
