--- a/tests/src/site/backend.rs
+++ b/tests/src/site/backend.rs
@@ -12,7 +12,7 @@
     prelude::{Depot, Handler, Request, Response},
 };
 use serde_json::json;
-use tokio::task::JoinHandle;
+use tokio::{task::JoinHandle, time::Instant};
 
 /// Interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
@@ -29,7 +29,13 @@
     runs: HashMap<String, usize>,
     /// Descriptions of requests with a missing, wrong or forbidden header.
     protocol_violations: Vec<String>,
+    /// Times at which requests arrived.
+    arrivals: Vec<Instant>,
     is_draining: bool,
+    /// Requests per second that the server names as its limit in responses.
+    request_limit: Option<f64>,
+    /// Whether responses state that the server is leaving.
+    is_leaving: bool,
 }
 
 /// A fake backend server that runs until it is dropped.
@@ -73,6 +79,27 @@
         self.state.lock().is_draining = true;
     }
 
+    /// Names a limit in all further responses, in requests per second, or none.
+    pub fn set_request_limit(&self, request_limit: Option<f64>) {
+        self.state.lock().request_limit = request_limit;
+    }
+
+    /// States in all further responses, and nowhere else, that the server is leaving.
+    pub fn leave(&self) {
+        self.state.lock().is_leaving = true;
+    }
+
+    /// Returns the greatest number of requests that arrived within any `window` after `since`.
+    pub fn max_arrivals(&self, since: Instant, window: Duration) -> usize {
+        let state = self.state.lock();
+        let arrivals: Vec<Instant> =
+            state.arrivals.iter().copied().filter(|it| since <= *it).collect();
+        let in_window_from = |(idx, from): (usize, &Instant)| {
+            arrivals[idx..].iter().take_while(|it| **it < *from + window).count()
+        };
+        arrivals.iter().enumerate().map(in_window_from).max().unwrap_or(0)
+    }
+
     /// Returns the number of runs of one request at this server.
     pub fn n_runs_of(&self, request_id: &str) -> usize {
         self.state.lock().runs.get(request_id).copied().unwrap_or(0)
@@ -166,11 +193,21 @@
         };
         set_header("x-ivytrail-instance-id", &self.id);
         set_header("x-ivytrail-server-load", &format!("0,0,{REPORTED_SLOTS}"));
+        {
+            let state = self.state.lock();
+            if let Some(request_limit) = state.request_limit {
+                set_header("server-limit", &request_limit.to_string());
+            }
+            if state.is_leaving {
+                set_header("server-leaving", "1");
+            }
+        }
         if path == "/healthz" {
             return;
         }
         let request_id = header("x-ivytrail-request-id");
         set_header("x-ivytrail-request-id", &request_id);
+        self.state.lock().arrivals.push(Instant::now());
         if header("x-ivytrail-expected-instance") != self.id {
             res.status_code(StatusCode::MISDIRECTED_REQUEST);
             return;
--- a/tests/tests/site_processes.rs
+++ b/tests/tests/site_processes.rs
@@ -1,6 +1,6 @@
 //! Process tests of the mesh on a platform with a table: real daemons, fake table and backend servers, on loopback.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use anyhow::Result;
 use ivytrail_tests::{
@@ -225,6 +225,55 @@
     Ok(())
 }
 
+/// Sends requests for `path` from all instances of the site, each from `CLIENTS_PER_ENTRY` clients in sequence, for
+/// `duration`, and returns the number of requests by status.
+async fn send_for(site: &TestSite, path: &str, duration: Duration) -> BTreeMap<u16, usize> {
+    const CLIENTS_PER_ENTRY: usize = 6;
+    let until = Instant::now() + duration;
+    let clients = (0..site.addresses.len() * CLIENTS_PER_ENTRY).map(|client| async move {
+        let mut statuses = Vec::new();
+        for n in 0.. {
+            if until <= Instant::now() {
+                break;
+            }
+            let id = format!("load-{client}-{n}");
+            statuses.push(status_at(site, client % site.addresses.len(), path, &id).await);
+            sleep(Duration::from_millis(5)).await;
+        }
+        statuses
+    });
+    let mut counts = BTreeMap::new();
+    for status in futures_util::future::join_all(clients).await.into_iter().flatten() {
+        *counts.entry(status).or_default() += 1;
+    }
+    counts
+}
+
+/// A backend server that names a limit in its responses must get no more than one and a half times of it, and five
+/// requests, in any four seconds, however many entries there are. The other server of the service takes the rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_server_gets_no_more_than_the_limit_that_it_names() -> Result<()> {
+    const LIMIT_PER_S: f64 = 12.0;
+    const WINDOW: Duration = Duration::from_secs(4);
+    const MAX_IN_WINDOW: usize = (1.5 * LIMIT_PER_S * WINDOW.as_secs() as f64) as usize + 5;
+    let _lock = MESH_LOCK.lock().await;
+    let site = TestSite::start_with(&["tracker", "tracker", "booking"], false).await?;
+    site.backends[0].set_request_limit(Some(LIMIT_PER_S));
+    send_for(&site, "/track/20", Duration::from_secs(1)).await;
+    let named_at = Instant::now();
+
+    let statuses = send_for(&site, "/track/20", Duration::from_secs(6)).await;
+
+    let n_limited = site.backends[0].max_arrivals(named_at, WINDOW);
+    assert!(n_limited <= MAX_IN_WINDOW, "{n_limited} requests in 4 s, allowed {MAX_IN_WINDOW}");
+    let n_others = site.backends[1].max_arrivals(named_at, WINDOW);
+    assert!(4 * MAX_IN_WINDOW < n_others, "{n_others} requests at the other server");
+    let n_served = statuses.get(&200).copied().unwrap_or(0);
+    let n_sent: usize = statuses.values().sum();
+    assert!(n_sent * 9 / 10 <= n_served, "{statuses:?}");
+    Ok(())
+}
+
 /// Open connections to a backend server fall silent permanently while new connections work. After one request without a
 /// response, the daemon must drop the other idle connections; otherwise each of them costs one request at its deadline.
 #[tokio::test(flavor = "multi_thread")]
