Keep a backend server's requests within the limit that it names

What callers saw: nothing yet; a server in need got seven times what it had asked for, and turned requests away or got slower for everybody.

Cause: the guard admits by slots alone, and nobody read the limit that a server names in its answers. Evidence: in the incident's logs the two servers get 156 to 200 and 32 to 65 requests a second after they have named 101.5 and 10.2, with no refusal at their guards.

Every request passes the guard beside its server, so the guard enforces the limit for all entries together: its queue starts attempts at that rate, waits are estimated with it, and what can't start in time goes to another guard as not run. The load that the guard reports counts only as many slots as the rate keeps busy, so entries choose other servers and admission control sees the smaller capacity. An answer without a limit lifts it, and so does a new run of the server. A daemon that restarts beside a limited server learns the limit from its peers before their first attempt.

Frames between daemons carry the limit in a new field of the load, so daemons of the build before can't read them.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -21,6 +21,7 @@
 mod guard;
 mod intake;
 mod leaving_servers;
+mod limited_servers;
 mod links;
 mod log_limit;
 pub mod picker;
@@ -28,6 +29,7 @@
 pub mod queue;
 pub mod quota;
 mod quota_flow;
+pub mod rate_limiter;
 pub mod retry_budget;
 mod run_outcome;
 mod server_announcements;
@@ -48,6 +50,7 @@
     frame::{PeerAdvertisement, PeerFrame, ServerAdvertisement, ServerLoad},
     guard::GuardState,
     leaving_servers::LeavingServers,
+    limited_servers::LimitedServers,
     links::PeerLinks,
     log_limit::LogLimit,
     picker::ServerPicker,
@@ -100,6 +103,7 @@
     entry: EntryCalls,
     guard: GuardState,
     leaving_servers: LeavingServers,
+    limited_servers: LimitedServers,
     quotas: QuotaBuckets,
     token_cache: TokenCache,
     retry_budgets: RetryBudgets,
@@ -147,6 +151,7 @@
             entry: EntryCalls::new(options.member.incarnation),
             guard: GuardState::default(),
             leaving_servers: LeavingServers::default(),
+            limited_servers: LimitedServers::default(),
             quotas: QuotaBuckets::default(),
             token_cache: TokenCache::default(),
             retry_budgets: RetryBudgets::default(),
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -80,6 +80,8 @@
     pub mean_run_us: u32,
     /// Demand for slots, from 0 (no request waits) to 1000 (all requests are refused).
     pub pressure: u16,
+    /// Rate of requests that the backend server accepts; `limit` takes it into account.
+    pub request_limit: RequestLimit,
 }
 
 /// Rate of requests that a backend server accepts from all instances together.
@@ -254,6 +256,13 @@
         #[serde(rename = "born_ms")]
         started_at_ms: u64,
     },
+    /// Informs a restarted daemon of the limit that its local backend server has named to an earlier incarnation.
+    ServerLimited {
+        /// Identity of the backend server.
+        id: SmolStr,
+        /// Requests per second that it accepts.
+        per_s: f64,
+    },
     /// Reports a daemon that has stopped responding.
     Silent {
         /// Instance of that daemon.
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -15,8 +15,8 @@
     ended_attempts::{AttemptStatus, EndedAttempts},
     event::{MeshEffect, RunEnd, RunId},
     frame::{
-        AttemptRequest, AttemptResult, PeerFrame, ServerAdvertisement, ServerLoad, ServerNotice,
-        ServerPhase,
+        AttemptRequest, AttemptResult, PeerFrame, RequestLimit, ServerAdvertisement, ServerLoad,
+        ServerNotice, ServerPhase,
     },
     log_limit::LogPriority,
     queue::{QueueRank, SlotDecision, SlotQueue, SlotRequest},
@@ -82,12 +82,26 @@
     }
 
     pub(super) fn load(&self) -> ServerLoad {
+        let mean_run_time = self.queue.mean_run_time();
         ServerLoad {
             running: self.queue.n_running() as u32,
             queued: self.queue.n_waiting() as u32,
-            limit: self.queue.limit(),
-            mean_run_us: u32::try_from(self.queue.mean_run_time().as_micros()).unwrap_or(u32::MAX),
+            limit: self.reported_limit(),
+            mean_run_us: u32::try_from(mean_run_time.as_micros()).unwrap_or(u32::MAX),
             pressure: (self.queue.pressure() * 1_000.0) as u16,
+            request_limit: self.notice.request_limit,
+        }
+    }
+
+    /// Returns the limit on concurrent runs that entries expect: the queue's, or as many runs as the server's limit on
+    /// requests keeps busy on average.
+    fn reported_limit(&self) -> u32 {
+        match self.notice.request_limit {
+            RequestLimit::PerSecond(per_s) if 0 < self.queue.limit() => {
+                let n_busy = per_s * self.queue.mean_run_time().as_secs_f64();
+                (n_busy.round() as u32).clamp(1, self.queue.limit())
+            }
+            _ => self.queue.limit(),
         }
     }
 
--- /dev/null
+++ b/crates/ivytrail/src/mesh/limited_servers.rs
@@ -0,0 +1,60 @@
+//! Backend servers that have named a limit, recorded for daemons that restart beside them.
+//!
+//! A restarted daemon does not know the limit until its server's first response, and could send as many requests as the
+//! server has slots before that. The other daemons supply the record.
+
+use std::{collections::HashMap, time::Duration};
+
+use smol_str::SmolStr;
+
+use super::frame::{RequestLimit, ServerAdvertisement};
+use crate::time::TimePoint;
+
+/// Time for which a limit is recorded after the last report.
+const LIMIT_TTL: Duration = Duration::from_secs(60);
+
+/// Recorded limit of a run of a server.
+#[derive(Clone, Copy, Debug)]
+struct LimitRecord {
+    started_at_ms: u64,
+    per_s: f64,
+    until: TimePoint,
+}
+
+/// Recorded limits of backend servers.
+#[derive(Debug, Default)]
+pub(super) struct LimitedServers {
+    limits: HashMap<SmolStr, LimitRecord>,
+}
+
+impl LimitedServers {
+    /// Records what a server's daemon reports. A daemon that does not know changes nothing.
+    pub(super) fn record(
+        &mut self,
+        now: TimePoint,
+        id: &SmolStr,
+        started_at_ms: u64,
+        request_limit: RequestLimit,
+    ) {
+        match request_limit {
+            RequestLimit::Unknown => {}
+            RequestLimit::Unlimited => drop(self.limits.remove(id)),
+            RequestLimit::PerSecond(per_s) => {
+                if !self.limits.contains_key(id) {
+                    self.limits.retain(|_, it| now <= it.until);
+                }
+                let until = now.plus(LIMIT_TTL);
+                self.limits.insert(id.clone(), LimitRecord { started_at_ms, per_s, until });
+            }
+        }
+    }
+
+    /// Returns the recorded limit of an advertised server, in requests per second.
+    pub(super) fn limit_of(&self, now: TimePoint, server: &ServerAdvertisement) -> Option<f64> {
+        let record = self.limits.get(&server.id).filter(|it| now <= it.until)?;
+        // The start time is zero if it is unknown.
+        let is_same_run =
+            [0, record.started_at_ms].contains(&server.started_at_ms) || record.started_at_ms == 0;
+        is_same_run.then_some(record.per_s)
+    }
+}
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -7,7 +7,7 @@
 use super::{
     MeshReducer, ReducerStep,
     event::{MeshEffect, PeerAddress},
-    frame::{PeerAdvertisement, PeerFrame, ServerPhase},
+    frame::{PeerAdvertisement, PeerFrame, RequestLimit, ServerLoad, ServerPhase},
     leaving_servers::LeavingRun,
     quota::quota_owner,
 };
@@ -269,6 +269,7 @@
         {
             self.leaving_servers.record(step.now, &server.id, Some(server.started_at_ms));
         }
+        self.record_request_limit(step, advertisement);
         let Some(link) = self.links.get_mut(&advertisement.member.instance) else { return };
         if !link.is_open {
             self.picker.set_reachable(&advertisement.member.instance, false);
@@ -300,6 +301,41 @@
         self.picker.apply_advertisement(step.now, &corrected);
     }
 
+    /// Records what the reply of a guard reports about its backend server. The advertisement with the same content is
+    /// sent on another connection and is lost if the guard's daemon ends first.
+    pub(super) fn record_reply_notice(
+        &mut self,
+        now: TimePoint,
+        peer: &InstanceName,
+        load: ServerLoad,
+    ) {
+        let is_limited = matches!(load.request_limit, RequestLimit::PerSecond(_));
+        if let Some(id) = self.picker.server_id(peer).filter(|_| is_limited) {
+            self.limited_servers.record(now, id, 0, load.request_limit);
+        }
+    }
+
+    /// Records the limit of an advertised server, and notifies a daemon that does not know of it. The notification
+    /// precedes all attempts that are sent to the server on the basis of the advertisement.
+    fn record_request_limit(
+        &mut self,
+        step: &mut ReducerStep<'_>,
+        advertisement: &PeerAdvertisement,
+    ) {
+        let Some(server) = &advertisement.server else { return };
+        let limit = advertisement.load.request_limit;
+        self.limited_servers.record(step.now, &server.id, server.started_at_ms, limit);
+        if limit != RequestLimit::Unknown {
+            return;
+        }
+        if let Some(per_s) = self.limited_servers.limit_of(step.now, server) {
+            let peer = &advertisement.member.instance;
+            let frame = PeerFrame::ServerLimited { id: server.id.clone(), per_s };
+            step.send(peer, frame.clone(), Bytes::new());
+            step.send_on_inbound(peer, frame, Bytes::new());
+        }
+    }
+
     pub(super) fn handle_frame(
         &mut self,
         step: &mut ReducerStep<'_>,
@@ -349,6 +385,7 @@
             PeerFrame::ServerLeft { id, started_at_ms } => {
                 self.handle_server_shutdown(step, &id, Some(started_at_ms));
             }
+            PeerFrame::ServerLimited { id, per_s } => self.handle_reported_limit(step, &id, per_s),
             PeerFrame::Silent { instance } => self.handle_silence_report(step, &instance),
             PeerFrame::Evidence(record) => self.quarantine.merge(step.now, &record),
         }
--- a/crates/ivytrail/src/mesh/picker.rs
+++ b/crates/ivytrail/src/mesh/picker.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use smol_str::SmolStr;
+
 use crate::{
     id::{DomainName, InstanceName, RouteName, ServiceName},
     mesh::{
@@ -55,7 +57,7 @@
     is_silent: bool,
     is_leaving: bool,
     warm_up_until: TimePoint,
-    server_id: String,
+    server_id: SmolStr,
     load: ServerLoad,
     /// Attempts sent since the last load report.
     n_sent: u32,
@@ -115,7 +117,7 @@
         let is_same = self
             .records
             .get(instance)
-            .is_some_and(|it| it.service == server.service && it.server_id == server.id.as_str());
+            .is_some_and(|it| it.service == server.service && it.server_id == server.id);
         if !is_same {
             self.remove(instance);
             let record = ServerRecord {
@@ -127,7 +129,7 @@
                 is_silent: false,
                 is_leaving: advertisement.is_leaving,
                 warm_up_until: now.plus(server.warm_up),
-                server_id: server.id.to_string(),
+                server_id: server.id.clone(),
                 load: advertisement.load,
                 n_sent: 0,
                 n_outstanding: 0,
@@ -231,6 +233,11 @@
         }
     }
 
+    /// Returns the identity of the server on an instance.
+    pub fn server_id(&self, instance: &InstanceName) -> Option<&SmolStr> {
+        self.records.get(instance).map(|it| &it.server_id)
+    }
+
     /// Returns the mean run time of a route over all servers.
     pub fn mean_run_time(&self, route: &RouteName) -> Duration {
         self.run_times.get(route).map_or(INITIAL_RUN_TIME, |it| Duration::from_secs_f64(*it))
--- a/crates/ivytrail/src/mesh/picker/tests.rs
+++ b/crates/ivytrail/src/mesh/picker/tests.rs
@@ -42,7 +42,14 @@
 
     assert_eq!(pick(&picker, NOW, &[]).as_deref(), Some("near"));
 
-    let load = ServerLoad { running: 10, queued: 5, limit: 10, mean_run_us: 100_000, pressure: 0 };
+    let load = ServerLoad {
+        running: 10,
+        queued: 5,
+        limit: 10,
+        mean_run_us: 100_000,
+        pressure: 0,
+        ..ServerLoad::default()
+    };
     picker.set_load(&"near".into(), load);
     assert_eq!(pick(&picker, NOW, &[]).as_deref(), Some("far"));
 }
@@ -61,7 +68,14 @@
 
     assert_eq!(pick(&picker, NOW, &[]).as_deref(), Some("near"));
 
-    let load = ServerLoad { running: 10, queued: 0, limit: 10, mean_run_us: 20_000, pressure: 0 };
+    let load = ServerLoad {
+        running: 10,
+        queued: 0,
+        limit: 10,
+        mean_run_us: 20_000,
+        pressure: 0,
+        ..ServerLoad::default()
+    };
     picker.set_load(&"near".into(), load);
     assert_eq!(pick(&picker, NOW, &[]).as_deref(), Some("far"));
 }
@@ -71,7 +85,14 @@
 fn calls_stay_in_their_domain_when_all_are_full() {
     let mut picker =
         picker_of(&[advertisement("near", "kolkata"), advertisement("far", "durgapur")]);
-    let full = ServerLoad { running: 10, queued: 2, limit: 10, mean_run_us: 30_000, pressure: 100 };
+    let full = ServerLoad {
+        running: 10,
+        queued: 2,
+        limit: 10,
+        mean_run_us: 30_000,
+        pressure: 100,
+        ..ServerLoad::default()
+    };
     picker.set_load(&"near".into(), full);
     picker.set_load(&"far".into(), ServerLoad { queued: 1, ..full });
 
--- a/crates/ivytrail/src/mesh/queue.rs
+++ b/crates/ivytrail/src/mesh/queue.rs
@@ -1,6 +1,7 @@
 //! Queue of one backend server: decides which attempts run, wait or are refused.
 //!
-//! At most as many attempts run as the backend server has slots. Waiting attempts are ordered by rank and then by the
+//! At most as many attempts run as the backend server has slots, and no more start per second than it has named as its
+//! limit. Waiting attempts are ordered by rank and then by the
 //! start of their root request, so that call chains finish in the order in which they began instead of all finishing
 //! late. An attempt is refused at once when its expected wait exceeds its maximum wait, and later when it has waited that
 //! long: short queues absorb bursts, long ones would only add latency.
@@ -12,6 +13,7 @@
 
 use derive_more::{Display, From};
 
+use super::rate_limiter::RateLimiter;
 use crate::time::TimePoint;
 
 /// Shortest retry delay that is suggested.
@@ -101,6 +103,8 @@
     positions: HashMap<K, QueuePosition>,
     next_serial: u64,
     mean_run_time: Duration,
+    /// Spaces out the starts of attempts, if the backend server has named a limit.
+    rate_limiter: Option<RateLimiter>,
     nested: WaitPressure,
     roots: WaitPressure,
 }
@@ -114,6 +118,7 @@
             positions: HashMap::new(),
             next_serial: 0,
             mean_run_time: INITIAL_RUN_TIME,
+            rate_limiter: None,
             nested: WaitPressure::default(),
             roots: WaitPressure::default(),
         }
@@ -130,6 +135,16 @@
         self.start_waiting(now, out);
     }
 
+    /// Sets the maximum number of attempts that start per second, or removes it.
+    pub fn set_rate(&mut self, now: TimePoint, per_s: Option<f64>, out: &mut Vec<SlotDecision<K>>) {
+        match (per_s, &mut self.rate_limiter) {
+            (Some(per_s), Some(limiter)) => limiter.set_rate(now, per_s),
+            (Some(per_s), None) => self.rate_limiter = Some(RateLimiter::new(now, per_s)),
+            (None, _) => self.rate_limiter = None,
+        }
+        self.start_waiting(now, out);
+    }
+
     /// Returns the maximum number of running attempts.
     pub fn limit(&self) -> u32 {
         self.limit
@@ -170,11 +185,11 @@
     ) {
         assert!(!self.contains(&request.key), "the attempt already runs or waits in this queue");
         let position = (request.rank, request.root_start, self.next_serial);
-        let wait = self.expected_wait(position);
+        let wait = self.expected_wait(now, position);
         let max_wait = request.start_by.since(now);
         if self.limit == 0 || request.start_by < now || (Duration::ZERO < wait && max_wait < wait) {
             self.record_pressure(now, request.rank, 1.0);
-            let retry_after = self.retry_after();
+            let retry_after = self.retry_after(now);
             return out.push(SlotDecision::Refuse { key: request.key, retry_after });
         }
         let wait_share = wait.as_secs_f64() / max_wait.as_secs_f64().max(1e-6);
@@ -209,14 +224,15 @@
         self.waiting.remove(&position).is_some()
     }
 
-    /// Refuses the attempts that have reached their maximum wait, and decays the pressure of kinds without attempts.
+    /// Refuses the attempts that have reached their maximum wait, starts those that a rate limit has held back, and decays
+    /// the pressure of kinds without attempts.
     pub fn expire(&mut self, now: TimePoint, out: &mut Vec<SlotDecision<K>>) {
         self.nested.decay(now);
         self.roots.decay(now);
         if self.waiting.is_empty() {
             return;
         }
-        let retry_after = self.retry_after();
+        let retry_after = self.retry_after(now);
         let expired: Vec<(K, QueueRank)> = self
             .waiting
             .values()
@@ -228,6 +244,7 @@
             self.record_pressure(now, rank, 1.0);
             out.push(SlotDecision::Refuse { key, retry_after });
         }
+        self.start_waiting(now, out);
     }
 
     /// Refuses all waiting attempts.
@@ -245,24 +262,33 @@
         self.running.contains_key(key) || self.positions.contains_key(key)
     }
 
-    /// Returns the expected time until an attempt at this position gets a slot.
-    fn expected_wait(&self, position: QueuePosition) -> Duration {
+    /// Returns the expected time until an attempt at this position starts.
+    fn expected_wait(&self, now: TimePoint, position: QueuePosition) -> Duration {
         let n_free = (self.limit as usize).saturating_sub(self.running.len());
         let n_ahead = self.waiting.range(..position).count();
-        if n_ahead < n_free {
-            return Duration::ZERO;
-        }
-        self.mean_run_time.mul_f64((n_ahead - n_free + 1) as f64 / f64::from(self.limit.max(1)))
+        let n_without_slot = (n_ahead + 1).saturating_sub(n_free);
+        let limit = f64::from(self.limit.max(1));
+        let slot_wait = self.mean_run_time.mul_f64(n_without_slot as f64 / limit);
+        slot_wait.max(self.rate_wait(now, n_ahead + 1))
     }
 
-    fn retry_after(&self) -> Duration {
+    fn retry_after(&self, now: TimePoint) -> Duration {
         let backlog = self.running.len() + self.waiting.len();
         let drain = self.mean_run_time.mul_f64(backlog as f64 / f64::from(self.limit.max(1)));
-        drain.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        let rate_wait = self.rate_wait(now, self.waiting.len() + 1);
+        drain.max(rate_wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
+    /// Returns the time until the rate limit allows `n_starts` more starts.
+    fn rate_wait(&self, now: TimePoint, n_starts: usize) -> Duration {
+        self.rate_limiter.map_or(Duration::ZERO, |it| it.wait_for(now, n_starts))
     }
 
     fn start_waiting(&mut self, now: TimePoint, out: &mut Vec<SlotDecision<K>>) {
-        while self.running.len() < self.limit as usize {
+        while self.running.len() < self.limit as usize && !self.waiting.is_empty() {
+            if self.rate_limiter.as_mut().is_some_and(|it| !it.try_take(now)) {
+                return;
+            }
             let Some((_, request)) = self.waiting.pop_first() else { return };
             self.positions.remove(&request.key);
             self.running.insert(request.key, now);
--- a/crates/ivytrail/src/mesh/queue/tests.rs
+++ b/crates/ivytrail/src/mesh/queue/tests.rs
@@ -173,3 +173,45 @@
 
     assert!(queue.pressure() < 0.05, "{}", queue.pressure());
 }
+
+#[test]
+fn a_rate_limit_spaces_out_the_starts() {
+    let mut queue = queue_of(10);
+    queue.set_rate(at(0), Some(10.0), &mut Vec::new());
+
+    let offered = (0..3)
+        .flat_map(|key| offer(&mut queue, 100, request(key, QueueRank::of_root(0), 1_000)))
+        .collect::<Vec<_>>();
+    let mut later = Vec::new();
+    queue.expire(at(150), &mut later);
+    queue.expire(at(200), &mut later);
+
+    assert_eq!(offered, [SlotDecision::Start(0)]);
+    assert_eq!(later, [SlotDecision::Start(1)]);
+    assert_eq!((queue.n_running(), queue.n_waiting()), (2, 1));
+}
+
+#[test]
+fn an_attempt_that_the_rate_limit_would_delay_too_long_is_refused_at_once() {
+    let mut queue = queue_of(10);
+    queue.set_rate(at(0), Some(2.0), &mut Vec::new());
+
+    let decisions = offer(&mut queue, 0, request(1, QueueRank::of_root(0), 200));
+
+    let retry_after = Duration::from_millis(500);
+    assert_eq!(decisions, [SlotDecision::Refuse { key: 1, retry_after }]);
+}
+
+#[test]
+fn attempts_start_at_once_when_the_rate_limit_is_lifted() {
+    let mut queue = queue_of(10);
+    queue.set_rate(at(0), Some(2.0), &mut Vec::new());
+    for key in 0..3 {
+        offer(&mut queue, 0, request(key, QueueRank::of_root(0), 10_000));
+    }
+
+    let mut decisions = Vec::new();
+    queue.set_rate(at(10), None, &mut decisions);
+
+    assert_eq!(decisions, [0, 1, 2].map(SlotDecision::Start));
+}
--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -4,11 +4,14 @@
 
 use super::{
     MeshReducer, ReducerStep,
-    frame::{ServerAdvertisement, ServerNotice, ServerPhase},
+    frame::{RequestLimit, ServerAdvertisement, ServerNotice, ServerPhase},
     leaving_servers::LeavingRun,
 };
 use crate::time::TimePoint;
 
+/// Fraction by which a server's limit may change before other daemons are notified at once.
+const SMALL_LIMIT_CHANGE: f64 = 0.2;
+
 impl MeshReducer {
     pub(super) fn handle_server_announcement(
         &mut self,
@@ -56,8 +59,16 @@
             "event=server_announced server={} service={} phase={:?} slots={} born_ms={} sequence={sequence}",
             announced.id, announced.service, announced.phase, announced.slots, announced.started_at_ms,
         ));
+        let is_same_run = self.guard.server.as_ref().is_some_and(|it| {
+            // A server that was found by its health check has an unknown start time.
+            it.id == announced.id && [0, announced.started_at_ms].contains(&it.started_at_ms)
+        });
         self.guard.server = Some(announced);
         self.guard.paused_until = TimePoint::ORIGIN;
+        if !is_same_run {
+            self.guard.notice = ServerNotice::default();
+            self.apply_request_limit(step);
+        }
         self.update_limit(step);
         self.publish_advertisement(step);
     }
@@ -89,7 +100,52 @@
             "event=server_notice server={id} limit={} before={} leaving={}",
             notice.request_limit, self.guard.notice.request_limit, notice.is_leaving
         ));
-        self.guard.notice = notice;
+        self.guard.notice.is_leaving = notice.is_leaving;
+        self.set_request_limit(step, notice.request_limit);
+    }
+
+    /// Handles another daemon's report of the limit that the local backend server has named to an earlier incarnation of
+    /// this daemon. What the server itself has reported since takes precedence.
+    pub(super) fn handle_reported_limit(
+        &mut self,
+        step: &mut ReducerStep<'_>,
+        id: &SmolStr,
+        per_s: f64,
+    ) {
+        let is_local = self.guard.server.as_ref().is_some_and(|it| it.id == *id);
+        if is_local && self.guard.notice.request_limit == RequestLimit::Unknown {
+            step.log(format!("event=server_limit_reported server={id} limit={per_s}/s"));
+            self.set_request_limit(step, RequestLimit::PerSecond(per_s));
+        }
+    }
+
+    fn set_request_limit(&mut self, step: &mut ReducerStep<'_>, request_limit: RequestLimit) {
+        let before = std::mem::replace(&mut self.guard.notice.request_limit, request_limit);
+        if before == request_limit {
+            return;
+        }
+        self.apply_request_limit(step);
+        // Replies carry small changes.
+        let is_small_change = match (before, request_limit) {
+            (RequestLimit::PerSecond(before), RequestLimit::PerSecond(per_s)) => {
+                (per_s - before).abs() < before * SMALL_LIMIT_CHANGE
+            }
+            _ => false,
+        };
+        if !is_small_change {
+            self.publish_advertisement(step);
+        }
+    }
+
+    /// Limits the starts of attempts to what the local backend server has named.
+    fn apply_request_limit(&mut self, step: &mut ReducerStep<'_>) {
+        let per_s = match self.guard.notice.request_limit {
+            RequestLimit::PerSecond(per_s) => Some(per_s),
+            RequestLimit::Unknown | RequestLimit::Unlimited => None,
+        };
+        let mut decisions = Vec::new();
+        self.guard.queue.set_rate(step.now, per_s, &mut decisions);
+        self.apply_decisions(step, decisions);
     }
 
     /// Handles the notice that a run of the server is shutting down: the run that started at `started_at_ms`, or else
--- a/crates/ivytrail/src/mesh/tests/servers.rs
+++ b/crates/ivytrail/src/mesh/tests/servers.rs
@@ -1,9 +1,11 @@
 //! Backend servers that shut down and restart, and entries that no longer exist.
 
-use super::fleet::{TestFleet, call_of, server_advertisement};
+use std::time::Duration;
+
+use super::fleet::{TestFleet, answered, call_of, server_advertisement};
 use crate::mesh::{
     event::MeshEvent,
-    frame::{PeerFrame, ServerPhase},
+    frame::{PeerFrame, RequestLimit, ServerNotice, ServerPhase},
 };
 
 /// The daemon that acknowledged the shutdown of its server restarts and discovers the server by its health check, which
@@ -126,3 +128,80 @@
 
     assert_eq!(fleet.daemon(1).server().map(|it| it.slots), Some(3));
 }
+
+/// Applies a response of daemon `daemon`'s backend server that names a limit, in requests per second.
+fn name_limit(fleet: &mut TestFleet, daemon: usize, per_s: f64) {
+    let notice =
+        ServerNotice { request_limit: RequestLimit::PerSecond(per_s), ..ServerNotice::default() };
+    let id = format!("server-{daemon}").into();
+    fleet.apply(daemon, MeshEvent::ServerNoticed { id, notice });
+}
+
+/// Sends `n_calls` requests from all entries within `span`, ends each run at once, and returns the number of runs at
+/// each daemon's backend server.
+fn n_runs_by_daemon(fleet: &mut TestFleet, n_calls: u64, span: Duration) -> [usize; 4] {
+    let n_before = fleet.n_runs_started();
+    for n in 0..n_calls {
+        fleet.call((n % 4) as usize, call_of(50_000 + n_before as u64 + n, "book"));
+        fleet.advance(span / n_calls as u32);
+        for run in fleet.runs() {
+            fleet.end_run(&run, answered(200));
+        }
+    }
+    let mut n_runs = [0; 4];
+    fleet.started()[n_before..].iter().for_each(|it| n_runs[it.daemon] += 1);
+    n_runs
+}
+
+/// A server that names a limit gets no more than that from all entries together, and the rest goes to the other server.
+#[test]
+fn a_server_gets_no_more_requests_than_its_limit_from_all_entries() {
+    let mut fleet = TestFleet::start();
+    name_limit(&mut fleet, 1, 10.0);
+
+    let n_runs = n_runs_by_daemon(&mut fleet, 400, Duration::from_secs(4));
+
+    assert!((20..=45).contains(&n_runs[1]), "{n_runs:?}");
+    assert!(300 < n_runs[3], "{n_runs:?}");
+}
+
+#[test]
+fn a_server_gets_all_requests_again_when_it_names_no_limit() {
+    let mut fleet = TestFleet::start();
+    name_limit(&mut fleet, 1, 1.0);
+    fleet.advance(Duration::from_secs(1));
+    let notice = ServerNotice { request_limit: RequestLimit::Unlimited, ..ServerNotice::default() };
+
+    fleet.apply(1, MeshEvent::ServerNoticed { id: "server-1".into(), notice });
+
+    let n_runs = n_runs_by_daemon(&mut fleet, 100, Duration::from_secs(1));
+    assert!(30 < n_runs[1], "{n_runs:?}");
+}
+
+/// A daemon that restarts beside a server learns its limit from the other daemons before their first attempt.
+#[test]
+fn a_restarted_daemon_keeps_the_limit_that_its_server_named() {
+    let mut fleet = TestFleet::start();
+    name_limit(&mut fleet, 1, 2.0);
+    fleet.restart(1);
+    fleet.link_all(1);
+
+    let advertisement = server_advertisement(1, "booking");
+    fleet.apply(1, MeshEvent::ServerAnnounced { advertisement, sequence: 7 });
+
+    let n_runs = n_runs_by_daemon(&mut fleet, 100, Duration::from_secs(1));
+    assert!(n_runs[1] <= 3, "{n_runs:?}");
+}
+
+#[test]
+fn a_new_run_of_a_server_has_no_limit() {
+    let mut fleet = TestFleet::start();
+    name_limit(&mut fleet, 1, 1.0);
+    let mut advertisement = server_advertisement(1, "booking");
+    advertisement.started_at_ms += 5_000;
+
+    fleet.apply(1, MeshEvent::ServerAnnounced { advertisement, sequence: 1 });
+
+    let n_runs = n_runs_by_daemon(&mut fleet, 100, Duration::from_secs(1));
+    assert!(30 < n_runs[1], "{n_runs:?}");
+}
