Keep both servers in use in the tests of a named limit

With few runs in progress every request went to the same server, so the test of a restarted daemon passed without the report of its peers.

--- a/crates/ivytrail/src/mesh/tests/servers.rs
+++ b/crates/ivytrail/src/mesh/tests/servers.rs
@@ -137,15 +137,21 @@
     fleet.apply(daemon, MeshEvent::ServerNoticed { id, notice });
 }
 
-/// Sends `n_calls` requests from all entries within `span`, ends each run at once, and returns the number of runs at
-/// each daemon's backend server.
-fn n_runs_by_daemon(fleet: &mut TestFleet, n_calls: u64, span: Duration) -> [usize; 4] {
+/// Sends `n_calls` requests from all entries within `span`, with `n_running` runs in progress at all times, and returns
+/// the number of runs at each daemon's backend server.
+fn n_runs_by_daemon(
+    fleet: &mut TestFleet,
+    n_calls: u64,
+    span: Duration,
+    n_running: usize,
+) -> [usize; 4] {
     let n_before = fleet.n_runs_started();
     for n in 0..n_calls {
         fleet.call((n % 4) as usize, call_of(50_000 + n_before as u64 + n, "book"));
         fleet.advance(span / n_calls as u32);
-        for run in fleet.runs() {
-            fleet.end_run(&run, answered(200));
+        let runs = fleet.runs();
+        for run in &runs[..runs.len().saturating_sub(n_running)] {
+            fleet.end_run(run, answered(200));
         }
     }
     let mut n_runs = [0; 4];
@@ -159,7 +165,7 @@
     let mut fleet = TestFleet::start();
     name_limit(&mut fleet, 1, 10.0);
 
-    let n_runs = n_runs_by_daemon(&mut fleet, 400, Duration::from_secs(4));
+    let n_runs = n_runs_by_daemon(&mut fleet, 400, Duration::from_secs(4), 6);
 
     assert!((20..=45).contains(&n_runs[1]), "{n_runs:?}");
     assert!(300 < n_runs[3], "{n_runs:?}");
@@ -174,7 +180,7 @@
 
     fleet.apply(1, MeshEvent::ServerNoticed { id: "server-1".into(), notice });
 
-    let n_runs = n_runs_by_daemon(&mut fleet, 100, Duration::from_secs(1));
+    let n_runs = n_runs_by_daemon(&mut fleet, 100, Duration::from_secs(1), 10);
     assert!(30 < n_runs[1], "{n_runs:?}");
 }
 
@@ -189,7 +195,7 @@
     let advertisement = server_advertisement(1, "booking");
     fleet.apply(1, MeshEvent::ServerAnnounced { advertisement, sequence: 7 });
 
-    let n_runs = n_runs_by_daemon(&mut fleet, 100, Duration::from_secs(1));
+    let n_runs = n_runs_by_daemon(&mut fleet, 100, Duration::from_secs(1), 10);
     assert!(n_runs[1] <= 3, "{n_runs:?}");
 }
 
@@ -202,6 +208,6 @@
 
     fleet.apply(1, MeshEvent::ServerAnnounced { advertisement, sequence: 1 });
 
-    let n_runs = n_runs_by_daemon(&mut fleet, 100, Duration::from_secs(1));
+    let n_runs = n_runs_by_daemon(&mut fleet, 100, Duration::from_secs(1), 10);
     assert!(30 < n_runs[1], "{n_runs:?}");
 }
