--- a/tests/tests/site_processes.rs
+++ b/tests/tests/site_processes.rs
@@ -274,6 +274,24 @@
     Ok(())
 }
 
+/// A backend server may say only in its responses that it is leaving. It must get no requests that are sent later than the
+/// drain time after such a response.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_server_whose_responses_say_that_it_leaves_gets_no_new_requests() -> Result<()> {
+    const DRAIN_TIME: Duration = Duration::from_secs(2);
+    let _lock = MESH_LOCK.lock().await;
+    let site = TestSite::start_with(&["tracker", "tracker", "booking"], false).await?;
+    site.backends[0].leave();
+    send_for(&site, "/track/20", DRAIN_TIME).await;
+    let drained_at = Instant::now();
+
+    let statuses = send_for(&site, "/track/20", Duration::from_secs(2)).await;
+
+    assert_eq!(site.backends[0].max_arrivals(drained_at, Duration::from_secs(2)), 0);
+    assert_eq!(statuses.keys().collect::<Vec<_>>(), [&200], "{statuses:?}");
+    Ok(())
+}
+
 /// Open connections to a backend server fall silent permanently while new connections work. After one request without a
 /// response, the daemon must drop the other idle connections; otherwise each of them costs one request at its deadline.
 #[tokio::test(flavor = "multi_thread")]
