Send a changed limit ahead of the reply that made it known

A peer recorded a limit from replies under the server that it believed to be beside the guard, which may be the next one when frames of two connections cross. The advertisement now goes out on both links of a peer, on the one that carries the replies ahead of them, so nothing needs to be inferred from a reply.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -336,6 +336,16 @@
         self.broadcast(step, &PeerFrame::Advertisement(Box::new(advertisement)));
     }
 
+    /// Sends the current advertisement on the links that peers dialed as well. It then precedes the replies that follow,
+    /// so that a peer which passes on a response of the local backend server knows what the server reported in it.
+    fn publish_before_replies(&mut self, step: &mut ReducerStep<'_>) {
+        self.publish_advertisement(step);
+        let frame = PeerFrame::Advertisement(Box::new(self.advertisement()));
+        for peer in self.links.peers() {
+            step.send_on_inbound(peer, frame.clone(), Bytes::new());
+        }
+    }
+
     /// Sends a frame to all peers with an open outbound link.
     fn broadcast(&self, step: &mut ReducerStep<'_>, frame: &PeerFrame) {
         for peer in self.links.open_peers() {
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -217,9 +217,6 @@
         load: Option<ServerLoad>,
         body: Bytes,
     ) {
-        if let Some(load) = load {
-            self.record_reply_notice(step.now, peer, load);
-        }
         let Some(id) = self.entry.attempts.remove(&serial) else { return };
         let Some(call) = self.entry.calls.get_mut(&id) else { return };
         let route = call.request.route.clone();
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -7,7 +7,7 @@
 use super::{
     MeshReducer, ReducerStep,
     event::{MeshEffect, PeerAddress},
-    frame::{PeerAdvertisement, PeerFrame, RequestLimit, ServerLoad, ServerPhase},
+    frame::{PeerAdvertisement, PeerFrame, RequestLimit, ServerPhase},
     leaving_servers::LeavingRun,
     quota::quota_owner,
 };
@@ -123,6 +123,11 @@
         self.links.iter().filter(|(_, link)| link.is_open).map(|(name, _)| name)
     }
 
+    /// Returns all known peers.
+    pub(super) fn peers(&self) -> impl Iterator<Item = &InstanceName> {
+        self.links.keys()
+    }
+
     /// Returns the account's quota owner among this daemon, `me`, and the reachable peers.
     pub(super) fn quota_owner<'l>(
         &'l self,
@@ -301,20 +306,6 @@
         self.picker.apply_advertisement(step.now, &corrected);
     }
 
-    /// Records what the reply of a guard reports about its backend server. The advertisement with the same content is
-    /// sent on another connection and is lost if the guard's daemon ends first.
-    pub(super) fn record_reply_notice(
-        &mut self,
-        now: TimePoint,
-        peer: &InstanceName,
-        load: ServerLoad,
-    ) {
-        let is_limited = matches!(load.request_limit, RequestLimit::PerSecond(_));
-        if let Some(id) = self.picker.server_id(peer).filter(|_| is_limited) {
-            self.limited_servers.record(now, id, 0, load.request_limit);
-        }
-    }
-
     /// Records the limit of an advertised server, and notifies a daemon that does not know of it. The notification
     /// precedes all attempts that are sent to the server on the basis of the advertisement.
     fn record_request_limit(
--- a/crates/ivytrail/src/mesh/picker.rs
+++ b/crates/ivytrail/src/mesh/picker.rs
@@ -233,11 +233,6 @@
         }
     }
 
-    /// Returns the identity of the server on an instance.
-    pub fn server_id(&self, instance: &InstanceName) -> Option<&SmolStr> {
-        self.records.get(instance).map(|it| &it.server_id)
-    }
-
     /// Returns the mean run time of a route over all servers.
     pub fn mean_run_time(&self, route: &RouteName) -> Duration {
         self.run_times.get(route).map_or(INITIAL_RUN_TIME, |it| Duration::from_secs_f64(*it))
--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -133,7 +133,7 @@
             _ => false,
         };
         if !is_small_change {
-            self.publish_advertisement(step);
+            self.publish_before_replies(step);
         }
     }
 
