Take a server out of use that says in its answers that it leaves

What callers would see: requests sent to a server that is about to exit, and lost with it.

Cause: only an announcement took a server out of use, on the assumption that a server that leaves announces it.

The guard treats such an answer like the announcement: it accepts nothing more for this run of the server, and notifies the other daemons, which remember it for a daemon that restarts beside the server. The notice goes out ahead of the reply on the same connection, so an entry that has passed on such an answer knows of it even if the guard's daemon ends right then.

--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -102,6 +102,9 @@
         ));
         self.guard.notice.is_leaving = notice.is_leaving;
         self.set_request_limit(step, notice.request_limit);
+        if notice.is_leaving {
+            self.handle_server_shutdown(step, id, None);
+        }
     }
 
     /// Handles another daemon's report of the limit that the local backend server has named to an earlier incarnation of
@@ -168,7 +171,7 @@
         server.phase = ServerPhase::Draining;
         step.log(format!("event=server_leaving server={id}"));
         self.update_limit(step);
-        self.publish_advertisement(step);
+        self.publish_before_replies(step);
     }
 
     /// Updates the queue's limit to what the backend server accepts now; at a limit of zero, waiting attempts are refused.
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -63,6 +63,8 @@
     muted: HashSet<usize>,
     /// Daemons whose frames on inbound links are dropped.
     inbound_muted: HashSet<usize>,
+    /// Daemons whose frames on outbound links are dropped.
+    outbound_muted: HashSet<usize>,
     cuts: HashSet<(usize, usize)>,
     is_holding: bool,
     held: Vec<FrameInTransit>,
@@ -186,6 +188,7 @@
             dead: HashSet::new(),
             muted: HashSet::new(),
             inbound_muted: HashSet::new(),
+            outbound_muted: HashSet::new(),
             cuts: HashSet::new(),
             is_holding: false,
             held: Vec::new(),
@@ -263,6 +266,7 @@
                 assert!(previous.is_none(), "{call} was answered twice");
             }
             MeshEffect::SendOnInbound { .. } if self.inbound_muted.contains(&daemon) => {}
+            MeshEffect::Send { .. } if self.outbound_muted.contains(&daemon) => {}
             MeshEffect::Send { peer, frame, body }
             | MeshEffect::SendOnInbound { peer, frame, body } => {
                 let to = index_of(&peer);
--- a/crates/ivytrail/src/mesh/tests/fleet/faults.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet/faults.rs
@@ -34,6 +34,7 @@
     /// Restarts a daemon without settings, server or open links.
     pub(in super::super) fn restart(&mut self, daemon: usize) {
         self.dead.remove(&daemon);
+        self.outbound_muted.remove(&daemon);
         self.incarnations[daemon] += 1;
         self.daemons[daemon] = reducer_of(daemon, self.incarnations[daemon]);
         let peers = (0..self.daemons.len())
@@ -64,6 +65,11 @@
         self.inbound_muted.insert(daemon);
     }
 
+    /// Drops the frames that a daemon sends on outbound links until it restarts; its inbound links keep working.
+    pub(in super::super) fn mute_outbound(&mut self, daemon: usize) {
+        self.outbound_muted.insert(daemon);
+    }
+
     pub(in super::super) fn hold_frames(&mut self, is_holding: bool) {
         self.is_holding = is_holding;
     }
--- a/crates/ivytrail/src/mesh/tests/servers.rs
+++ b/crates/ivytrail/src/mesh/tests/servers.rs
@@ -211,3 +211,42 @@
     let n_runs = n_runs_by_daemon(&mut fleet, 100, Duration::from_secs(1), 10);
     assert!(30 < n_runs[1], "{n_runs:?}");
 }
+
+/// Applies a response of daemon `daemon`'s backend server that states that the server is leaving.
+fn state_leaving(fleet: &mut TestFleet, daemon: usize) {
+    let notice = ServerNotice { is_leaving: true, ..ServerNotice::default() };
+    fleet.apply(daemon, MeshEvent::ServerNoticed { id: format!("server-{daemon}").into(), notice });
+}
+
+/// A server may state only in its responses that it is leaving.
+#[test]
+fn a_server_whose_response_states_that_it_leaves_gets_no_requests() {
+    let mut fleet = TestFleet::start();
+
+    state_leaving(&mut fleet, 1);
+
+    let n_runs = n_runs_by_daemon(&mut fleet, 100, Duration::from_secs(1), 6);
+    assert_eq!(n_runs, [0, 0, 0, 100]);
+}
+
+/// A daemon that restarts beside a server that has stated in a response that it leaves must be notified by its peers,
+/// even if its own links broke before it could notify them.
+#[test]
+fn a_reply_is_preceded_by_the_notice_that_the_server_leaves() {
+    let mut fleet = TestFleet::start();
+    for id in 1..=8 {
+        fleet.call(0, call_of(id, "book"));
+    }
+    let run = fleet.runs().into_iter().find(|it| it.daemon == 1).expect("server-1 runs a request");
+    fleet.mute_outbound(1);
+
+    state_leaving(&mut fleet, 1);
+    fleet.end_run(&run, answered(200));
+    fleet.restart(1);
+    fleet.link_all(1);
+    let advertisement = server_advertisement(1, "booking");
+    fleet.apply(1, MeshEvent::ServerAnnounced { advertisement, sequence: 7 });
+
+    let phase = fleet.daemon(1).server().map(|it| it.phase);
+    assert_eq!(phase, Some(ServerPhase::Draining));
+}
