Bound the memory of responses that a daemon reads

What callers would see: a server in trouble that sends bodies without end takes the daemon beside it down, and with it all requests that the daemon has taken as an entry and as a guard.

Cause: each response may take 64 MiB, and nothing bounds all of them together. Evidence: with fourteen endless bodies at a time the daemon's peak memory was 918 MiB, where its instance has 260 MiB.

All bodies that are being read share 64 MiB. When they exceed it, those of at least the mean size fail, so small answers are not affected by a few endless ones. The head of a response and the read buffer are bounded by 64 KiB.

The process test endless_responses_do_not_exhaust_the_memory_of_a_daemon failed before (918 MiB) and passes now. Tests with a server that sends heads, header lines, bodies or other bytes without end show that the run fails and the connection is closed.

--- a/crates/ivytrail-daemon/src/mesh/backend_pool.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool.rs
@@ -1,5 +1,7 @@
 //! Executes requests at the local backend server over persistent connections.
 
+mod response_budget;
+
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
@@ -9,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Method, Request, Response, StatusCode,
     body::Incoming,
@@ -37,6 +39,7 @@
     time::{Instant, timeout},
 };
 
+use self::response_budget::ResponseBudget;
 use super::driver::MeshDriver;
 
 /// Timeout for connecting to the local backend server.
@@ -57,8 +60,8 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after a run's deadline during which a response of the server is still accepted.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
-/// Maximum size of a buffered response body, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Maximum size of a response's head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Interval between probes of the backend server after a start.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum number of probes of the backend server after a start. Later the daemon relies on the server's announcements.
@@ -160,12 +163,18 @@
     address: SocketAddr,
     idle_limit: Cell<IdleLimit>,
     idle: RefCell<VecDeque<BackendConnection>>,
+    response_budget: ResponseBudget,
 }
 
 impl BackendPool {
     /// Creates an empty pool for the backend server at `address`.
     pub fn new(address: SocketAddr) -> BackendPool {
-        BackendPool { address, idle_limit: Cell::default(), idle: RefCell::default() }
+        BackendPool {
+            address,
+            idle_limit: Cell::default(),
+            idle: RefCell::default(),
+            response_budget: ResponseBudget::default(),
+        }
     }
 
     /// Drops connections whose keep-alive time has expired and raises the idle limit. Must be called once per second.
@@ -281,7 +290,9 @@
         };
         // A failure is ignored: without TCP_NODELAY requests are only delayed.
         let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
         let task = tokio::task::spawn_local(async move {
             if let Err(cause) = connection.await {
                 log::debug!("event=server_connection_ended cause={:?}", cause.to_string());
@@ -330,8 +341,8 @@
         parts: &Parts,
         body: Incoming,
     ) -> RunEnd {
-        let body = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
+        let body = match self.response_budget.read_body(body).await {
+            Ok(body) => body,
             Err(cause) => {
                 log::info!(
                     "event=answer_incomplete request={} status={} cause={:?}",
--- a/crates/ivytrail-daemon/src/mesh/backend_pool/tests.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool/tests.rs
@@ -1,5 +1,108 @@
+use ivytrail::id::ContentDigest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    task::{JoinHandle, LocalSet},
+};
+
 use super::*;
 
+fn attempt() -> AttemptRequest {
+    AttemptRequest {
+        serial: 1,
+        service: "tracker".into(),
+        route: "track".into(),
+        request_id: "r-1".into(),
+        method: "GET".into(),
+        target: "/track/1".into(),
+        headers: vec![("host".into(), "site.example".into())],
+        account: None,
+        caller_service: "tracker".into(),
+        is_idempotent: true,
+        rank: 8,
+        priority: 0,
+        root_age_us: 0,
+        time_left_us: 1_000_000,
+        max_wait_us: 0,
+        fingerprint: ContentDigest::of_parts(&[b"request"]),
+    }
+}
+
+/// Starts a server that answers one request with `prefix` and then with `filler` without end. The task returns the number
+/// of bytes that it has written when its client closes the connection.
+async fn start_endless_server(
+    prefix: &'static str,
+    filler: &'static str,
+) -> (SocketAddr, JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let task = tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("the pool connects");
+        let mut request = [0; 4_096];
+        let n_read = stream.read(&mut request).await.expect("the pool sends a request");
+        assert_ne!(n_read, 0, "the pool closed the connection without a request");
+        let mut n_written = 0;
+        let mut next = prefix;
+        while stream.write_all(next.as_bytes()).await.is_ok() {
+            n_written += next.len();
+            next = filler;
+        }
+        n_written
+    });
+    (address, task)
+}
+
+async fn run_at_endless_server(prefix: &'static str, filler: &'static str) -> (RunEnd, usize) {
+    let run = async {
+        let (address, server) = start_endless_server(prefix, filler).await;
+        let pool = BackendPool::new(address);
+        let time_left = Duration::from_secs(20);
+        let report = pool.run(&attempt(), "server-1", Bytes::new(), time_left).await;
+        let n_written = timeout(time_left, server).await.expect("the connection is closed");
+        (report.end, n_written.expect("the server does not panic"))
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Servers in trouble may send bytes without end; the run must fail and the connection must be closed.
+#[tokio::test]
+async fn a_response_head_without_end_breaks_the_run() {
+    let (end, n_written) =
+        run_at_endless_server("HTTP/1.1 200 OK\r\n", "x-filler: 0123456789\r\n").await;
+
+    assert_eq!(end, RunEnd::Broken);
+    assert!(n_written < 16 << 20, "{n_written} bytes");
+}
+
+#[tokio::test]
+async fn a_header_line_without_end_breaks_the_run() {
+    let (end, n_written) =
+        run_at_endless_server("HTTP/1.1 200 OK\r\nx-filler: ", "0123456789").await;
+
+    assert_eq!(end, RunEnd::Broken);
+    assert!(n_written < 16 << 20, "{n_written} bytes");
+}
+
+#[tokio::test]
+async fn bytes_without_end_that_are_no_response_break_the_run() {
+    let (end, n_written) = run_at_endless_server("no response ", "no response ").await;
+
+    assert_eq!(end, RunEnd::Broken);
+    assert!(n_written < 16 << 20, "{n_written} bytes");
+}
+
+#[tokio::test]
+async fn a_response_body_without_end_breaks_the_run() {
+    let (end, n_written) = run_at_endless_server(
+        "HTTP/1.1 200 OK\r\nx-ivytrail-request-id: r-1\r\n\r\n",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+    )
+    .await;
+
+    assert_eq!(end, RunEnd::Broken);
+    assert!(n_written < 80 << 20, "{n_written} bytes");
+}
+
 /// A server that drops idle connections after 320 ms must fail one request only, not one on each pooled connection.
 #[test]
 fn a_failed_request_lowers_the_idle_limit_of_all_connections() {
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -225,6 +225,19 @@
         self.client.get(url).send().await.is_ok_and(|it| it.status() == 200)
     }
 
+    /// Returns the greatest resident memory of the daemon of instance `idx` so far, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the system does not report it.
+    pub fn peak_memory(&self, idx: usize) -> Result<u64> {
+        let path = format!("/proc/{}/status", self.daemons[idx].id());
+        let status = std::fs::read_to_string(path)?;
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|it| it.trim().strip_suffix("kB")).context("no VmHWM")?;
+        Ok(kib.trim().parse::<u64>()? << 10)
+    }
+
     /// Returns the metrics page of the daemon of instance `idx`.
     ///
     /// # Errors
--- a/tests/src/site/backend.rs
+++ b/tests/src/site/backend.rs
@@ -1,6 +1,6 @@
 //! Fake of a platform backend server: sends heartbeats, checks the headers of its requests and counts runs.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::Result;
 use ivytrail_fakes::server::LocalServer;
@@ -20,6 +20,10 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Path segment that makes the backend server send a nested call while it handles the request.
 pub const NESTED_CALL_SEGMENT: &str = "/calls/";
+/// Path segment that makes the backend server send a response body without end.
+pub const ENDLESS_SEGMENT: &str = "/endless/";
+/// Size of one chunk of an endless body.
+const ENDLESS_CHUNK: &[u8] = &[b'x'; 64 << 10];
 /// Number of slots reported in heartbeats and response headers.
 const REPORTED_SLOTS: u32 = 16;
 
@@ -38,6 +42,15 @@
     is_leaving: bool,
 }
 
+impl BackendState {
+    /// Returns the headers with which the server reports its state in all responses.
+    fn notice_headers(&self) -> Vec<(&'static str, String)> {
+        let limit = self.request_limit.map(|it| ("server-limit", it.to_string()));
+        let leaving = self.is_leaving.then(|| ("server-leaving", "1".to_string()));
+        limit.into_iter().chain(leaving).collect()
+    }
+}
+
 /// A fake backend server that runs until it is dropped.
 #[derive(Debug)]
 pub struct SiteBackend {
@@ -193,14 +206,8 @@
         };
         set_header("x-ivytrail-instance-id", &self.id);
         set_header("x-ivytrail-server-load", &format!("0,0,{REPORTED_SLOTS}"));
-        {
-            let state = self.state.lock();
-            if let Some(request_limit) = state.request_limit {
-                set_header("server-limit", &request_limit.to_string());
-            }
-            if state.is_leaving {
-                set_header("server-leaving", "1");
-            }
+        for (name, value) in self.state.lock().notice_headers() {
+            set_header(name, &value);
         }
         if path == "/healthz" {
             return;
@@ -238,6 +245,10 @@
         if !is_served {
             res.status_code(StatusCode::INTERNAL_SERVER_ERROR);
         }
+        if path.contains(ENDLESS_SEGMENT) {
+            let chunks = futures_util::stream::repeat_with(|| Ok::<_, Infallible>(ENDLESS_CHUNK));
+            return res.stream(chunks);
+        }
         res.body(format!("{path} {request_id} by {}", self.id));
     }
 }
--- a/tests/tests/site_processes.rs
+++ b/tests/tests/site_processes.rs
@@ -292,6 +292,36 @@
     Ok(())
 }
 
+/// Backend servers in trouble may send response bodies without end. The daemon beside one must stay within the memory of
+/// its instance, answer these requests, and serve others meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_responses_do_not_exhaust_the_memory_of_a_daemon() -> Result<()> {
+    const INSTANCE_MEMORY_BYTES: u64 = 260 << 20;
+    const N_ENDLESS: usize = 14;
+    let _lock = MESH_LOCK.lock().await;
+    let site = TestSite::start_with(&["tracker"], false).await?;
+    let endless = (0..N_ENDLESS).map(|n| {
+        let (site, id) = (&site, format!("endless-{n}"));
+        async move { status_at(site, 0, "/track/endless/1", &id).await }
+    });
+    let others = async {
+        let mut statuses = Vec::new();
+        for n in 0..20 {
+            sleep(Duration::from_millis(50)).await;
+            statuses.push(status_at(&site, 0, "/track/1", &format!("other-{n}")).await);
+        }
+        statuses
+    };
+
+    let (endless, others) = tokio::join!(futures_util::future::join_all(endless), others);
+
+    assert!(endless.iter().all(|it| [502, 504].contains(it)), "{endless:?}");
+    assert_eq!(others, [200; 20]);
+    let peak = site.peak_memory(0)?;
+    assert!(peak < INSTANCE_MEMORY_BYTES, "{} MiB", peak >> 20);
+    Ok(())
+}
+
 /// Open connections to a backend server fall silent permanently while new connections work. After one request without a
 /// response, the daemon must drop the other idle connections; otherwise each of them costs one request at its deadline.
 #[tokio::test(flavor = "multi_thread")]
