Let backend servers of the fault soak name limits and state that they leave

In each run one server names a limit of 3 to 10 requests a second for most of the time, and in half of the runs another one states in its answers, and nowhere else, that it leaves. The soak checks what these servers get from entries that have passed on such an answer: at most 1.5 times the limit and five in any four seconds, from three seconds after it was first named, and nothing that a client sent later than two seconds after the word that it leaves. Restarts and suspensions of an entry since then excuse it.

--- a/tests/src/fault.rs
+++ b/tests/src/fault.rs
@@ -3,6 +3,7 @@
 
 pub mod plan;
 pub mod proxy;
+mod server_checks;
 mod supervisor;
 
 use std::{collections::BTreeMap, time::Duration};
@@ -107,6 +108,7 @@
     sleep(SETTLE_TIME).await;
     let calls = observed.into_inner();
     check_calls(&site, &calls, &process_outages, &mut report.violations);
+    server_checks::check_servers(&site, &calls, &process_outages, &mut report.violations);
     for call in &calls {
         let status = call.response.as_ref().map_or(0, |(status, ..)| *status);
         *report.statuses.entry(status).or_default() += 1;
@@ -209,6 +211,10 @@
             FaultKind::CompactHistory => site.table.compact_history(),
             FaultKind::CopyTable => copy = site.table.copy(),
             FaultKind::RestoreTable => site.table.restore(&copy),
+            FaultKind::LimitServer { instance, per_s } => {
+                site.backends[instance].set_request_limit(per_s);
+            }
+            FaultKind::LeaveServer { instance } => site.backends[instance].leave(),
             FaultKind::PublishSettings => {
                 version += 1;
                 site.table.put_config(&config_with_keys(version, &[API_KEY, SECOND_API_KEY]));
--- a/tests/src/fault/plan.rs
+++ b/tests/src/fault/plan.rs
@@ -23,6 +23,10 @@
 const RESTORE_DURATION_MS: std::ops::Range<u64> = 50..1_500;
 /// Distinguishes the random sequence of the restores from that of the other faults, which keeps their schedules.
 const RESTORE_SEED: u64 = 0x7265_7374_6f72_6531;
+/// Distinguishes the random sequence of the servers' notices.
+const NOTICE_SEED: u64 = 0x6e6f_7469_6365_7331;
+/// Range of the limits that servers name, in requests per second.
+const SERVER_LIMIT_PER_S: std::ops::Range<u32> = 3..11;
 
 /// A proxied network path of an instance.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -116,6 +120,20 @@
     /// Brings the table back from its last copy; what was written since is lost.
     #[display("table restored from a copy")]
     RestoreTable,
+    /// Lets a backend server name a limit in its responses, in requests per second, or none.
+    #[display("limit {per_s:?}")]
+    LimitServer {
+        /// The instance beside the server.
+        instance: usize,
+        /// Requests per second.
+        per_s: Option<f64>,
+    },
+    /// Lets a backend server state in its responses that it is leaving.
+    #[display("leaving server")]
+    LeaveServer {
+        /// The instance beside the server.
+        instance: usize,
+    },
 }
 
 /// The start or end of a fault.
@@ -139,6 +157,8 @@
         at += MEAN_FAULT_INTERVAL.mul_f64(rng.random_range(0.2..1.8));
     }
     add_restores(&mut SmallRng::seed_from_u64(seed ^ RESTORE_SEED), &mut steps, fault_duration);
+    let mut notice_rng = SmallRng::seed_from_u64(seed ^ NOTICE_SEED);
+    add_server_notices(&mut notice_rng, &mut steps, fault_duration, n_instances);
     steps.sort_by_key(|it| it.at);
     steps
 }
@@ -159,6 +179,27 @@
     }
 }
 
+/// Lets one backend server name a limit for most of the run, and in half of the runs another one state that it leaves.
+fn add_server_notices(
+    rng: &mut SmallRng,
+    steps: &mut Vec<FaultStep>,
+    fault_duration: Duration,
+    n_instances: usize,
+) {
+    let limited = rng.random_range(0..n_instances);
+    let per_s = Some(f64::from(rng.random_range(SERVER_LIMIT_PER_S)));
+    let at = fault_duration.mul_f64(rng.random_range(0.0..0.15));
+    steps.push(FaultStep { at, kind: FaultKind::LimitServer { instance: limited, per_s } });
+    let lifted = FaultKind::LimitServer { instance: limited, per_s: None };
+    steps.push(FaultStep { at: fault_duration, kind: lifted });
+    // The others of its service keep serving: services alternate over the instances.
+    let leaving = (limited + 1) % n_instances;
+    if rng.random_bool(0.5) {
+        let at = fault_duration.mul_f64(rng.random_range(0.0..0.6));
+        steps.push(FaultStep { at, kind: FaultKind::LeaveServer { instance: leaving } });
+    }
+}
+
 fn add_fault(
     rng: &mut SmallRng,
     steps: &mut Vec<FaultStep>,
--- a/tests/src/site/backend.rs
+++ b/tests/src/site/backend.rs
@@ -33,20 +33,33 @@
     runs: HashMap<String, usize>,
     /// Descriptions of requests with a missing, wrong or forbidden header.
     protocol_violations: Vec<String>,
-    /// Times at which requests arrived.
-    arrivals: Vec<Instant>,
+    /// Times at which requests arrived, with their ids.
+    arrivals: Vec<(Instant, String)>,
     is_draining: bool,
     /// Requests per second that the server names as its limit in responses.
     request_limit: Option<f64>,
-    /// Whether responses state that the server is leaving.
-    is_leaving: bool,
+    /// Time since which responses state that the server is leaving.
+    leaving_since: Option<Instant>,
+    /// Ranges of time in which the server named a limit.
+    limit_periods: Vec<LimitPeriod>,
+}
+
+/// Range of time in which a server named a limit in its responses.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitPeriod {
+    /// Requests per second.
+    pub per_s: f64,
+    /// Time of the first response that could name it.
+    pub from: Instant,
+    /// Time from which on responses name another limit or none; `None` while it is named.
+    pub until: Option<Instant>,
 }
 
 impl BackendState {
     /// Returns the headers with which the server reports its state in all responses.
     fn notice_headers(&self) -> Vec<(&'static str, String)> {
         let limit = self.request_limit.map(|it| ("server-limit", it.to_string()));
-        let leaving = self.is_leaving.then(|| ("server-leaving", "1".to_string()));
+        let leaving = self.leaving_since.map(|_| ("server-leaving", "1".to_string()));
         limit.into_iter().chain(leaving).collect()
     }
 }
@@ -94,23 +107,34 @@
 
     /// Names a limit in all further responses, in requests per second, or none.
     pub fn set_request_limit(&self, request_limit: Option<f64>) {
-        self.state.lock().request_limit = request_limit;
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        if let Some(period) = state.limit_periods.last_mut() {
+            period.until.get_or_insert(now);
+        }
+        let period = request_limit.map(|per_s| LimitPeriod { per_s, from: now, until: None });
+        state.limit_periods.extend(period);
+        state.request_limit = request_limit;
+    }
+
+    /// Returns the ranges of time in which the server named a limit.
+    pub fn limit_periods(&self) -> Vec<LimitPeriod> {
+        self.state.lock().limit_periods.clone()
     }
 
     /// States in all further responses, and nowhere else, that the server is leaving.
     pub fn leave(&self) {
-        self.state.lock().is_leaving = true;
+        self.state.lock().leaving_since.get_or_insert_with(Instant::now);
     }
 
-    /// Returns the greatest number of requests that arrived within any `window` after `since`.
-    pub fn max_arrivals(&self, since: Instant, window: Duration) -> usize {
-        let state = self.state.lock();
-        let arrivals: Vec<Instant> =
-            state.arrivals.iter().copied().filter(|it| since <= *it).collect();
-        let in_window_from = |(idx, from): (usize, &Instant)| {
-            arrivals[idx..].iter().take_while(|it| **it < *from + window).count()
-        };
-        arrivals.iter().enumerate().map(in_window_from).max().unwrap_or(0)
+    /// Returns the time since which the server states that it is leaving.
+    pub fn leaving_since(&self) -> Option<Instant> {
+        self.state.lock().leaving_since
+    }
+
+    /// Returns the times at which requests arrived, with their ids.
+    pub fn arrivals(&self) -> Vec<(Instant, String)> {
+        self.state.lock().arrivals.clone()
     }
 
     /// Returns the number of runs of one request at this server.
@@ -214,7 +238,7 @@
         }
         let request_id = header("x-ivytrail-request-id");
         set_header("x-ivytrail-request-id", &request_id);
-        self.state.lock().arrivals.push(Instant::now());
+        self.state.lock().arrivals.push((Instant::now(), request_id.clone()));
         if header("x-ivytrail-expected-instance") != self.id {
             res.status_code(StatusCode::MISDIRECTED_REQUEST);
             return;
@@ -252,3 +276,11 @@
         res.body(format!("{path} {request_id} by {}", self.id));
     }
 }
+
+/// Returns the greatest number of `arrivals`, sorted by time, within any `window`.
+pub fn max_in_window(arrivals: &[Instant], window: Duration) -> usize {
+    let in_window_from = |(idx, from): (usize, &Instant)| {
+        arrivals[idx..].iter().take_while(|it| **it < *from + window).count()
+    };
+    arrivals.iter().enumerate().map(in_window_from).max().unwrap_or(0)
+}
--- a/tests/tests/site_processes.rs
+++ b/tests/tests/site_processes.rs
@@ -6,7 +6,9 @@
 use ivytrail_tests::{
     mesh::MESH_LOCK,
     site::{
-        API_KEY, TestSite, backend::SiteBackend, config_at_version, config_with_keys,
+        API_KEY, TestSite,
+        backend::{SiteBackend, max_in_window},
+        config_at_version, config_with_keys,
         table::TableMode,
     },
 };
@@ -249,6 +251,12 @@
     counts
 }
 
+/// Returns the greatest number of requests that arrived at a backend server within any `window` after `since`.
+fn max_arrivals(site: &TestSite, server: usize, since: Instant, window: Duration) -> usize {
+    let arrivals = site.backends[server].arrivals().into_iter().map(|(at, _)| at);
+    max_in_window(&arrivals.filter(|it| since <= *it).collect::<Vec<_>>(), window)
+}
+
 /// A backend server that names a limit in its responses must get no more than one and a half times of it, and five
 /// requests, in any four seconds, however many entries there are. The other server of the service takes the rest.
 #[tokio::test(flavor = "multi_thread")]
@@ -264,9 +272,9 @@
 
     let statuses = send_for(&site, "/track/20", Duration::from_secs(6)).await;
 
-    let n_limited = site.backends[0].max_arrivals(named_at, WINDOW);
+    let n_limited = max_arrivals(&site, 0, named_at, WINDOW);
     assert!(n_limited <= MAX_IN_WINDOW, "{n_limited} requests in 4 s, allowed {MAX_IN_WINDOW}");
-    let n_others = site.backends[1].max_arrivals(named_at, WINDOW);
+    let n_others = max_arrivals(&site, 1, named_at, WINDOW);
     assert!(4 * MAX_IN_WINDOW < n_others, "{n_others} requests at the other server");
     let n_served = statuses.get(&200).copied().unwrap_or(0);
     let n_sent: usize = statuses.values().sum();
@@ -287,7 +295,7 @@
 
     let statuses = send_for(&site, "/track/20", Duration::from_secs(2)).await;
 
-    assert_eq!(site.backends[0].max_arrivals(drained_at, Duration::from_secs(2)), 0);
+    assert_eq!(max_arrivals(&site, 0, drained_at, Duration::from_secs(2)), 0);
     assert_eq!(statuses.keys().collect::<Vec<_>>(), [&200], "{statuses:?}");
     Ok(())
 }
