Show that the older path does not follow changes after a restore

When the platform comes back from an older copy and an operator stores changes through a daemon that has just started, a running daemon keeps what was lost and applies the following changes on top of it. On the users' platform only the mesh is used, where operators write to the store and only a greater version replaces another.

--- a/crates/ivytrail/tests/settings_store.rs
+++ b/crates/ivytrail/tests/settings_store.rs
@@ -5,10 +5,13 @@
 use std::collections::BTreeSet;
 
 use ivytrail::{
+    id::MemberId,
     platform::TableTransaction,
     settings::{
         KeyRecord, Revision, SettingsTree, TreeEdit,
         credential::secret_digest,
+        feed::{FeedOptions, FeedPeer, SettingsFeed},
+        rows::{CHANGES_PER_READ, changes_read, decode_changes},
         snapshot::{SnapshotReader, SnapshotStep},
         store::{ChangeDraft, EditMode, EditOutcome, EditSession, EditStep},
     },
@@ -137,6 +140,28 @@
     assert!(matches!(outcome, EditOutcome::NotStored { .. }), "{outcome:?}");
 }
 
+/// The platform comes back from an older copy, and an operator stores changes through a daemon that has just started. They
+/// are given revisions that a running daemon already holds with other contents.
+#[test]
+fn a_running_daemon_follows_changes_that_are_stored_after_a_restore() {
+    let mut table = MemoryTable::default();
+    run(&mut table, draft("a", 0, replacement("launch", "meteo", 1)));
+    let copy = table.clone();
+    run(&mut table, draft("b", 1, replacement("launch", "meteo", 2)));
+    let member = MemberId { instance: "running".into(), incarnation: 1 };
+    let local_peer = FeedPeer { member, domain: "kolkata".into() };
+    let mut feed = SettingsFeed::new(local_peer, FeedOptions::default(), 1);
+    feed.on_snapshot(read_tree(&table));
+
+    table = copy;
+    run(&mut table, draft("c", 1, replacement("launch", "meteo", 3)));
+    run(&mut table, draft("d", 2, replacement("charter", "travel", 1)));
+    let rows = table.read(&changes_read(feed.revision(), CHANGES_PER_READ));
+    feed.on_changes(&decode_changes(&rows).expect("rows are well formed"));
+
+    assert_eq!(feed.tree(), &read_tree(&table));
+}
+
 #[test]
 fn snapshot_is_consistent_while_changes_are_stored() {
     let mut table = MemoryTable::default();
