Keep a named limit over single answers without it

A server in trouble also breaks off and spoils answers. A limit is now lifted by an answer without it only when none has named it for a second. The test failed before.

--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -57,6 +57,8 @@
     pub(super) server: Option<ServerAdvertisement>,
     /// What the server reported in its last response.
     pub(super) notice: ServerNotice,
+    /// Time of the last response in which the server named a limit.
+    pub(super) limit_named_at: TimePoint,
     /// Sequence number of the last accepted announcement.
     pub(super) sequence: u64,
     pub(super) queue: SlotQueue<RunId>,
--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -1,5 +1,7 @@
 //! Handling of the local backend server's announcements and of the notice that it is shutting down.
 
+use std::time::Duration;
+
 use smol_str::SmolStr;
 
 use super::{
@@ -9,6 +11,9 @@
 };
 use crate::time::TimePoint;
 
+/// Time after the last response with a limit from which on a response without one lifts it. Single responses of a server
+/// in trouble may lack the header.
+const LIMIT_LIFT_DELAY: Duration = Duration::from_secs(1);
 /// Fraction by which a server's limit may change before other daemons are notified at once.
 const SMALL_LIMIT_CHANGE: f64 = 0.2;
 
@@ -93,7 +98,19 @@
         id: &SmolStr,
         notice: ServerNotice,
     ) {
-        if self.guard.server.as_ref().is_none_or(|it| it.id != *id) || self.guard.notice == notice {
+        if self.guard.server.as_ref().is_none_or(|it| it.id != *id) {
+            return;
+        }
+        let mut notice = notice;
+        match notice.request_limit {
+            RequestLimit::PerSecond(_) => self.guard.limit_named_at = step.now,
+            _ if step.now.since(self.guard.limit_named_at) < LIMIT_LIFT_DELAY => {
+                notice.request_limit = self.guard.notice.request_limit;
+            }
+            RequestLimit::Unknown => notice.request_limit = self.guard.notice.request_limit,
+            RequestLimit::Unlimited => {}
+        }
+        if self.guard.notice == notice {
             return;
         }
         step.log(format!(
--- a/crates/ivytrail/src/mesh/tests/servers.rs
+++ b/crates/ivytrail/src/mesh/tests/servers.rs
@@ -184,6 +184,22 @@
     assert!(30 < n_runs[1], "{n_runs:?}");
 }
 
+/// A response that was cut short or written by another part of the server may lack the limit.
+#[test]
+fn a_single_response_without_a_limit_does_not_lift_it() {
+    let mut fleet = TestFleet::start();
+    name_limit(&mut fleet, 1, 1.0);
+    fleet.advance(Duration::from_millis(500));
+    for request_limit in [RequestLimit::Unlimited, RequestLimit::Unknown] {
+        let notice = ServerNotice { request_limit, ..ServerNotice::default() };
+        fleet.apply(1, MeshEvent::ServerNoticed { id: "server-1".into(), notice });
+    }
+
+    let n_runs = n_runs_by_daemon(&mut fleet, 100, Duration::from_secs(1), 10);
+
+    assert!(n_runs[1] <= 3, "{n_runs:?}");
+}
+
 /// A daemon that restarts beside a server learns its limit from the other daemons before their first attempt.
 #[test]
 fn a_restarted_daemon_keeps_the_limit_that_its_server_named() {
