Notify peers at once only of limits that matter to them

A daemon's first answer without a limit changes nothing for its peers, so it waits for the next periodic advertisement in place of a broadcast on all links. The log line about a server's notice counts towards the bound on lines about requests, as a server may name another limit in each answer.

--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -8,6 +8,7 @@
     MeshReducer, ReducerStep,
     frame::{RequestLimit, ServerAdvertisement, ServerNotice, ServerPhase},
     leaving_servers::LeavingRun,
+    log_limit::LogPriority,
 };
 use crate::time::TimePoint;
 
@@ -113,10 +114,12 @@
         if self.guard.notice == notice {
             return;
         }
-        step.log(format!(
-            "event=server_notice server={id} limit={} before={} leaving={}",
-            notice.request_limit, self.guard.notice.request_limit, notice.is_leaving
-        ));
+        if self.log_limit.allows(step.now, LogPriority::Notable) {
+            step.log(format!(
+                "event=server_notice server={id} limit={} before={} leaving={}",
+                notice.request_limit, self.guard.notice.request_limit, notice.is_leaving
+            ));
+        }
         self.guard.notice.is_leaving = notice.is_leaving;
         self.set_request_limit(step, notice.request_limit);
         if notice.is_leaving {
@@ -145,14 +148,15 @@
             return;
         }
         self.apply_request_limit(step);
-        // Replies carry small changes.
-        let is_small_change = match (before, request_limit) {
+        let is_urgent = match (before, request_limit) {
+            (RequestLimit::Unknown, RequestLimit::Unlimited) => false,
             (RequestLimit::PerSecond(before), RequestLimit::PerSecond(per_s)) => {
-                (per_s - before).abs() < before * SMALL_LIMIT_CHANGE
+                before * SMALL_LIMIT_CHANGE <= (per_s - before).abs()
             }
-            _ => false,
+            _ => true,
         };
-        if !is_small_change {
+        // Replies and periodic advertisements carry all other changes.
+        if is_urgent {
             self.publish_before_replies(step);
         }
     }
