--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -172,6 +172,24 @@
     },
 }
 
+impl AttemptResult {
+    /// Returns the result for an attempt that has not run and will not run.
+    pub fn not_run(reason: RefusalReason, retry_after: Option<Duration>) -> AttemptResult {
+        let outcome = CallOutcome::NotRun;
+        AttemptResult::Refused { outcome, reason, retry_after, is_sent: false }
+    }
+
+    /// Returns the result for an attempt that may have run and whose reply is no longer stored.
+    pub fn expired() -> AttemptResult {
+        AttemptResult::Refused {
+            outcome: CallOutcome::Unknown,
+            reason: RefusalReason::ConnectionLost,
+            retry_after: None,
+            is_sent: true,
+        }
+    }
+}
+
 /// A message between two daemons.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerFrame {
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -177,16 +177,16 @@
         match self.guard.ended.status(&attempt) {
             AttemptStatus::Unseen => {}
             AttemptStatus::Tombstone => {
-                let result = not_run(RefusalReason::ConnectionLost, None);
+                let result = AttemptResult::not_run(RefusalReason::ConnectionLost, None);
                 return self.reply(step, &attempt, result, Bytes::new());
             }
             AttemptStatus::Replied { .. } => return,
             AttemptStatus::Forgotten => {
-                return self.reply(step, &attempt, expired_reply(), Bytes::new());
+                return self.reply(step, &attempt, AttemptResult::expired(), Bytes::new());
             }
         }
         if let Some(reason) = self.refusal_reason_for(step.now, &request) {
-            return self.reply(step, &attempt, not_run(reason, None), Bytes::new());
+            return self.reply(step, &attempt, AttemptResult::not_run(reason, None), Bytes::new());
         }
         let run = RunId(self.guard.next_run);
         self.guard.next_run += 1;
@@ -250,7 +250,7 @@
                         Some(it) if it.phase == ServerPhase::Ready => RefusalReason::Overloaded,
                         _ => RefusalReason::Draining,
                     };
-                    self.refuse_run(step, key, not_run(reason, Some(retry_after)));
+                    self.refuse_run(step, key, AttemptResult::not_run(reason, Some(retry_after)));
                 }
             }
         }
@@ -398,13 +398,13 @@
         }
         let (result, body) = match self.guard.ended.status(&attempt) {
             AttemptStatus::Replied { result, body } => (result.clone(), body.clone()),
-            AttemptStatus::Forgotten => (expired_reply(), Bytes::new()),
+            AttemptStatus::Forgotten => (AttemptResult::expired(), Bytes::new()),
             AttemptStatus::Tombstone => {
-                (not_run(RefusalReason::ConnectionLost, None), Bytes::new())
+                (AttemptResult::not_run(RefusalReason::ConnectionLost, None), Bytes::new())
             }
             AttemptStatus::Unseen => {
                 self.guard.ended.add_tombstone(step.now, attempt);
-                (not_run(RefusalReason::ConnectionLost, None), Bytes::new())
+                (AttemptResult::not_run(RefusalReason::ConnectionLost, None), Bytes::new())
             }
         };
         let frame = PeerFrame::Reply { serial, result, load: self.guard.load() };
@@ -486,17 +486,3 @@
         }
     }
 }
-
-fn not_run(reason: RefusalReason, retry_after: Option<Duration>) -> AttemptResult {
-    AttemptResult::Refused { outcome: CallOutcome::NotRun, reason, retry_after, is_sent: false }
-}
-
-/// Returns the result for an attempt that may have run and whose reply is no longer stored.
-fn expired_reply() -> AttemptResult {
-    AttemptResult::Refused {
-        outcome: CallOutcome::Unknown,
-        reason: RefusalReason::ConnectionLost,
-        retry_after: None,
-        is_sent: true,
-    }
-}
--- a/crates/ivytrail/src/mesh/limited_servers.rs
+++ b/crates/ivytrail/src/mesh/limited_servers.rs
@@ -5,9 +5,13 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use bytes::Bytes;
 use smol_str::SmolStr;
 
-use super::frame::{RequestLimit, ServerAdvertisement};
+use super::{
+    MeshReducer, ReducerStep,
+    frame::{PeerAdvertisement, PeerFrame, RequestLimit, ServerAdvertisement},
+};
 use crate::time::TimePoint;
 
 /// Time for which a limit is recorded after the last report.
@@ -58,3 +62,26 @@
         is_same_run.then_some(record.per_s)
     }
 }
+
+impl MeshReducer {
+    /// Records the limit of an advertised server, and notifies a daemon that does not know of it. The notification
+    /// precedes all attempts that are sent to the server on the basis of the advertisement.
+    pub(super) fn record_request_limit(
+        &mut self,
+        step: &mut ReducerStep<'_>,
+        advertisement: &PeerAdvertisement,
+    ) {
+        let Some(server) = &advertisement.server else { return };
+        let limit = advertisement.load.request_limit;
+        self.limited_servers.record(step.now, &server.id, server.started_at_ms, limit);
+        if limit != RequestLimit::Unknown {
+            return;
+        }
+        if let Some(per_s) = self.limited_servers.limit_of(step.now, server) {
+            let peer = &advertisement.member.instance;
+            let frame = PeerFrame::ServerLimited { id: server.id.clone(), per_s };
+            step.send(peer, frame.clone(), Bytes::new());
+            step.send_on_inbound(peer, frame, Bytes::new());
+        }
+    }
+}
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -7,7 +7,7 @@
 use super::{
     MeshReducer, ReducerStep,
     event::{MeshEffect, PeerAddress},
-    frame::{PeerAdvertisement, PeerFrame, RequestLimit, ServerPhase},
+    frame::{PeerAdvertisement, PeerFrame, ServerPhase},
     leaving_servers::LeavingRun,
     quota::quota_owner,
 };
@@ -306,27 +306,6 @@
         self.picker.apply_advertisement(step.now, &corrected);
     }
 
-    /// Records the limit of an advertised server, and notifies a daemon that does not know of it. The notification
-    /// precedes all attempts that are sent to the server on the basis of the advertisement.
-    fn record_request_limit(
-        &mut self,
-        step: &mut ReducerStep<'_>,
-        advertisement: &PeerAdvertisement,
-    ) {
-        let Some(server) = &advertisement.server else { return };
-        let limit = advertisement.load.request_limit;
-        self.limited_servers.record(step.now, &server.id, server.started_at_ms, limit);
-        if limit != RequestLimit::Unknown {
-            return;
-        }
-        if let Some(per_s) = self.limited_servers.limit_of(step.now, server) {
-            let peer = &advertisement.member.instance;
-            let frame = PeerFrame::ServerLimited { id: server.id.clone(), per_s };
-            step.send(peer, frame.clone(), Bytes::new());
-            step.send_on_inbound(peer, frame, Bytes::new());
-        }
-    }
-
     pub(super) fn handle_frame(
         &mut self,
         step: &mut ReducerStep<'_>,
