--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -1,14 +1,20 @@
 //! Handling of the local backend server's announcements and of the notice that it is shutting down.
 
+use std::time::Duration;
+
 use smol_str::SmolStr;
 
 use super::{
     MeshReducer, ReducerStep,
     frame::{RequestLimit, ServerAdvertisement, ServerNotice, ServerPhase},
     leaving_servers::LeavingRun,
+    log_limit::LogPriority,
 };
 use crate::time::TimePoint;
 
+/// Time after the last response with a limit from which on a response without one lifts it. Single responses of a server
+/// in trouble may lack the header.
+const LIMIT_LIFT_DELAY: Duration = Duration::from_secs(1);
 /// Fraction by which a server's limit may change before other daemons are notified at once.
 const SMALL_LIMIT_CHANGE: f64 = 0.2;
 
@@ -93,13 +99,27 @@
         id: &SmolStr,
         notice: ServerNotice,
     ) {
-        if self.guard.server.as_ref().is_none_or(|it| it.id != *id) || self.guard.notice == notice {
+        if self.guard.server.as_ref().is_none_or(|it| it.id != *id) {
             return;
         }
-        step.log(format!(
-            "event=server_notice server={id} limit={} before={} leaving={}",
-            notice.request_limit, self.guard.notice.request_limit, notice.is_leaving
-        ));
+        let mut notice = notice;
+        match notice.request_limit {
+            RequestLimit::PerSecond(_) => self.guard.limit_named_at = step.now,
+            _ if step.now.since(self.guard.limit_named_at) < LIMIT_LIFT_DELAY => {
+                notice.request_limit = self.guard.notice.request_limit;
+            }
+            RequestLimit::Unknown => notice.request_limit = self.guard.notice.request_limit,
+            RequestLimit::Unlimited => {}
+        }
+        if self.guard.notice == notice {
+            return;
+        }
+        if self.log_limit.allows(step.now, LogPriority::Notable) {
+            step.log(format!(
+                "event=server_notice server={id} limit={} before={} leaving={}",
+                notice.request_limit, self.guard.notice.request_limit, notice.is_leaving
+            ));
+        }
         self.guard.notice.is_leaving = notice.is_leaving;
         self.set_request_limit(step, notice.request_limit);
         if notice.is_leaving {
@@ -128,14 +148,15 @@
             return;
         }
         self.apply_request_limit(step);
-        // Replies carry small changes.
-        let is_small_change = match (before, request_limit) {
+        let is_urgent = match (before, request_limit) {
+            (RequestLimit::Unknown, RequestLimit::Unlimited) => false,
             (RequestLimit::PerSecond(before), RequestLimit::PerSecond(per_s)) => {
-                (per_s - before).abs() < before * SMALL_LIMIT_CHANGE
+                before * SMALL_LIMIT_CHANGE <= (per_s - before).abs()
             }
-            _ => false,
+            _ => true,
         };
-        if !is_small_change {
+        // Replies and periodic advertisements carry all other changes.
+        if is_urgent {
             self.publish_before_replies(step);
         }
     }
