--- a/tests/tests/site_processes.rs
+++ b/tests/tests/site_processes.rs
@@ -64,8 +64,8 @@
     Ok(())
 }
 
-/// Publishes a configuration that withdraws the API key during the recovery time of the table, which ends the outage
-/// now, and returns the statuses with which the daemons answer the key when the change must be in force.
+/// Publishes a configuration that withdraws the API key after an outage of the table that has just ended, and returns the
+/// statuses with which the daemons answer the key at the end of the recovery time, when the change must be in force.
 async fn statuses_after_recovery(site: &TestSite) -> Vec<u16> {
     sleep(TABLE_RECOVERY_TIME - CHANGE_TIMEOUT).await;
     site.table.put_config(&config_with_keys(9, &["another"]));
