Take the tool tests' addresses from outside the ephemeral range

Cause: the fixture asked the system for free ports and released them before its daemon bound them, so an outgoing connection of any process could take one in between. The ports now lie outside the range for outgoing connections, as those of the other process tests do, and no two fixtures share one. No check changes; the five tests pass.

--- a/crates/ivytrail-cli/tests/tool.rs
+++ b/crates/ivytrail-cli/tests/tool.rs
@@ -1,10 +1,10 @@
 //! Runs the tool as a process against a daemon and a fake platform.
 
 use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Command, Output},
-    sync::Arc,
+    sync::{Arc, LazyLock, Mutex},
     time::Duration,
 };
 
@@ -12,12 +12,18 @@
     credential::{digest_to_hex, secret_digest},
     file::DaemonSettings,
 };
-use ivytrail_fakes::platform::{PlatformFake, PlatformFaults, PlatformRates};
+use ivytrail_fakes::{
+    platform::{PlatformFake, PlatformFaults, PlatformRates},
+    process::free_addresses,
+};
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
 
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
+/// Number of addresses for the daemons of all tests.
+const N_ADDRESSES: usize = 40;
+
 /// A daemon with its platform, and a temporary directory for files.
 struct ToolFixture {
     platform: PlatformFake,
@@ -82,10 +88,17 @@
     }
 }
 
+/// Returns an address that no other fixture of this process uses. Its port is outside the range from which the system
+/// takes the ports of outgoing connections, which could otherwise occupy it before the daemon binds it.
+fn take_address() -> String {
+    static ADDRESSES: LazyLock<Mutex<Vec<SocketAddr>>> =
+        LazyLock::new(|| Mutex::new(free_addresses(N_ADDRESSES).expect("free ports")));
+    let mut addresses = ADDRESSES.lock().expect("no test panics while it takes an address");
+    addresses.pop().expect("each fixture takes four addresses").to_string()
+}
+
 fn daemon_file(platform: SocketAddr) -> Value {
-    let listeners = [(); 4].map(|()| TcpListener::bind((LOOPBACK, 0)).expect("a free port"));
-    let [caller, local, peer, operator] =
-        listeners.map(|it| it.local_addr().expect("a bound address").to_string());
+    let [caller, local, peer, operator] = [(); 4].map(|()| take_address());
     json!({
         "name": "booking-1",
         "failure_domain": "kolkata",
