Say more plainly what four comments describe

Comments only: what a server reports about itself, why a waiting call of the stand-in table is not rejected after a restore, where the bound of the rate limiter's test comes from, and which history daemons wait for.

--- a/crates/ivytrail-daemon/src/mesh/table_loop.rs
+++ b/crates/ivytrail-daemon/src/mesh/table_loop.rs
@@ -175,7 +175,7 @@
         }
     }
 
-    /// Waits until the table has another history than `synced`, for up to `refresh_interval`.
+    /// Waits until the table has a later history than `synced`, for up to `refresh_interval`.
     async fn wait_for_history(&mut self, synced: HistoryId, refresh_interval: Duration) {
         let restored = self.histories.wait_for(|history| synced < *history);
         let is_restored = match tokio::time::timeout(refresh_interval, restored).await {
--- a/crates/ivytrail/src/mesh/rate_limiter/tests.rs
+++ b/crates/ivytrail/src/mesh/rate_limiter/tests.rs
@@ -15,6 +15,7 @@
 }
 
 proptest! {
+    /// Server operators tolerate one and a half times the limit and five requests in any four seconds.
     #[test]
     fn no_window_has_more_requests_than_the_rate_allows(per_s in 0.0_f64..300.0, step_ms in 1_u64..30) {
         const WINDOW_MS: u64 = 4_000;
--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -1,4 +1,5 @@
-//! Handling of the local backend server's announcements and of the notice that it is shutting down.
+//! Handling of what the local backend server reports about itself: its announcements, the notices in its responses and
+//! the report that it is shutting down.
 
 use std::time::Duration;
 
--- a/tests/src/site/table.rs
+++ b/tests/src/site/table.rs
@@ -243,6 +243,7 @@
         let after = req.query::<u64>("after").unwrap_or(0);
         let wait = Duration::from_millis(req.query::<u64>("wait_ms").unwrap_or(0));
         let deadline = Instant::now() + wait;
+        // A restore may lower the table's version below `after` while a call waits; only a new call is rejected for that.
         let (mut is_new, mut is_ignored) = (true, false);
         loop {
             let changed = self.0.changed.notified();
