Back off after failed accepts, and let frames carry headers of up to 1 MiB

Cause 1: the loop that accepts the server's announcements and readiness probes yielded and tried again when an accept failed, so that a process without descriptors left spun on its only thread. All three listeners share one function with a delay now. Test: failed_accepts_are_retried_with_a_delay.

Cause 2: operators may allow headers of up to 1 MiB, the older path's HTTP limit let frames of up to 512 KiB pass, and the decoder refused headers over 256 KiB: callers with such headers lost the link's other attempts too. Both limits come from one constant now, and the mesh's entry takes no headers that don't fit. Test: frame_with_the_largest_allowed_headers_round_trips; 256 KiB were refused before by the decoder's constant.

--- a/crates/ivytrail-daemon/src/mesh.rs
+++ b/crates/ivytrail-daemon/src/mesh.rs
@@ -4,6 +4,7 @@
 //! threads. Client requests, links to other daemons and runs at the local backend server are tasks. They pass events
 //! to the driver, which applies them to the reducer and executes the resulting effects.
 
+mod acceptor;
 mod backend_pool;
 mod driver;
 mod ingress;
--- a/crates/ivytrail-daemon/src/mesh/ingress.rs
+++ b/crates/ivytrail-daemon/src/mesh/ingress.rs
@@ -29,15 +29,14 @@
 use smol_str::SmolStr;
 use tokio::{net::TcpListener, time::Instant};
 
-use super::driver::MeshDriver;
+use super::{acceptor::accept_next, driver::MeshDriver};
 
 /// Minimum buffer size for a request's header that hyper accepts, in bytes.
 const MIN_HEADER_BUFFER_BYTES: usize = 8 * 1024;
+/// Maximum buffer size for a request's header, in bytes. Larger headers don't fit into a frame to another daemon.
+const MAX_HEADER_BUFFER_BYTES: usize = 1 << 20;
 /// Time for which an idle client connection stays open beyond the idle timeout that is published to clients.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
-/// Delay after a failed accept, e.g. when the process has no descriptors left.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
-
 /// Fraction of the descriptor limit in use from which refused requests close their connection. Clients retry on a new
 /// one.
 const CLOSE_REFUSED_FRACTION: f64 = 0.1;
@@ -101,25 +100,18 @@
     let mut closing = driver.subscribe_closing();
     tokio::task::spawn_local(async move {
         loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+            let (stream, _) = tokio::select! {
+                accepted = accept_next(|| listener.accept()) => accepted,
                 // Returning closes the listener: new connections are refused, so that their clients retry.
                 _ = closing.wait_for(|is_closing| *is_closing) => return,
             };
-            match accepted {
-                Ok(_) if driver.clients.reaches(REJECT_NEW_FRACTION) => {
-                    log::debug!("event=client_closed_unread");
-                }
-                Ok((stream, _)) => {
-                    // A failure is ignored: without TCP_NODELAY responses are only delayed.
-                    let _ = stream.set_nodelay(true);
-                    tokio::task::spawn_local(serve_client(Rc::clone(&driver), stream));
-                }
-                Err(cause) => {
-                    log::warn!("event=accept_failed cause={:?}", cause.to_string());
-                    tokio::time::sleep(ACCEPT_BACKOFF).await;
-                }
+            if driver.clients.reaches(REJECT_NEW_FRACTION) {
+                log::debug!("event=client_closed_unread");
+                continue;
             }
+            // A failure is ignored: without TCP_NODELAY responses are only delayed.
+            let _ = stream.set_nodelay(true);
+            tokio::task::spawn_local(serve_client(Rc::clone(&driver), stream));
         }
     });
     Ok(())
@@ -136,7 +128,9 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout) + IDLE_TIMEOUT_MARGIN)
-        .max_buf_size(limits.max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
+        .max_buf_size(
+            limits.max_header_bytes.clamp(MIN_HEADER_BUFFER_BYTES, MAX_HEADER_BUFFER_BYTES),
+        )
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     // Connection errors are caused by the client: it disconnected early or sent an invalid request.
--- a/crates/ivytrail-daemon/src/mesh/links.rs
+++ b/crates/ivytrail-daemon/src/mesh/links.rs
@@ -24,7 +24,10 @@
 };
 use tokio_util::codec::{Encoder, FramedRead, LengthDelimitedCodec};
 
-use super::driver::{LinkHandle, MeshDriver};
+use super::{
+    acceptor::accept_next,
+    driver::{LinkHandle, MeshDriver},
+};
 
 /// Timeout for connecting to another daemon, including the handshake.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -143,15 +146,8 @@
     let driver = Rc::clone(driver);
     tokio::task::spawn_local(async move {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::task::spawn_local(accept(Rc::clone(&driver), stream));
-                }
-                Err(cause) => {
-                    log::warn!("event=accept_failed cause={:?}", cause.to_string());
-                    tokio::time::sleep(MIN_REDIAL_BACKOFF).await;
-                }
-            }
+            let (stream, _) = accept_next(|| listener.accept()).await;
+            tokio::task::spawn_local(accept(Rc::clone(&driver), stream));
         }
     });
     Ok(())
--- a/crates/ivytrail-daemon/src/mesh/local_api.rs
+++ b/crates/ivytrail-daemon/src/mesh/local_api.rs
@@ -16,7 +16,7 @@
 };
 use tokio::net::TcpListener;
 
-use super::driver::MeshDriver;
+use super::{acceptor::accept_next, driver::MeshDriver};
 
 /// Maximum size of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 10;
@@ -59,10 +59,7 @@
     let driver = Rc::clone(driver);
     tokio::task::spawn_local(async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::task::yield_now().await;
-                continue;
-            };
+            let (stream, _) = accept_next(|| listener.accept()).await;
             let driver = Rc::clone(&driver);
             tokio::task::spawn_local(async move {
                 let service =
--- a/crates/ivytrail-daemon/src/peer_handler.rs
+++ b/crates/ivytrail-daemon/src/peer_handler.rs
@@ -5,7 +5,7 @@
     id::{AttemptId, MemberId},
     message::{
         AttemptHeader, ControlMessage,
-        frame::{decode_frame, encode_frame},
+        frame::{MAX_FRAME_OVERHEAD_BYTES, decode_frame, encode_frame},
     },
     reducer::DaemonEvent,
 };
@@ -14,9 +14,6 @@
 
 use crate::executor::EffectExecutor;
 
-/// Maximum size of a frame in addition to the request body that it carries, in bytes.
-const MAX_FRAME_OVERHEAD_BYTES: usize = 512 * 1024;
-
 /// Handles the requests of other daemons.
 #[derive(Clone, Debug)]
 pub struct PeerHandler {
--- a/crates/ivytrail/src/message/frame.rs
+++ b/crates/ivytrail/src/message/frame.rs
@@ -6,7 +6,11 @@
 use crate::error::Error;
 
 const LENGTH_PREFIX_BYTES: usize = 4;
-const MAX_HEADER_BYTES: usize = 256 * 1024;
+/// Maximum size of a frame's header, in bytes: the headers of a request at the largest limit that operators may set,
+/// with room for the frame's other fields.
+const MAX_HEADER_BYTES: usize = 2 << 20;
+/// Maximum size of a frame without its body, in bytes.
+pub const MAX_FRAME_OVERHEAD_BYTES: usize = LENGTH_PREFIX_BYTES + MAX_HEADER_BYTES;
 
 /// Returns a frame with `header` and `body`.
 ///
