Leave a key in doubt that a full claim table can't ask about

Cause: with the table full, an offer whose earlier owner would have to be asked was answered not-run, although that owner may have run it. Callers with an idempotency key could be told that work had not run that had. Test: a_full_table_leaves_a_key_that_an_earlier_owner_may_have_run_in_doubt, failed before (Full).

--- a/crates/ivytrail/src/claim/table.rs
+++ b/crates/ivytrail/src/claim/table.rs
@@ -78,6 +78,10 @@
         self.claims.is_empty()
     }
 
+    fn is_full(&self) -> bool {
+        self.options.max_claims <= self.claims.len()
+    }
+
     /// Returns the total size in bytes of all stored responses.
     pub fn stored_bytes(&self) -> usize {
         self.stored_bytes
@@ -96,7 +100,9 @@
         let attempt = offer.attempt.clone();
         let (state, verdict) = match prior_run {
             PriorRun::Possible => return ClaimVerdict::InDoubt,
-            _ if self.options.max_claims <= self.claims.len() => return ClaimVerdict::Full,
+            // Without room for the claim the earlier owner can't be asked, and it may have run the request.
+            PriorRun::Ask(_) if self.is_full() => return ClaimVerdict::InDoubt,
+            PriorRun::Impossible if self.is_full() => return ClaimVerdict::Full,
             PriorRun::Impossible => {
                 (ClaimState::Running { attempt, joined: Vec::new() }, ClaimVerdict::Run)
             }
@@ -326,7 +332,7 @@
         let is_retained = self.age_verdict(wall, question.made_ms) != Some(ClaimVerdict::TooOld);
         let may_have_run = self.prior_run_of(now, wall, &question.claim, question.made_ms, priors)
             != PriorRun::Impossible;
-        if !is_retained || may_have_run || self.options.max_claims <= self.claims.len() {
+        if !is_retained || may_have_run || self.is_full() {
             return ClaimStatus::InDoubt;
         }
         let claim = ClaimRecord {
--- a/crates/ivytrail/src/claim/tests.rs
+++ b/crates/ivytrail/src/claim/tests.rs
@@ -222,3 +222,15 @@
     table.sweep(at(10_000));
     assert_eq!((table.len(), table.stored_bytes()), (0, 0));
 }
+
+/// The table is full, and a living earlier owner may have run the key: "not run" must not be claimed.
+#[test]
+fn a_full_table_leaves_a_key_that_an_earlier_owner_may_have_run_in_doubt() {
+    let mut table = ClaimTable::new(ClaimOptions { max_claims: 1, ..ClaimOptions::default() });
+    let other = ClaimOffer { claim: key("other key"), ..offer(1, None, &[]) };
+    table.offer(at(1), wall(1), &other);
+
+    let verdict = table.offer(at(2), wall(2), &offer(2, None, &[prior(1, true)]));
+
+    assert_eq!(verdict, ClaimVerdict::InDoubt);
+}
