Keep the second refusal of a request until it expires itself

Cause: a request that was refused twice kept the expiry entry of its first refusal, which removed the second one early, so that its caller lost the precedence of those who return on time. Test: a_request_that_is_refused_twice_keeps_its_second_refusal, failed before.

--- a/crates/ivytrail/src/mesh/admission.rs
+++ b/crates/ivytrail/src/mesh/admission.rs
@@ -96,11 +96,19 @@
     credits: HashMap<DemandKey, f64>,
     /// Demand and capacity of each service at the last update, for the log.
     usage: Vec<ServiceUsage>,
-    /// Earliest time at which a retry of each refused request counts as on time.
-    refusals: HashMap<ContentDigest, TimePoint>,
+    refusals: HashMap<ContentDigest, TrackedRefusal>,
     refusal_expiries: VecDeque<(TimePoint, ContentDigest)>,
 }
 
+/// A refused request that may be retried.
+#[derive(Clone, Copy, Debug)]
+struct TrackedRefusal {
+    /// Earliest time at which a retry counts as on time.
+    due: TimePoint,
+    /// Time at which the refusal is no longer tracked.
+    expiry: TimePoint,
+}
+
 /// Slot time offered to a service, and its capacity.
 #[derive(Clone, Debug, Display)]
 #[display(
@@ -136,7 +144,7 @@
     ) -> bool {
         let key = (route.clone(), rank);
         self.local.entry(key.clone()).or_default().n_new += 1.0;
-        let has_waited = self.refusals.remove(fingerprint).is_some_and(|due| due <= now);
+        let has_waited = self.refusals.remove(fingerprint).is_some_and(|it| it.due <= now);
         let share = self.shares.get(&key).copied().unwrap_or(1.0);
         if 1.0 <= share {
             return true;
@@ -153,14 +161,18 @@
 
     /// Records a refused request whose caller was asked to retry after `delay`.
     pub fn record_refusal(&mut self, now: TimePoint, fingerprint: ContentDigest, delay: Duration) {
-        self.refusals.insert(fingerprint, now.plus(delay.mul_f64(MIN_DELAY_SHARE)));
-        self.refusal_expiries.push_back((now.plus(REFUSAL_TTL), fingerprint));
+        let (due, expiry) = (now.plus(delay.mul_f64(MIN_DELAY_SHARE)), now.plus(REFUSAL_TTL));
+        self.refusals.insert(fingerprint, TrackedRefusal { due, expiry });
+        self.refusal_expiries.push_back((expiry, fingerprint));
         while let Some((expiry, fingerprint)) = self.refusal_expiries.front().copied() {
             if now < expiry && self.refusal_expiries.len() <= MAX_REFUSALS {
                 return;
             }
             self.refusal_expiries.pop_front();
-            self.refusals.remove(&fingerprint);
+            // A later refusal of the same request has an entry of its own.
+            if self.refusals.get(&fingerprint).is_some_and(|it| it.expiry <= expiry) {
+                self.refusals.remove(&fingerprint);
+            }
         }
     }
 
--- a/crates/ivytrail/src/mesh/admission/tests.rs
+++ b/crates/ivytrail/src/mesh/admission/tests.rs
@@ -176,6 +176,23 @@
     assert!(is_retry_admitted, "the request that waited is admitted on the credit of the next");
 }
 
+/// The first refusal of a request expires shortly after its second one; the second must still be known then.
+#[test]
+fn a_request_that_is_refused_twice_keeps_its_second_refusal() {
+    let mut controller = controller_under(&HEAVY, 54.0, 0.0);
+    let at = TimePoint::from_millis;
+    let digest = |text: &str| ContentDigest::of_parts(&[text.as_bytes()]);
+    let refused = digest("refused");
+    controller.record_refusal(at(10_000), refused, Duration::from_millis(300));
+    controller.record_refusal(at(13_500), refused, Duration::from_millis(600));
+
+    controller.record_refusal(at(14_050), digest("other"), Duration::from_millis(300));
+
+    assert!(controller.refusals.contains_key(&refused));
+    controller.record_refusal(at(17_550), digest("other"), Duration::from_millis(300));
+    assert!(!controller.refusals.contains_key(&refused));
+}
+
 /// Half of a leaf's servers are lost at once after a long heavy load to which the correction has adapted.
 #[test]
 fn a_loss_of_slots_takes_effect_at_once() {
