Expire tombstones and replies of ended attempts separately

Cause: an unexpired tombstone at the front of the common queue ended the pass, so that the replies behind it stayed over the size limit, and it lost its place in the order. Test: replies_over_the_size_limit_are_dropped_despite_an_older_ tombstone, failed before.

--- a/crates/ivytrail/src/mesh/ended_attempts.rs
+++ b/crates/ivytrail/src/mesh/ended_attempts.rs
@@ -50,7 +50,8 @@
 #[derive(Debug, Default)]
 pub(super) struct EndedAttempts {
     kept: HashMap<AttemptId, EndedAttempt>,
-    expiries: VecDeque<(TimePoint, AttemptId)>,
+    reply_expiries: VecDeque<(TimePoint, AttemptId)>,
+    tombstone_expiries: VecDeque<(TimePoint, AttemptId)>,
     n_kept_bytes: usize,
     /// Greatest serial number of a forgotten attempt, by entry.
     forgotten: HashMap<MemberId, u64>,
@@ -83,14 +84,14 @@
         }
         self.remove(&attempt);
         self.n_kept_bytes += body.len();
-        self.expiries.push_back((now.plus(REPLY_TTL), attempt.clone()));
+        self.reply_expiries.push_back((now.plus(REPLY_TTL), attempt.clone()));
         self.kept.insert(attempt, EndedAttempt::Replied { result, body });
     }
 
     /// Adds a tombstone for an attempt that must never run.
     pub(super) fn add_tombstone(&mut self, now: TimePoint, attempt: AttemptId) {
         self.remove(&attempt);
-        self.expiries.push_back((now.plus(TOMBSTONE_TTL), attempt.clone()));
+        self.tombstone_expiries.push_back((now.plus(TOMBSTONE_TTL), attempt.clone()));
         self.kept.insert(attempt, EndedAttempt::Tombstone);
     }
 
@@ -109,27 +110,38 @@
 
     /// Removes expired replies and tombstones, and the oldest replies while the kept bodies exceed the size limit.
     pub(super) fn expire(&mut self, now: TimePoint) {
-        while let Some((expiry, _)) = self.expiries.front() {
-            if now < *expiry && self.n_kept_bytes <= MAX_KEPT_BYTES {
-                return;
+        while let Some((expiry, _)) = self.tombstone_expiries.front() {
+            if now < *expiry {
+                break;
+            }
+            let Some((_, attempt)) = self.tombstone_expiries.pop_front() else { break };
+            if matches!(self.kept.get(&attempt), Some(EndedAttempt::Tombstone)) {
+                self.forget(&attempt);
             }
-            let Some((expiry, attempt)) = self.expiries.pop_front() else { return };
-            // Tombstones are small; only replies are dropped before they expire.
-            if now < expiry && matches!(self.kept.get(&attempt), Some(EndedAttempt::Tombstone)) {
-                self.expiries.push_back((expiry, attempt));
-                return;
+        }
+        while let Some((expiry, _)) = self.reply_expiries.front() {
+            if now < *expiry && self.n_kept_bytes <= MAX_KEPT_BYTES {
+                break;
             }
-            if self.remove(&attempt) {
-                self.mark_forgotten(&attempt);
+            let Some((_, attempt)) = self.reply_expiries.pop_front() else { break };
+            // A tombstone that has replaced the reply stays.
+            if matches!(self.kept.get(&attempt), Some(EndedAttempt::Replied { .. })) {
+                self.forget(&attempt);
             }
         }
     }
 
-    fn remove(&mut self, attempt: &AttemptId) -> bool {
-        let removed = self.kept.remove(attempt);
-        if let Some(EndedAttempt::Replied { body, .. }) = &removed {
+    fn forget(&mut self, attempt: &AttemptId) {
+        self.remove(attempt);
+        self.mark_forgotten(attempt);
+    }
+
+    fn remove(&mut self, attempt: &AttemptId) {
+        if let Some(EndedAttempt::Replied { body, .. }) = self.kept.remove(attempt) {
             self.n_kept_bytes -= body.len();
         }
-        removed.is_some()
     }
 }
+
+#[cfg(test)]
+mod tests;
