Reply to an entry that returns while its abandoned run is at work

Cause: a run that isn't idempotent stays abandoned after its entry's link was away for a second; the entry's question on the next link got no answer while it ran, and its reply was only kept. Callers waited to their deadline for an answer that was ready.

--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -385,7 +385,7 @@
     }
 
     /// Responds to an entry that requests the status of an attempt on a new link. There is no response while the attempt
-    /// waits or runs; its reply is sent when it ends, unless the attempt was abandoned.
+    /// waits or runs; its reply is sent when it ends, also if the attempt was abandoned in the meantime.
     pub(super) fn handle_resume(
         &mut self,
         step: &mut ReducerStep<'_>,
@@ -393,7 +393,10 @@
         serial: u64,
     ) {
         let attempt = AttemptId { entry: from.clone(), serial };
-        if self.guard.run_ids.contains_key(&attempt) {
+        if let Some(run) = self.guard.run_ids.get(&attempt) {
+            if let Some(running) = self.guard.attempts.get_mut(run) {
+                running.is_abandoned = false;
+            }
             return;
         }
         let (result, body) = match self.guard.ended.status(&attempt) {
