Don't reuse server connections that were idle for over a second

Connections that were idle for over a second are closed now, and data that stays unacknowledged for 500 ms closes the connection, so that an idempotent request is retried long before its deadline. Ruled out: closing all idle connections as soon as one run is silent for 500 ms; runs of that length are usual.

--- a/crates/ivytrail-daemon/src/mesh/backend_pool.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool.rs
@@ -5,6 +5,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
+    io,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -48,6 +49,12 @@
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(8);
 /// Fraction of the server's advertised idle timeout during which a connection is reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.8;
+/// Maximum idle time of a connection that is reused. A connection may go silent without being closed, and a request on it
+/// gets no response; the shorter a connection has been idle, the less likely that is.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
+/// `TCP_USER_TIMEOUT`: time for which sent data may remain unacknowledged before the connection is closed. The server is
+/// on the same instance, so that only a dead connection leaves data unacknowledged for long.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum idle time of a connection that is reused for a non-idempotent request. The server may be about to close a
 /// connection that has been idle for longer, and a non-idempotent request lost with it can't be sent again.
 const NON_IDEMPOTENT_IDLE_LIMIT: Duration = Duration::from_millis(250);
@@ -143,7 +150,7 @@
 
     /// Raises the limit by one second's growth.
     fn grow(&mut self) {
-        self.0 = self.0.mul_f64(IDLE_LIMIT_GROWTH).min(DEFAULT_KEEP_ALIVE);
+        self.0 = self.0.mul_f64(IDLE_LIMIT_GROWTH).min(MAX_IDLE_TIME);
     }
 
     fn allows(self, idle_for: Duration, is_idempotent: bool) -> bool {
@@ -153,7 +160,7 @@
 
 impl Default for IdleLimit {
     fn default() -> IdleLimit {
-        IdleLimit(DEFAULT_KEEP_ALIVE)
+        IdleLimit(MAX_IDLE_TIME)
     }
 }
 
@@ -182,7 +189,9 @@
         let mut limit = self.idle_limit.get();
         limit.grow();
         self.idle_limit.set(limit);
-        self.idle.borrow_mut().retain(|it| it.idle_since.elapsed() < it.keep_alive);
+        self.idle
+            .borrow_mut()
+            .retain(|it| it.idle_since.elapsed() < it.keep_alive.min(MAX_IDLE_TIME));
     }
 
     fn lower_idle_limit(&self, idle_for: Duration) {
@@ -288,8 +297,10 @@
             }
             Err(_) => return None,
         };
-        // A failure is ignored: without TCP_NODELAY requests are only delayed.
-        let _ = stream.set_nodelay(true);
+        if let Err(cause) = configure_socket(&stream) {
+            // The connection works without the options: requests are delayed, and silence is noticed late.
+            log::debug!("event=server_connection_not_prepared cause={:?}", cause.to_string());
+        }
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
@@ -372,6 +383,11 @@
     }
 }
 
+fn configure_socket(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+}
+
 fn build_request(
     attempt: &AttemptRequest,
     server_id: &str,
--- a/crates/ivytrail-daemon/src/mesh/backend_pool/tests.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool/tests.rs
@@ -135,3 +135,55 @@
     assert!(!limit.allows(Duration::from_millis(300), false));
     assert!(limit.allows(Duration::from_millis(300), true));
 }
+
+/// Starts a server that answers the first request on each connection and ignores all further ones.
+async fn start_forgetful_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    tokio::task::spawn_local(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("the pool connects");
+            tokio::task::spawn_local(async move {
+                let mut request = [0; 4_096];
+                let n_read = stream.read(&mut request).await.expect("the pool sends a request");
+                assert_ne!(n_read, 0, "the pool closed the connection without a request");
+                let response = "HTTP/1.1 200 OK\r\nx-ivytrail-request-id: r-1\r\n\
+                    x-ivytrail-response-signature: s\r\ncontent-length: 0\r\n\r\n";
+                stream.write_all(response.as_bytes()).await.expect("the pool reads the response");
+                while stream.read(&mut request).await.is_ok_and(|n_read| n_read != 0) {}
+            });
+        }
+    });
+    address
+}
+
+/// A connection that has been idle since a fault may be silent for good. Seconds after the fault, no request may be lost
+/// on it.
+#[tokio::test]
+async fn a_request_is_not_sent_on_a_connection_that_has_been_idle_for_seconds() {
+    let run = async {
+        let pool = BackendPool::new(start_forgetful_server().await);
+        let time_left = Duration::from_millis(800);
+        let first = pool.run(&attempt(), "server-1", Bytes::new(), time_left).await;
+        tokio::time::sleep(MAX_IDLE_TIME + Duration::from_millis(50)).await;
+        let second = pool.run(&attempt(), "server-1", Bytes::new(), time_left).await;
+        (first.end, second.end)
+    };
+
+    let (first, second) = LocalSet::new().run_until(run).await;
+
+    assert!(matches!(first, RunEnd::Answered { status: 200, .. }), "{first:?}");
+    assert!(matches!(second, RunEnd::Answered { status: 200, .. }), "{second:?}");
+}
+
+#[tokio::test]
+async fn a_connection_is_closed_when_its_server_acknowledges_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let stream = TcpStream::connect(address).await.expect("the listener accepts");
+
+    configure_socket(&stream).expect("the options are supported");
+
+    let timeout = socket2::SockRef::from(&stream).tcp_user_timeout().expect("the option is set");
+    assert_eq!(timeout, Some(UNACKNOWLEDGED_TIMEOUT));
+}
