Ask for the attempts of a silent link on the next one before they count as lost

Without retry budget left callers got 502 for requests that no guard had received, and runs in progress were started a second time. The link is dialed again after 300 ms without a pong (450 ms before) and the guard is asked first; what it never received is sent elsewhere at no cost, what runs goes on. What can't be asked within 200 ms counts as lost as before: 650 ms after the last response, 600 ms before. Cancels that a silent link may have swallowed are repeated on the next one. A connection that was closed or reset is handled as before.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -51,7 +51,7 @@
     guard::GuardState,
     leaving_servers::LeavingServers,
     limited_servers::LimitedServers,
-    links::PeerLinks,
+    links::{LinkEnd, PeerLinks},
     log_limit::LogLimit,
     picker::ServerPicker,
     policy::FleetSettings,
@@ -179,7 +179,9 @@
             MeshEvent::OutboundLinkOpened(advertisement) => {
                 self.handle_outbound_open(&mut step, &advertisement);
             }
-            MeshEvent::OutboundLinkClosed { peer } => self.close_outbound_link(&mut step, &peer),
+            MeshEvent::OutboundLinkClosed { peer } => {
+                self.close_outbound_link(&mut step, &peer, LinkEnd::Closed);
+            }
             MeshEvent::InboundLinkOpened(advertisement) => {
                 self.handle_inbound_open(&mut step, &advertisement);
             }
--- a/crates/ivytrail/src/mesh/attempt_recovery.rs
+++ b/crates/ivytrail/src/mesh/attempt_recovery.rs
@@ -9,9 +9,13 @@
 };
 
 impl MeshReducer {
-    /// Handles the loss of an outbound link: idempotent attempts count as lost and may be retried elsewhere, the others
-    /// wait until the link is open again.
-    pub(super) fn suspend_attempts(&mut self, step: &mut ReducerStep<'_>, peer: &InstanceName) {
+    /// Treats the idempotent attempts at a peer as lost, so that they may be retried elsewhere. The others wait until the
+    /// link is open again.
+    pub(super) fn handle_lost_idempotent_attempts(
+        &mut self,
+        step: &mut ReducerStep<'_>,
+        peer: &InstanceName,
+    ) {
         for (id, serial) in self.entry.attempts_at(peer) {
             let is_idempotent =
                 self.entry.calls.get(&id).is_some_and(|call| call.request.is_idempotent);
@@ -21,6 +25,14 @@
         }
     }
 
+    /// Cancels on a new link the attempts whose cancellation the previous link may not have delivered. An earlier
+    /// incarnation of the peer no longer has them, and a later one ignores the unknown serial numbers.
+    pub(super) fn repeat_cancels(&mut self, step: &mut ReducerStep<'_>, peer: &InstanceName) {
+        for serial in self.links.take_pending_cancels(peer) {
+            step.send(peer, PeerFrame::Cancel { serial }, Bytes::new());
+        }
+    }
+
     /// Requests over a new link the status of the attempts sent on the previous one.
     pub(super) fn resume_attempts(&mut self, step: &mut ReducerStep<'_>, member: &MemberId) {
         let peer = &member.instance;
@@ -43,6 +55,7 @@
         peer: &InstanceName,
     ) {
         self.entry.attempts.remove(&serial);
+        self.links.record_cancel(peer, serial);
         let Some(call) = self.entry.calls.get_mut(&id) else { return };
         call.stage = CallStage::Deciding;
         call.n_runs += 1;
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -389,6 +389,7 @@
                 match *peer == me.instance {
                     true => self.cancel_attempt(step, &me, *serial),
                     false => {
+                        self.links.record_cancel(peer, *serial);
                         step.send(peer, PeerFrame::Cancel { serial: *serial }, Bytes::new());
                     }
                 }
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -22,7 +22,10 @@
 /// the daemons that are notified. On a short path, a lost packet is retransmitted within this time.
 const SILENT_PEER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time without a response to a ping after which the link is closed and dialed again.
-const PING_TIMEOUT: Duration = Duration::from_millis(450);
+const PING_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after the end of a silent link within which its attempts may be resumed on the next one; after that, the
+/// idempotent ones count as lost.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval at which links are checked for silent, disconnected and removable peers.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum interval between advertisements when nothing has changed.
@@ -38,6 +41,15 @@
 /// Time without a link after which a peer's share of quotas and budgets is no longer reserved.
 const QUOTA_RESERVATION_TTL: Duration = Duration::from_secs(20);
 
+/// How an outbound link ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LinkEnd {
+    /// The connection was closed or reset.
+    Closed,
+    /// The peer stopped responding; the peer may be running, and its connection alone may be dead.
+    Silent,
+}
+
 /// State of the links to and from one peer.
 #[derive(Debug)]
 pub(super) struct PeerLink {
@@ -48,9 +60,13 @@
     pub(super) is_open: bool,
     /// Time at which the outbound link broke or was first dialed.
     closed_at: TimePoint,
+    /// Time until which the idempotent attempts of a silent link may be resumed, if any wait for that.
+    resumable_until: Option<TimePoint>,
     /// Time of the last response on the outbound link.
     last_response_at: TimePoint,
     pinged_at: Option<TimePoint>,
+    /// Attempts that were cancelled while the link was closed or did not respond, to be cancelled on the next link.
+    pending_cancels: Vec<u64>,
     /// Whether the peer has not responded to a ping in time, or another daemon has reported so.
     is_silent: bool,
     /// Whether a request other than an attempt has timed out.
@@ -84,8 +100,10 @@
             member: None,
             is_open: false,
             closed_at: step.now,
+            resumable_until: None,
             last_response_at: step.now,
             pinged_at: None,
+            pending_cancels: Vec::new(),
             is_silent: false,
             has_overdue_response: false,
             settings_version: 0,
@@ -105,6 +123,22 @@
         self.links.get_mut(peer)
     }
 
+    /// Records the cancellation of an attempt at a peer, which a closed or silent link may not deliver.
+    pub(super) fn record_cancel(&mut self, peer: &InstanceName, serial: u64) {
+        let link = self.links.get_mut(peer);
+        if let Some(link) = link.filter(|it| !it.is_open || it.pinged_at.is_some()) {
+            link.pending_cancels.push(serial);
+        }
+    }
+
+    /// Takes the attempts at a peer whose cancellation may not have been delivered.
+    pub(super) fn take_pending_cancels(&mut self, peer: &InstanceName) -> Vec<u64> {
+        self.links
+            .get_mut(peer)
+            .map(|it| std::mem::take(&mut it.pending_cancels))
+            .unwrap_or_default()
+    }
+
     /// Records that a request to a peer, other than an attempt, has timed out.
     pub(super) fn record_timeout(&mut self, peer: &InstanceName) {
         if let Some(link) = self.links.get_mut(peer) {
@@ -170,6 +204,7 @@
         let is_new_incarnation = link.member.is_some() && !is_same_incarnation;
         link.member = Some(advertisement.member.clone());
         link.is_open = true;
+        link.resumable_until = None;
         let closed_for = step.now.since(link.closed_at);
         step.log(format!(
             "event=link_open peer={} closed_ms={} same_run={is_same_incarnation}",
@@ -177,6 +212,8 @@
             closed_for.as_millis(),
         ));
         self.record_advertisement(step, advertisement);
+        // Cancels first: the response that opens the link also clears them.
+        self.repeat_cancels(step, peer);
         self.record_response(step.now, peer);
         self.drop_foreign_buckets();
         self.picker.set_reachable(peer, true);
@@ -186,17 +223,45 @@
         self.resume_attempts(step, &advertisement.member);
     }
 
-    pub(super) fn close_outbound_link(&mut self, step: &mut ReducerStep<'_>, peer: &InstanceName) {
+    /// Handles the end of an outbound link. Attempts that aren't idempotent wait for the next link. The others count as
+    /// lost, at once if the connection was closed and after [`RESUME_TIMEOUT`] if it was silent.
+    pub(super) fn close_outbound_link(
+        &mut self,
+        step: &mut ReducerStep<'_>,
+        peer: &InstanceName,
+        end: LinkEnd,
+    ) {
         let Some(link) = self.links.get_mut(peer) else { return };
         if !link.is_open {
             return;
         }
         link.is_open = false;
         link.closed_at = step.now;
+        link.resumable_until = match end {
+            LinkEnd::Closed => None,
+            LinkEnd::Silent => Some(step.now.plus(RESUME_TIMEOUT)),
+        };
         step.log(format!("event=link_closed peer={peer}"));
         self.picker.set_reachable(peer, false);
         self.admission.remove_daemon(peer);
-        self.suspend_attempts(step, peer);
+        if end == LinkEnd::Closed {
+            self.handle_lost_idempotent_attempts(step, peer);
+        }
+    }
+
+    /// Treats the idempotent attempts on silent links that were not dialed again in time as lost.
+    fn expire_suspended_attempts(&mut self, step: &mut ReducerStep<'_>) {
+        let links = self.links.links.iter_mut();
+        let expired: Vec<InstanceName> = links
+            .filter(|(_, link)| link.resumable_until.is_some_and(|until| until <= step.now))
+            .map(|(peer, link)| {
+                link.resumable_until = None;
+                peer.clone()
+            })
+            .collect();
+        for peer in expired {
+            self.handle_lost_idempotent_attempts(step, &peer);
+        }
     }
 
     pub(super) fn handle_inbound_open(
@@ -236,7 +301,7 @@
             .collect();
         for peer in removed {
             step.log(format!("event=peer_replaced peer={} by={instance}", peer.instance));
-            self.close_outbound_link(step, &peer.instance);
+            self.close_outbound_link(step, &peer.instance, LinkEnd::Closed);
             self.handle_lost_attempts(step, &peer.instance);
             self.remove_peer(step, &peer.instance);
         }
@@ -367,6 +432,7 @@
         }
         self.links.checked_at = step.now;
         self.close_silent_links(step);
+        self.expire_suspended_attempts(step);
         self.abandon_runs_of_lost_entries(step);
         self.request_settings(step);
         self.remove_unreachable_peers(step);
@@ -377,6 +443,7 @@
         let Some(link) = self.links.get_mut(peer) else { return };
         link.last_response_at = now;
         link.pinged_at = None;
+        link.pending_cancels.clear();
         link.has_overdue_response = false;
         if std::mem::take(&mut link.is_silent) {
             self.picker.set_silent(peer, false);
@@ -430,7 +497,7 @@
                         silence.as_millis()
                     ));
                     step.out.push(MeshEffect::Redial { peer: peer.clone() });
-                    self.close_outbound_link(step, &peer);
+                    self.close_outbound_link(step, &peer, LinkEnd::Silent);
                 }
                 _ => {}
             }
--- a/crates/ivytrail/src/mesh/table_watch/tests.rs
+++ b/crates/ivytrail/src/mesh/table_watch/tests.rs
@@ -58,6 +58,28 @@
     }
 }
 
+/// The day `darkened`: a request is sent in the last moments of a silent outage. It gets no response, although the table
+/// answers all later requests, and the daemon must not wait for it until its next poll is due.
+#[test]
+fn a_request_sent_in_the_last_moments_of_an_outage_costs_less_than_the_recovery_time() {
+    for n_daemons in [1, 12, 95] {
+        let timing = WatchTiming::new(RECOVERY);
+        let wait = timing.poll_wait(n_daemons, 0.0);
+        // The first poll is sent when the daemon starts; the outage begins and ends around the moment of the next request.
+        for sent_at in [RESPONSE_TIME, 2 * RESPONSE_TIME + wait] {
+            for moment in [Duration::ZERO, Duration::from_millis(1), Duration::from_millis(9)] {
+                let end = sent_at + moment;
+                let outage = end.saturating_sub(Duration::from_millis(3_300))..end;
+
+                let responded_at = first_response_after(outage, n_daemons);
+
+                let delay = responded_at - end;
+                assert!(delay <= RECOVERY, "{delay:?} after {end:?} with {n_daemons} daemons");
+            }
+        }
+    }
+}
+
 #[test]
 fn a_large_fleet_polls_less_often_and_at_different_times() {
     let timing = WatchTiming::new(RECOVERY);
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod random;
 mod servers;
+mod severed_links;
 
 use std::time::Duration;
 
@@ -112,6 +113,21 @@
     assert_eq!(fleet.status_of(1), Some(200));
 }
 
+/// The entry returns while the abandoned run is still at work, and asks for its status before it ends.
+#[test]
+fn a_run_that_ends_after_its_entry_has_reconnected_is_answered() {
+    let mut fleet = TestFleet::start();
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+
+    fleet.cut_links(0, run.daemon);
+    fleet.advance(Duration::from_millis(1_200));
+    fleet.restore_links(0, run.daemon);
+    fleet.end_run(&run, answered(200));
+
+    assert_eq!(fleet.status_of(1), Some(200));
+}
+
 /// Replies are stored for a bounded time and number of bytes. An attempt whose reply was dropped may have run.
 #[test]
 fn a_run_whose_reply_was_dropped_has_an_unknown_outcome() {
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -66,6 +66,8 @@
     /// Daemons whose frames on outbound links are dropped.
     outbound_muted: HashSet<usize>,
     cuts: HashSet<(usize, usize)>,
+    /// Links on which all frames are lost, by the daemon that dialed and the one that accepted.
+    severed: HashSet<(usize, usize)>,
     is_holding: bool,
     held: Vec<FrameInTransit>,
     queue: VecDeque<FrameInTransit>,
@@ -190,6 +192,7 @@
             inbound_muted: HashSet::new(),
             outbound_muted: HashSet::new(),
             cuts: HashSet::new(),
+            severed: HashSet::new(),
             is_holding: false,
             held: Vec::new(),
             queue: VecDeque::new(),
@@ -267,6 +270,9 @@
             }
             MeshEffect::SendOnInbound { .. } if self.inbound_muted.contains(&daemon) => {}
             MeshEffect::Send { .. } if self.outbound_muted.contains(&daemon) => {}
+            MeshEffect::Send { peer, .. } if self.severed.contains(&(daemon, index_of(&peer))) => {}
+            MeshEffect::SendOnInbound { peer, .. }
+                if self.severed.contains(&(index_of(&peer), daemon)) => {}
             MeshEffect::Send { peer, frame, body }
             | MeshEffect::SendOnInbound { peer, frame, body } => {
                 let to = index_of(&peer);
@@ -368,6 +374,21 @@
         self.answer_of(id).expect("the call has a response")
     }
 
+    /// Lets runs of a route break until no further retry is allowed at `daemon`.
+    pub(super) fn use_up_retries(&mut self, daemon: usize, route: &str) {
+        for id in 20_000..20_100 {
+            let n_before = self.n_runs_started();
+            self.call(daemon, call_of(id, route));
+            while let Some(run) = self.runs().pop() {
+                self.end_run(&run, RunEnd::Broken);
+            }
+            if self.n_runs_started() == n_before + 1 {
+                return;
+            }
+        }
+        panic!("100 calls did not use up the retries");
+    }
+
     /// Makes calls until one has to wait for a slot, and returns the number of calls.
     pub(super) fn fill(&mut self, route: &str) -> usize {
         let mut n_calls = 0;
--- a/crates/ivytrail/src/mesh/tests/fleet/faults.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet/faults.rs
@@ -22,6 +22,17 @@
         self.link(b, a);
     }
 
+    /// Makes the link that `dialer` opened to `acceptor` silent in both directions; a link dialed later works.
+    pub(in super::super) fn sever_link(&mut self, dialer: usize, acceptor: usize) {
+        self.severed.insert((dialer, acceptor));
+    }
+
+    /// Replaces the severed link from `dialer` to `acceptor` by a new one.
+    pub(in super::super) fn redial(&mut self, dialer: usize, acceptor: usize) {
+        self.severed.remove(&(dialer, acceptor));
+        self.link(dialer, acceptor);
+    }
+
     /// Crashes a daemon: its links break, and its runs no longer report their end.
     pub(in super::super) fn crash(&mut self, daemon: usize) {
         self.dead.insert(daemon);
