Read the settings tree again when a restore replaced the history

A running daemon kept a lost change in force for good and applied later changes on top. The tree now knows the change that made its revision, and reads and requests for changes start with that change. A daemon that finds another change there reads the whole tree from the platform; two daemons that differ do so too, and a delta is sent only to a daemon of the same history. The revision in force still never decreases. The fixture of snapshot_is_consistent_while_changes_are_stored gave its local copy other change ids than the table had.

--- a/crates/ivytrail/examples/measure_reducer.rs
+++ b/crates/ivytrail/examples/measure_reducer.rs
@@ -196,7 +196,7 @@
         routes: routes.collect(),
         services: Default::default(),
     };
-    SettingsTree { revision, teams: [("team".into(), subtree)].into(), keys: Default::default() }
+    SettingsTree { revision, teams: [("team".into(), subtree)].into(), ..SettingsTree::default() }
 }
 
 fn request(call: u64) -> CallRequest {
--- a/crates/ivytrail/src/reducer/settings_flow.rs
+++ b/crates/ivytrail/src/reducer/settings_flow.rs
@@ -216,7 +216,8 @@
     fn apply_settings(&mut self, step: &mut ReducerStep) {
         let (before, after) = (self.settings.revision(), self.settings_sync.feed.revision());
         assert!(before <= after, "settings would revert from revision {before} to {after}");
-        if before == after {
+        let change_id = &self.settings_sync.feed.tree().change_id;
+        if before == after && self.settings.tree().change_id == *change_id {
             return;
         }
         let settings = SettingsInForce::new(self.settings_sync.feed.tree().clone());
--- a/crates/ivytrail/src/reducer/tests.rs
+++ b/crates/ivytrail/src/reducer/tests.rs
@@ -68,6 +68,7 @@
         revision: Revision(1),
         teams: [(TeamName::from("stratolift"), subtree)].into(),
         keys: [("meteo-1".into(), record)].into(),
+        ..SettingsTree::default()
     }
 }
 
--- a/crates/ivytrail/src/settings/edit.rs
+++ b/crates/ivytrail/src/settings/edit.rs
@@ -33,6 +33,7 @@
         }
         self.apply_edit(&change.edit);
         self.revision = change.revision;
+        self.change_id.clone_from(&change.change_id);
         assert!(before < self.revision, "revision did not increase: {before} to {}", self.revision);
         Ok(())
     }
--- a/crates/ivytrail/src/settings/feed.rs
+++ b/crates/ivytrail/src/settings/feed.rs
@@ -146,6 +146,9 @@
     /// Daemon to which the last request for changes or a page was sent, and when.
     pending_request: Option<(MemberId, TimePoint)>,
     download: Option<TreeDownload>,
+    /// Whether the whole tree must be read from the platform, because the local revision has another history there or at
+    /// another daemon.
+    needs_tree: bool,
     /// Whether other daemons have yet to be notified of the revision in force locally.
     has_unannounced_revision: bool,
     next_poll_at: TimePoint,
@@ -166,6 +169,7 @@
             peer_revisions: BTreeMap::new(),
             pending_request: None,
             download: None,
+            needs_tree: false,
             has_unannounced_revision: false,
             next_poll_at: TimePoint::ORIGIN,
             next_notice_at: TimePoint::ORIGIN,
@@ -206,10 +210,12 @@
         let is_due = self.next_poll_at <= now && (always_polls || self.is_poller(peers));
         let needs_bootstrap =
             self.tree.revision == Revision::default() && self.bootstrap.is_due(now);
-        if is_due || needs_bootstrap {
+        let needs_tree = std::mem::take(&mut self.needs_tree);
+        if is_due || needs_bootstrap || needs_tree {
             self.next_poll_at = now.plus(self.jittered(self.options.poll_interval));
             self.traffic.platform_reads += 1;
             effects.push(match self.tree.revision {
+                _ if needs_tree => FeedEffect::ReadTree,
                 Revision(0) => FeedEffect::ReadTree,
                 after => FeedEffect::ReadChanges { after },
             });
@@ -238,21 +244,20 @@
         let mut effects = Vec::new();
         self.traffic.messages_received += 1;
         match message {
-            FeedMessage::RevisionNotice { revision } => {
+            FeedMessage::RevisionNotice { revision, change_id } => {
                 self.record_revision(now, from, revision);
+                // Only the platform can tell which of two histories is valid.
+                self.needs_tree |= self.tree.is_other_history(revision, &change_id);
                 if revision < self.tree.revision {
-                    self.send(
-                        from,
-                        FeedMessage::RevisionNotice { revision: self.tree.revision },
-                        &mut effects,
-                    );
+                    let notice = self.notice();
+                    self.send(from, notice, &mut effects);
                 } else if self.tree.revision < revision && self.pending_request.is_none() {
                     self.request_next(now, from, &mut effects);
                 }
             }
-            FeedMessage::DeltaRequest { after } => {
+            FeedMessage::DeltaRequest { after, change_id } => {
                 self.record_revision(now, from, after);
-                let reply = self.delta_after(after);
+                let reply = self.delta_after(after, &change_id);
                 self.send(from, reply, &mut effects);
             }
             FeedMessage::DeltaReply { changes, revision } => {
@@ -281,8 +286,14 @@
 
     /// Applies changes that were read from the platform or stored there through this daemon. `changes` may be empty;
     /// changes that don't follow the local revision are ignored.
+    ///
+    /// When a change made the local revision in another history, none is applied, and the next tick reads the whole tree.
     pub fn on_changes(&mut self, changes: &[SettingsChange]) {
         self.bootstrap.is_answered = true;
+        if changes.iter().any(|change| self.tree.conflicts_with(change)) {
+            self.needs_tree = true;
+            return;
+        }
         for change in changes {
             if self.tree.apply(change).is_ok() {
                 self.log.push(change.clone());
@@ -291,14 +302,15 @@
         }
     }
 
-    /// Replaces the local tree by a complete one, unless that is not newer.
+    /// Replaces the local tree by a complete one, unless that is older or the same.
     pub fn on_snapshot(&mut self, tree: SettingsTree) {
         self.bootstrap.is_answered = true;
-        if tree.revision <= self.tree.revision {
+        let is_other_history = self.tree.is_other_history(tree.revision, &tree.change_id);
+        if tree.revision <= self.tree.revision && !is_other_history {
             return;
         }
         self.tree = tree;
-        self.log.clear();
+        self.log.restart_after(self.tree.revision, &self.tree.change_id);
         self.has_unannounced_revision = true;
     }
 
@@ -311,12 +323,16 @@
         self.pending_request = self.pending_request.take().filter(|(asked, _)| asked != from);
     }
 
-    fn delta_after(&self, after: Revision) -> FeedMessage {
+    /// Returns the changes after a revision that was made by the change `change_id`, or the first page of the tree if the
+    /// local log doesn't continue that history.
+    fn delta_after(&self, after: Revision, change_id: &str) -> FeedMessage {
         let revision = self.tree.revision;
         if revision <= after {
             return FeedMessage::DeltaReply { changes: Vec::new(), revision };
         }
-        match self.log.after(after, MAX_DELTA_BYTES) {
+        let is_same_history = change_id.is_empty()
+            || self.log.change_id(after).is_none_or(|it| it.is_empty() || it == change_id);
+        match self.log.after(after, MAX_DELTA_BYTES).filter(|_| is_same_history) {
             Some(changes) => FeedMessage::DeltaReply { changes, revision },
             None => FeedMessage::SnapshotReply(page_at(&self.tree, &PageCursor::Start)),
         }
@@ -338,7 +354,7 @@
                 self.download = other;
                 return;
             }
-            _ => TreeDownload::new(from.clone(), page.revision),
+            _ => TreeDownload::new(from.clone(), &page),
         };
         download.add_page(page);
         self.download = Some(download);
@@ -365,7 +381,12 @@
         let download = self.download.as_ref().filter(|it| it.from == *from);
         let message = match download.and_then(TreeDownload::next_page) {
             Some(cursor) => FeedMessage::PageRequest { cursor: cursor.clone() },
-            None => FeedMessage::DeltaRequest { after: self.delta_start(from) },
+            None => {
+                let download = self.download.as_ref().filter(|it| it.from == *from);
+                let change_id = download.map_or(self.tree.change_id.as_str(), |it| it.change_id());
+                let change_id = change_id.to_string();
+                FeedMessage::DeltaRequest { after: self.delta_start(from), change_id }
+            }
         };
         self.pending_request = Some((from.clone(), now));
         self.send(from, message, effects);
@@ -402,10 +423,15 @@
             return;
         }
         let peer = peers[self.rng.random_range(0..peers.len())].member.clone();
-        let notice = FeedMessage::RevisionNotice { revision: self.tree.revision };
+        let notice = self.notice();
         self.send(&peer, notice, effects);
     }
 
+    fn notice(&self) -> FeedMessage {
+        let SettingsTree { revision, change_id, .. } = &self.tree;
+        FeedMessage::RevisionNotice { revision: *revision, change_id: change_id.clone() }
+    }
+
     fn send(&mut self, to: &MemberId, message: FeedMessage, effects: &mut Vec<FeedEffect>) {
         self.traffic.messages_sent += 1;
         self.traffic.bytes_sent += rmp_serde::to_vec(&message).map_or(0, |it| it.len() as u64);
--- a/crates/ivytrail/src/settings/feed/log.rs
+++ b/crates/ivytrail/src/settings/feed/log.rs
@@ -13,6 +13,8 @@
 /// The latest changes with consecutive revisions, each with its encoded size in bytes.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ChangeLog {
+    /// Revision before the first change in the log, and the identifier of the change that made it.
+    base: Option<(Revision, String)>,
     changes: VecDeque<(SettingsChange, usize)>,
     n_bytes: usize,
 }
@@ -24,14 +26,23 @@
         self.n_bytes += size;
         self.changes.push_back((change, size));
         while MAX_CHANGES < self.changes.len() || MAX_LOG_BYTES < self.n_bytes {
-            let Some((_, size)) = self.changes.pop_front() else { break };
+            let Some((evicted, size)) = self.changes.pop_front() else { break };
             self.n_bytes -= size;
+            self.base = Some((evicted.revision, evicted.change_id));
         }
     }
 
-    /// Removes all changes, as is needed when the next one doesn't follow the last.
-    pub(super) fn clear(&mut self) {
-        *self = ChangeLog::default();
+    /// Removes all changes. The next one follows `revision`, which the change with the identifier `change_id` made.
+    pub(super) fn restart_after(&mut self, revision: Revision, change_id: &str) {
+        *self = ChangeLog { base: Some((revision, change_id.to_string())), ..ChangeLog::default() };
+    }
+
+    /// Returns the identifier of the change that made `revision`, if the log has it.
+    pub(super) fn change_id(&self, revision: Revision) -> Option<&str> {
+        let base = self.base.as_ref().filter(|(it, _)| *it == revision);
+        let logged = || self.changes.iter().find(|(it, _)| it.revision == revision);
+        base.map(|(_, change_id)| change_id.as_str())
+            .or_else(|| logged().map(|(change, _)| change.change_id.as_str()))
     }
 
     /// Returns the changes after `revision`: the first one, and as many more as fit into `max_bytes`. Returns `None`
--- a/crates/ivytrail/src/settings/feed/message.rs
+++ b/crates/ivytrail/src/settings/feed/message.rs
@@ -15,11 +15,15 @@
     RevisionNotice {
         /// Revision in force at the sender.
         revision: Revision,
+        /// Identifier of the change that made it.
+        change_id: String,
     },
     /// Requests the changes after a revision.
     DeltaRequest {
         /// Revision after which the sender needs changes.
         after: Revision,
+        /// Identifier of the change that made it.
+        change_id: String,
     },
     /// Answers [`FeedMessage::DeltaRequest`] with as many changes as fit.
     DeltaReply {
@@ -66,4 +70,6 @@
     pub keys: Vec<(KeyName, KeyRecord)>,
     /// Start of the next page; absent on the last page.
     pub next: Option<PageCursor>,
+    /// Identifier of the change that made `revision`.
+    pub change_id: String,
 }
--- a/crates/ivytrail/src/settings/feed/page.rs
+++ b/crates/ivytrail/src/settings/feed/page.rs
@@ -24,6 +24,7 @@
         teams: Vec::new(),
         keys: Vec::new(),
         next: None,
+        change_id: tree.change_id.clone(),
     };
     let team_bound = match cursor {
         PageCursor::Start => Some(Bound::Unbounded),
@@ -60,10 +61,12 @@
 }
 
 impl TreeDownload {
-    /// Starts a download from `from`, whose first page has the revision `base`.
-    pub(super) fn new(from: MemberId, base: Revision) -> TreeDownload {
-        let tree = SettingsTree { revision: base, ..SettingsTree::default() };
-        TreeDownload { from, tree, next_cursor: Some(PageCursor::Start), target_revision: base }
+    /// Starts a download from `from` on the basis of its first page, which has yet to be added.
+    pub(super) fn new(from: MemberId, first: &TreePage) -> TreeDownload {
+        let (revision, change_id) = (first.revision, first.change_id.clone());
+        let tree = SettingsTree { revision, change_id, ..SettingsTree::default() };
+        let next_cursor = Some(PageCursor::Start);
+        TreeDownload { from, tree, next_cursor, target_revision: revision }
     }
 
     /// Adds `page` if it is the next one, and returns whether it was. Any other page is ignored.
@@ -96,6 +99,11 @@
         self.tree.revision
     }
 
+    /// Returns the identifier of the change that made the revision of the tree as downloaded so far.
+    pub(super) fn change_id(&self) -> &str {
+        &self.tree.change_id
+    }
+
     /// Returns whether all pages have arrived and all changes up to the last page's revision are applied.
     pub(super) fn is_complete(&self) -> bool {
         self.next_cursor.is_none() && self.target_revision <= self.tree.revision
--- a/crates/ivytrail/src/settings/rows.rs
+++ b/crates/ivytrail/src/settings/rows.rs
@@ -65,6 +65,15 @@
     TableRead { keys: vec![HEAD_KEY.to_string()], ranges: vec![KeyRange { from, to, limit }] }
 }
 
+/// Returns the read of the head row, of the change that made `revision` and of at most `limit` changes after it.
+///
+/// The first of these changes shows whether the table still has the history that `revision` was read from.
+pub fn following_read(revision: Revision, limit: usize) -> TableRead {
+    let mut read = changes_read(revision, limit);
+    read.keys.push(change_key(revision));
+    read
+}
+
 /// Returns the row with `key` in the answer to a read.
 pub fn find_row<'r>(rows: &'r TableRows, key: &str) -> Option<&'r TableRow> {
     rows.rows.iter().find(|row| row.key == key)
--- a/crates/ivytrail/src/settings/snapshot.rs
+++ b/crates/ivytrail/src/settings/snapshot.rs
@@ -11,8 +11,8 @@
 
 use super::{
     rows::{
-        CHANGES_PER_READ, HEAD_KEY, KEY_PREFIX, TEAM_PREFIX, changes_read, decode_changes,
-        decode_head, decode_row,
+        CHANGES_PER_READ, HEAD_KEY, KEY_PREFIX, TEAM_PREFIX, decode_changes, decode_head,
+        decode_row, following_read,
     },
     tree::SettingsTree,
 };
@@ -89,16 +89,19 @@
         }
         Ok(SnapshotStep::Read(next_page(&page, KEY_PREFIX).unwrap_or_else(|| {
             self.phase = SnapshotPhase::Changes;
-            changes_read(self.tree.revision, CHANGES_PER_READ)
+            following_read(self.tree.revision, CHANGES_PER_READ)
         })))
     }
 
     fn apply_changes(&mut self, rows: &TableRows) -> Result<SnapshotStep, Error> {
         for change in decode_changes(rows)? {
-            self.tree.apply(&change)?;
+            match change.revision == self.tree.revision {
+                true => self.tree.change_id = change.change_id,
+                false => self.tree.apply(&change)?,
+            }
         }
         if self.tree.revision < decode_head(rows)? {
-            return Ok(SnapshotStep::Read(changes_read(self.tree.revision, CHANGES_PER_READ)));
+            return Ok(SnapshotStep::Read(following_read(self.tree.revision, CHANGES_PER_READ)));
         }
         Ok(SnapshotStep::Done(Box::new(std::mem::take(&mut self.tree))))
     }
--- a/crates/ivytrail/src/settings/store.rs
+++ b/crates/ivytrail/src/settings/store.rs
@@ -250,6 +250,7 @@
 
     fn next_read(&self) -> TableRead {
         let mut read = changes_read(self.searched_to, CHANGES_PER_READ);
+        read.keys.push(change_key(self.tree.revision));
         read.keys.extend(self.checked_keys());
         read
     }
@@ -302,6 +303,12 @@
     }
 
     fn add_change(&mut self, change: SettingsChange) -> Result<(), Error> {
+        if self.tree.conflicts_with(&change) {
+            return Err(Error::new(format!(
+                "revision {} in the platform's table is another change than the known one",
+                change.revision
+            )));
+        }
         if change.revision <= self.searched_to {
             return Ok(());
         }
--- a/crates/ivytrail/src/settings/tree.rs
+++ b/crates/ivytrail/src/settings/tree.rs
@@ -207,4 +207,23 @@
     pub teams: BTreeMap<TeamName, TeamSubtree>,
     /// Keys in force, by public identifier.
     pub keys: BTreeMap<KeyName, KeyRecord>,
+    /// Identifier of the change that made `revision`, or empty if unknown. It tells apart two histories that use the same
+    /// revision, as after a restore of the platform's table from a copy.
+    #[serde(default)]
+    pub change_id: String,
+}
+
+impl SettingsTree {
+    /// Returns whether `change` made the revision of this tree in another history.
+    pub fn conflicts_with(&self, change: &SettingsChange) -> bool {
+        self.is_other_history(change.revision, &change.change_id)
+    }
+
+    /// Returns whether a tree with this revision and change identifier has another history than this tree.
+    pub(super) fn is_other_history(&self, revision: Revision, change_id: &str) -> bool {
+        self.revision == revision
+            && !change_id.is_empty()
+            && !self.change_id.is_empty()
+            && self.change_id != change_id
+    }
 }
--- a/crates/ivytrail/tests/feed.rs
+++ b/crates/ivytrail/tests/feed.rs
@@ -24,6 +24,11 @@
     SettingsFeed::new(peer(name), FeedOptions::default(), 1)
 }
 
+/// Returns a notice of a revision that was made by the fixtures' change.
+fn notice(revision: Revision) -> FeedMessage {
+    FeedMessage::RevisionNotice { revision, change_id: format!("change-{}", revision.0) }
+}
+
 fn issue(revision: u64) -> SettingsChange {
     let name = format!("key-{revision}");
     let digest = secret_digest(&name);
@@ -88,7 +93,7 @@
 fn daemon_slightly_behind_gets_the_missing_changes() {
     let mut holder = feed_with(300);
     let mut requester = feed_with(250);
-    exchange(&mut holder, &mut requester, FeedMessage::RevisionNotice { revision: Revision(300) });
+    exchange(&mut holder, &mut requester, notice(Revision(300)));
     assert!(Revision(300) <= requester.revision());
 }
 
@@ -96,11 +101,7 @@
 fn empty_daemon_gets_the_tree_in_pages_while_it_changes() {
     let mut holder = feed_with(2_000);
     let mut requester = feed("requester");
-    exchange(
-        &mut holder,
-        &mut requester,
-        FeedMessage::RevisionNotice { revision: Revision(2_000) },
-    );
+    exchange(&mut holder, &mut requester, notice(Revision(2_000)));
     assert_eq!(requester.tree(), holder.tree());
 }
 
@@ -110,7 +111,7 @@
     let before = holder.tree().clone();
     holder.on_changes(&[issue(5), issue(22)]);
     holder.on_snapshot(feed_with(19).tree().clone());
-    exchange(&mut feed_with(3), &mut holder, FeedMessage::RevisionNotice { revision: Revision(3) });
+    exchange(&mut feed_with(3), &mut holder, notice(Revision(3)));
     assert_eq!(holder.tree(), &before);
 }
 
@@ -118,7 +119,8 @@
 fn message_size_is_bounded() {
     let mut holder = feed_with(2_000);
     for after in [0, 1_490, 1_700, 2_000] {
-        let request = FeedMessage::DeltaRequest { after: Revision(after) };
+        let request =
+            FeedMessage::DeltaRequest { after: Revision(after), change_id: String::new() };
         let effects = holder.on_message(TimePoint::ORIGIN, &peer("requester").member, request);
         let FeedEffect::Send { message, .. } = &effects[0] else { panic!("{effects:?}") };
         assert!(rmp_serde::to_vec(message).unwrap().len() < 100_000);
--- a/crates/ivytrail/tests/settings_check.rs
+++ b/crates/ivytrail/tests/settings_check.rs
@@ -37,7 +37,7 @@
     let subtree = parse_subtree(&booking_subtree().to_string()).expect("fixture is valid");
     let teams = BTreeMap::from([("launch-desk".into(), subtree)]);
     let keys = BTreeMap::from([("meteo-1".into(), key_for("meteo"))]);
-    SettingsTree { revision: Revision(4), teams, keys }
+    SettingsTree { revision: Revision(4), teams, keys, ..SettingsTree::default() }
 }
 
 fn withdrawal(revision: u64) -> SettingsChange {
--- a/crates/ivytrail/tests/settings_store.rs
+++ b/crates/ivytrail/tests/settings_store.rs
@@ -8,14 +8,14 @@
     id::MemberId,
     platform::TableTransaction,
     settings::{
-        KeyRecord, Revision, SettingsTree, TreeEdit,
+        KeyRecord, Revision, SettingsChange, SettingsTree, TreeEdit,
         credential::secret_digest,
-        feed::{FeedOptions, FeedPeer, SettingsFeed},
-        rows::{CHANGES_PER_READ, changes_read, decode_changes},
+        feed::{FeedEffect, FeedMessage, FeedOptions, FeedPeer, SettingsFeed},
+        rows::{CHANGES_PER_READ, decode_changes, following_read},
         snapshot::{SnapshotReader, SnapshotStep},
         store::{ChangeDraft, EditMode, EditOutcome, EditSession, EditStep},
     },
-    time::WallClock,
+    time::{TimePoint, WallClock},
 };
 use proptest::prelude::*;
 use support::{MemoryTable, draft, replacement};
@@ -140,6 +140,29 @@
     assert!(matches!(outcome, EditOutcome::NotStored { .. }), "{outcome:?}");
 }
 
+/// Returns a feed that holds the tree in `table`.
+fn feed_of(name: &str, table: &MemoryTable) -> SettingsFeed {
+    let member = MemberId { instance: name.into(), incarnation: 1 };
+    let local_peer = FeedPeer { member, domain: "kolkata".into() };
+    let mut feed = SettingsFeed::new(local_peer, FeedOptions::default(), 1);
+    feed.on_snapshot(read_tree(table));
+    feed
+}
+
+/// Executes the reads of the platform that are due at `seconds`.
+fn poll(feed: &mut SettingsFeed, table: &MemoryTable, seconds: u64) {
+    for effect in feed.tick(TimePoint::from_millis(seconds * 1_000), &[], true) {
+        match effect {
+            FeedEffect::ReadChanges { after } => {
+                let rows = table.read(&following_read(after, CHANGES_PER_READ));
+                feed.on_changes(&decode_changes(&rows).expect("rows are well formed"));
+            }
+            FeedEffect::ReadTree => feed.on_snapshot(read_tree(table)),
+            FeedEffect::Send { .. } => {}
+        }
+    }
+}
+
 /// The platform comes back from an older copy, and an operator stores changes through a daemon that has just started. They
 /// are given revisions that a running daemon already holds with other contents.
 #[test]
@@ -148,20 +171,75 @@
     run(&mut table, draft("a", 0, replacement("launch", "meteo", 1)));
     let copy = table.clone();
     run(&mut table, draft("b", 1, replacement("launch", "meteo", 2)));
-    let member = MemberId { instance: "running".into(), incarnation: 1 };
-    let local_peer = FeedPeer { member, domain: "kolkata".into() };
-    let mut feed = SettingsFeed::new(local_peer, FeedOptions::default(), 1);
-    feed.on_snapshot(read_tree(&table));
+    let mut feed = feed_of("running", &table);
 
     table = copy;
     run(&mut table, draft("c", 1, replacement("launch", "meteo", 3)));
     run(&mut table, draft("d", 2, replacement("charter", "travel", 1)));
-    let rows = table.read(&changes_read(feed.revision(), CHANGES_PER_READ));
-    feed.on_changes(&decode_changes(&rows).expect("rows are well formed"));
+    poll(&mut feed, &table, 1);
+    poll(&mut feed, &table, 2);
+
+    assert_eq!(feed.tree(), &read_tree(&table));
+}
+
+/// The change that was lost in the restore concerned a team that no later change touches.
+#[test]
+fn a_change_that_was_lost_in_a_restore_does_not_stay_in_force() {
+    let mut table = MemoryTable::default();
+    run(&mut table, draft("a", 0, replacement("launch", "meteo", 1)));
+    let copy = table.clone();
+    run(&mut table, draft("b", 1, replacement("launch", "meteo", 2)));
+    let mut feed = feed_of("running", &table);
+
+    table = copy;
+    run(&mut table, draft("c", 1, replacement("charter", "travel", 1)));
+    poll(&mut feed, &table, 1);
+    poll(&mut feed, &table, 2);
 
     assert_eq!(feed.tree(), &read_tree(&table));
 }
 
+/// Of two daemons with the same revision, one holds a change that was lost in the restore. Neither is a poller.
+#[test]
+fn daemons_with_different_histories_of_a_revision_read_the_platform() {
+    let mut table = MemoryTable::default();
+    run(&mut table, draft("a", 0, replacement("launch", "meteo", 1)));
+    let copy = table.clone();
+    run(&mut table, draft("b", 1, replacement("launch", "meteo", 2)));
+    let mut outdated = feed_of("running", &table);
+    table = copy;
+    run(&mut table, draft("c", 1, replacement("charter", "travel", 1)));
+    let current = feed_of("started", &table);
+
+    let SettingsTree { revision, change_id, .. } = current.tree().clone();
+    let from = MemberId { instance: "started".into(), incarnation: 1 };
+    let notice = FeedMessage::RevisionNotice { revision, change_id };
+    outdated.on_message(TimePoint::from_millis(1_000), &from, notice);
+    poll(&mut outdated, &table, 1);
+
+    assert_eq!(outdated.tree(), &read_tree(&table));
+}
+
+/// A daemon that holds a lost change requests the changes after it from a daemon that follows the restored table.
+#[test]
+fn changes_of_another_history_are_not_sent_as_a_delta() {
+    let mut table = MemoryTable::default();
+    run(&mut table, draft("a", 0, replacement("launch", "meteo", 1)));
+    run(&mut table, draft("c", 1, replacement("charter", "travel", 1)));
+    let mut current = feed_of("started", &table);
+    run(&mut table, draft("d", 2, replacement("charter", "travel", 2)));
+    poll(&mut current, &table, 1);
+
+    let from = MemberId { instance: "running".into(), incarnation: 1 };
+    let request = FeedMessage::DeltaRequest { after: Revision(2), change_id: "b".to_string() };
+    let effects = current.on_message(TimePoint::from_millis(2_000), &from, request);
+
+    let is_page = |effect: &FeedEffect| {
+        matches!(effect, FeedEffect::Send { message: FeedMessage::SnapshotReply(_), .. })
+    };
+    assert!(effects.iter().any(is_page), "{effects:?}");
+}
+
 #[test]
 fn snapshot_is_consistent_while_changes_are_stored() {
     let mut table = MemoryTable::default();
@@ -171,7 +249,8 @@
         let name = format!("key-{idx}");
         let change = draft(&name, idx + 1, issue(&name, "account-0"));
         run_in(&mut table, change, EditMode::Commit, &tree);
-        tree.apply(&support::change(idx + 2, issue(&name, "account-0"))).unwrap();
+        let stored = support::change(idx + 2, issue(&name, "account-0"));
+        tree.apply(&SettingsChange { change_id: name, ..stored }).unwrap();
     }
     let (mut reading, mut read) = SnapshotReader::start();
     let mut n_pages = 0;
