Let the route's priority decide among accounts of equal priority

Cause: an account's priority replaced that of the route. The account's priority still comes first; the route's decides among equals, in the queues of the guards and in the admitted shares, where two of its steps weigh as much as one of the account's. Rejected: a factor as large as the account's for each step, which would put an urgent account's reads behind another account's bookings. Tests: the_most_urgent_routes_of_accounts_with_equal_priority_are_shed_last (load: half again as much as the leaf has slots for), ranks_follow_the_account_ first_and_then_the_route.

--- a/crates/ivytrail/src/mesh/admission.rs
+++ b/crates/ivytrail/src/mesh/admission.rs
@@ -20,7 +20,7 @@
 
 use super::{
     cost::{CostModel, ServiceDemand},
-    queue::QueueRank,
+    queue::{QueueRank, RootPriority},
 };
 use crate::{
     id::{ContentDigest, InstanceName, RouteName, ServiceName},
@@ -29,13 +29,14 @@
 
 /// Share of a service's slots that admitted root requests may use on average; the rest absorbs bursts.
 const TARGET_UTILISATION: f64 = 0.95;
-/// Ratio between the slot time granted to requests of one rank and that of the next less urgent one.
-const RANK_FACTOR: f64 = 6.0;
+/// Ratio between the shares of requests of one account priority and those of the next less urgent one.
+const ACCOUNT_PRIORITY_FACTOR: f64 = 6.0;
+/// Ratio between the shares of requests of one route priority and those of the next less urgent one, within the same
+/// account priority. Two steps weigh as much as one step of the account's priority, which takes precedence.
+const ROUTE_PRIORITY_FACTOR: f64 = 2.45;
 /// Exponent by which the share of a route falls with its cost: 0 gives all routes of a rank the same share, 1 the same
 /// slot time. The latter serves most requests but starves the costly routes.
 const COST_EXPONENT: f64 = 0.7;
-/// Least urgent priority that is distinguished; requests beyond it are treated like it.
-const LOWEST_PRIORITY: u8 = 6;
 /// Time constant of the moving average of the offered rates.
 const DEMAND_WINDOW: Duration = Duration::from_millis(800);
 /// Pressure above which the correction shrinks.
@@ -321,8 +322,11 @@
     /// in full up to a cost of `allowance_s`.
     fn share_at(&self, cost_s: f64, allowance_s: f64) -> f64 {
         let (_, rank) = &self.key;
-        let steps = i32::from(LOWEST_PRIORITY.saturating_sub(rank.priority()));
-        ((allowance_s / cost_s).powf(COST_EXPONENT) * RANK_FACTOR.powi(steps)).min(1.0)
+        let priority = rank.priority();
+        let steps_above = |priority: u8| i32::from(RootPriority::LOWEST - priority);
+        let urgency = ACCOUNT_PRIORITY_FACTOR.powi(steps_above(priority.account()))
+            * ROUTE_PRIORITY_FACTOR.powi(steps_above(priority.route()));
+        ((allowance_s / cost_s).powf(COST_EXPONENT) * urgency).min(1.0)
     }
 }
 
@@ -344,7 +348,7 @@
         return;
     }
     // Bisects the logarithm of the allowance between values that admit nothing and everything.
-    let (mut low, mut high) = (-18.0_f64, 6.0_f64);
+    let (mut low, mut high) = (-36.0_f64, 6.0_f64);
     for _ in 0..SEARCH_STEPS {
         let middle = (low + high) / 2.0;
         match used_at(middle.exp()) <= slots {
--- a/crates/ivytrail/src/mesh/admission/tests.rs
+++ b/crates/ivytrail/src/mesh/admission/tests.rs
@@ -28,7 +28,7 @@
 }
 
 fn root(priority: u8) -> QueueRank {
-    QueueRank::of_root(priority)
+    QueueRank::of_root(RootPriority::of_route(priority))
 }
 
 /// Returns a controller after three seconds of requests at this entry alone, given as route, priority and requests per
@@ -106,6 +106,27 @@
     assert!((1.3..1.8).contains(&ratio), "{ratio}");
 }
 
+/// All accounts have the same priority of their own, and the leaf is offered half again as much work as it has slots for.
+#[test]
+fn the_most_urgent_routes_of_accounts_with_equal_priority_are_shed_last() {
+    let mut controller = AdmissionController::default();
+    let rank = |route: u8| QueueRank::of_root(RootPriority::of_account(1, route));
+    let demand =
+        |name: &str, route, per_s| RouteDemand { route: name.into(), rank: rank(route).0, per_s };
+    let demands =
+        vec![demand("track", 2, 500.0), demand("book", 0, 250.0), demand("quote", 2, 130.0)];
+    controller.record_demand(&"i-2".into(), demands);
+
+    controller.update(Duration::from_millis(100), &costs(), |_| ServiceSlots {
+        slots: SHORT_SLOTS,
+        pressure: 0.0,
+    });
+
+    assert_eq!(controller.admitted_share(&"book".into(), rank(0)), 1.0);
+    let track = controller.admitted_share(&"track".into(), rank(2));
+    assert!((0.2..0.6).contains(&track), "track {track}");
+}
+
 /// Two thirds of the leaf's servers are lost.
 #[test]
 fn urgent_roots_are_shed_last_and_no_route_starves() {
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     id::{AccountName, ContentDigest, DomainName, InstanceName, MemberId, RouteName, ServiceName},
-    mesh::{admission::RouteDemand, cost::RouteCost},
+    mesh::{admission::RouteDemand, cost::RouteCost, queue::RootPriority},
     message::{CallOutcome, RefusalReason},
     quarantine::EvidenceRecord,
 };
@@ -134,7 +134,7 @@
     /// Rank in the guard's queue; see [`super::queue::QueueRank`].
     pub rank: u8,
     /// Priority of the root request, which its nested calls inherit.
-    pub priority: u8,
+    pub priority: RootPriority,
     /// Time since the fleet received the root request, in microseconds.
     pub root_age_us: u64,
     /// Time left until the attempt's deadline, in microseconds.
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -19,7 +19,7 @@
         ServerNotice, ServerPhase,
     },
     log_limit::LogPriority,
-    queue::{QueueRank, SlotDecision, SlotQueue, SlotRequest},
+    queue::{QueueRank, RootPriority, SlotDecision, SlotQueue, SlotRequest},
 };
 use crate::{
     id::{AttemptId, ContentDigest, MemberId, RouteName},
@@ -133,7 +133,7 @@
         &mut self,
         parent: RunId,
         route: &RouteName,
-    ) -> Option<(u8, TimePoint)> {
+    ) -> Option<(RootPriority, TimePoint)> {
         let run = self.attempts.get_mut(&parent)?;
         match run.calls.iter_mut().find(|(it, _)| it == route) {
             Some((_, n_calls)) => *n_calls += 1,
--- a/crates/ivytrail/src/mesh/intake.rs
+++ b/crates/ivytrail/src/mesh/intake.rs
@@ -9,7 +9,7 @@
     frame::AttemptRequest,
     log_limit::LogPriority,
     policy::{AccountPolicy, RoutePolicy},
-    queue::QueueRank,
+    queue::{QueueRank, RootPriority},
     weighted_split::WeightedSplit,
 };
 use crate::{
@@ -90,10 +90,12 @@
         let time_limit = request.time_limit.unwrap_or(route.timeout).min(route.timeout);
         let parent = self.guard.parent_run(&request.request_id);
         let root = parent.and_then(|it| self.guard.record_call(it, &route.name));
-        let priority = match (root, &account) {
+        let priority = match (root, account.as_deref()) {
             (Some((priority, _)), _) => priority,
-            (None, Some(account)) => account.priority.unwrap_or(route.priority),
-            (None, None) => route.priority,
+            (None, Some(AccountPolicy { priority: Some(priority), .. })) => {
+                RootPriority::of_account(*priority, route.priority)
+            }
+            (None, _) => RootPriority::of_route(route.priority),
         };
         // Requests without an API key are calls of backend servers.
         let rank = match account {
--- a/crates/ivytrail/src/mesh/queue.rs
+++ b/crates/ivytrail/src/mesh/queue.rs
@@ -12,6 +12,7 @@
 };
 
 use derive_more::{Display, From};
+use serde::{Deserialize, Serialize};
 
 use super::rate_limiter::RateLimiter;
 use crate::time::TimePoint;
@@ -34,28 +35,85 @@
 /// Weight of the pressure of client requests relative to that of nested calls.
 const ROOT_PRESSURE_WEIGHT: f64 = 0.12;
 
+/// Priority of a root request, which its nested calls inherit; the lowest is the most urgent.
+///
+/// An account's priority takes precedence over that of the route. Among requests of the same account priority, the
+/// route's priority decides.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{account}.{route}")]
+pub struct RootPriority {
+    account: u8,
+    route: u8,
+}
+
+impl RootPriority {
+    /// Least urgent priority that is distinguished; those beyond it are treated like it.
+    pub const LOWEST: u8 = 6;
+    /// Number of priorities that are distinguished at an account, and at a route.
+    const N_STEPS: u8 = RootPriority::LOWEST + 1;
+    /// Number of root priorities.
+    const N_LEVELS: u8 = RootPriority::N_STEPS * RootPriority::N_STEPS;
+
+    /// Returns the priority of a request on a route with priority `route`, from an account with priority `account`.
+    pub fn of_account(account: u8, route: u8) -> RootPriority {
+        RootPriority {
+            account: account.min(RootPriority::LOWEST),
+            route: route.min(RootPriority::LOWEST),
+        }
+    }
+
+    /// Returns the priority of a request on a route with priority `route` whose account has none of its own.
+    pub fn of_route(route: u8) -> RootPriority {
+        RootPriority::of_account(route, 0)
+    }
+
+    /// Returns the account's priority, or that of the route if the account has none.
+    pub fn account(self) -> u8 {
+        self.account
+    }
+
+    /// Returns the route's priority among requests of the same account priority.
+    pub fn route(self) -> u8 {
+        self.route
+    }
+
+    fn level(self) -> u8 {
+        self.account * RootPriority::N_STEPS + self.route
+    }
+
+    fn from_level(level: u8) -> RootPriority {
+        RootPriority::of_account(level / RootPriority::N_STEPS, level % RootPriority::N_STEPS)
+    }
+}
+
 /// Rank of an attempt among those that wait for a slot; the lowest is served first.
 #[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QueueRank(pub u8);
 
 impl QueueRank {
     /// Number of ranks for nested calls; the ranks for client requests follow.
-    const N_NESTED: u8 = 8;
+    const N_NESTED: u8 = RootPriority::N_LEVELS;
 
     /// Returns the rank of a nested call, from the priority of its root request. Nested calls precede all client
     /// requests, since refusing one wastes the work that its root request has already used.
-    pub fn of_nested(priority: u8) -> QueueRank {
-        QueueRank(priority.min(QueueRank::N_NESTED - 1))
+    pub fn of_nested(priority: RootPriority) -> QueueRank {
+        QueueRank(priority.level())
     }
 
     /// Returns the rank of a client request with a priority.
-    pub fn of_root(priority: u8) -> QueueRank {
-        QueueRank(priority.saturating_add(QueueRank::N_NESTED))
+    pub fn of_root(priority: RootPriority) -> QueueRank {
+        QueueRank(QueueRank::N_NESTED + priority.level())
     }
 
     /// Returns the priority that the rank was made from.
-    pub fn priority(self) -> u8 {
-        if self.is_nested() { self.0 } else { self.0 - QueueRank::N_NESTED }
+    pub fn priority(self) -> RootPriority {
+        RootPriority::from_level(if self.is_nested() {
+            self.0
+        } else {
+            self.0 - QueueRank::N_NESTED
+        })
     }
 
     /// Returns whether this is the rank of a nested call.
--- a/crates/ivytrail/src/mesh/queue/tests.rs
+++ b/crates/ivytrail/src/mesh/queue/tests.rs
@@ -27,7 +27,7 @@
 #[test]
 fn no_more_attempts_run_than_the_limit() {
     let mut queue = queue_of(2);
-    let root = QueueRank::of_root(0);
+    let root = QueueRank::of_root(RootPriority::of_route(0));
 
     let decisions: Vec<_> =
         (0..3).flat_map(|key| offer(&mut queue, 0, request(key, root, 1_000))).collect();
@@ -39,11 +39,11 @@
 #[test]
 fn nested_calls_precede_roots_and_urgent_attempts_precede_others() {
     let mut queue = queue_of(1);
-    offer(&mut queue, 0, request(0, QueueRank::of_root(0), 1_000));
-    offer(&mut queue, 0, request(1, QueueRank::of_root(2), 10_000));
-    offer(&mut queue, 0, request(2, QueueRank::of_root(0), 10_000));
-    offer(&mut queue, 0, request(3, QueueRank::of_nested(2), 10_000));
-    offer(&mut queue, 0, request(4, QueueRank::of_nested(0), 10_000));
+    offer(&mut queue, 0, request(0, QueueRank::of_root(RootPriority::of_route(0)), 1_000));
+    offer(&mut queue, 0, request(1, QueueRank::of_root(RootPriority::of_route(2)), 10_000));
+    offer(&mut queue, 0, request(2, QueueRank::of_root(RootPriority::of_route(0)), 10_000));
+    offer(&mut queue, 0, request(3, QueueRank::of_nested(RootPriority::of_route(2)), 10_000));
+    offer(&mut queue, 0, request(4, QueueRank::of_nested(RootPriority::of_route(0)), 10_000));
 
     let mut order = Vec::new();
     for running in [0, 4, 3, 2] {
@@ -60,10 +60,13 @@
 #[test]
 fn calls_of_the_oldest_root_are_served_first() {
     let mut queue = queue_of(1);
-    offer(&mut queue, 0, request(0, QueueRank::of_nested(2), 10_000));
+    offer(&mut queue, 0, request(0, QueueRank::of_nested(RootPriority::of_route(2)), 10_000));
     for (key, root_start) in [(1, 30), (2, 10), (3, 20)] {
         let root_start = at(root_start);
-        let later = SlotRequest { root_start, ..request(key, QueueRank::of_nested(2), 10_000) };
+        let later = SlotRequest {
+            root_start,
+            ..request(key, QueueRank::of_nested(RootPriority::of_route(2)), 10_000)
+        };
         offer(&mut queue, 40, later);
     }
 
@@ -80,9 +83,10 @@
 #[test]
 fn an_attempt_that_cannot_start_in_time_is_refused_at_once() {
     let mut queue = queue_of(1);
-    offer(&mut queue, 0, request(0, QueueRank::of_root(0), 1_000));
+    offer(&mut queue, 0, request(0, QueueRank::of_root(RootPriority::of_route(0)), 1_000));
 
-    let decisions = offer(&mut queue, 0, request(1, QueueRank::of_root(0), 20));
+    let decisions =
+        offer(&mut queue, 0, request(1, QueueRank::of_root(RootPriority::of_route(0)), 20));
 
     assert!(matches!(decisions[..], [SlotDecision::Refuse { key: 1, .. }]), "{decisions:?}");
 }
@@ -90,8 +94,8 @@
 #[test]
 fn an_attempt_that_has_waited_too_long_is_refused() {
     let mut queue = queue_of(1);
-    offer(&mut queue, 0, request(0, QueueRank::of_root(0), 1_000));
-    offer(&mut queue, 0, request(1, QueueRank::of_root(0), 150));
+    offer(&mut queue, 0, request(0, QueueRank::of_root(RootPriority::of_route(0)), 1_000));
+    offer(&mut queue, 0, request(1, QueueRank::of_root(RootPriority::of_route(0)), 150));
 
     let mut early = Vec::new();
     queue.expire(at(150), &mut early);
@@ -105,8 +109,8 @@
 #[test]
 fn a_removed_attempt_never_starts() {
     let mut queue = queue_of(1);
-    offer(&mut queue, 0, request(0, QueueRank::of_root(0), 1_000));
-    offer(&mut queue, 0, request(1, QueueRank::of_root(0), 1_000));
+    offer(&mut queue, 0, request(0, QueueRank::of_root(RootPriority::of_route(0)), 1_000));
+    offer(&mut queue, 0, request(1, QueueRank::of_root(RootPriority::of_route(0)), 1_000));
 
     let was_waiting = queue.remove_waiting(&1);
     let mut out = Vec::new();
@@ -120,7 +124,8 @@
 fn without_slots_all_attempts_are_refused() {
     let mut queue = queue_of(0);
 
-    let decisions = offer(&mut queue, 0, request(1, QueueRank::of_nested(0), 1_000));
+    let decisions =
+        offer(&mut queue, 0, request(1, QueueRank::of_nested(RootPriority::of_route(0)), 1_000));
 
     assert!(matches!(decisions[..], [SlotDecision::Refuse { key: 1, .. }]));
 }
@@ -163,7 +168,11 @@
     let mut queue = queue_of(1);
     for key in 0..100 {
         let now = u64::from(key) * 5;
-        offer(&mut queue, now, request(key, QueueRank::of_nested(0), now + 20));
+        offer(
+            &mut queue,
+            now,
+            request(key, QueueRank::of_nested(RootPriority::of_route(0)), now + 20),
+        );
     }
     assert!(0.3 < queue.pressure(), "{}", queue.pressure());
 
@@ -180,7 +189,13 @@
     queue.set_rate(at(0), Some(10.0), &mut Vec::new());
 
     let offered = (0..3)
-        .flat_map(|key| offer(&mut queue, 100, request(key, QueueRank::of_root(0), 1_000)))
+        .flat_map(|key| {
+            offer(
+                &mut queue,
+                100,
+                request(key, QueueRank::of_root(RootPriority::of_route(0)), 1_000),
+            )
+        })
         .collect::<Vec<_>>();
     let mut later = Vec::new();
     queue.expire(at(150), &mut later);
@@ -196,7 +211,8 @@
     let mut queue = queue_of(10);
     queue.set_rate(at(0), Some(2.0), &mut Vec::new());
 
-    let decisions = offer(&mut queue, 0, request(1, QueueRank::of_root(0), 200));
+    let decisions =
+        offer(&mut queue, 0, request(1, QueueRank::of_root(RootPriority::of_route(0)), 200));
 
     let retry_after = Duration::from_millis(500);
     assert_eq!(decisions, [SlotDecision::Refuse { key: 1, retry_after }]);
@@ -207,7 +223,7 @@
     let mut queue = queue_of(10);
     queue.set_rate(at(0), Some(2.0), &mut Vec::new());
     for key in 0..3 {
-        offer(&mut queue, 0, request(key, QueueRank::of_root(0), 10_000));
+        offer(&mut queue, 0, request(key, QueueRank::of_root(RootPriority::of_route(0)), 10_000));
     }
 
     let mut decisions = Vec::new();
@@ -215,3 +231,28 @@
 
     assert_eq!(decisions, [0, 1, 2].map(SlotDecision::Start));
 }
+
+/// An account's priority precedes that of the route, and the route's decides among requests of equal account priority.
+#[test]
+fn ranks_follow_the_account_first_and_then_the_route() {
+    let ordered = [
+        QueueRank::of_nested(RootPriority::of_account(0, 2)),
+        QueueRank::of_nested(RootPriority::of_account(1, 0)),
+        QueueRank::of_nested(RootPriority::of_account(1, 2)),
+        QueueRank::of_nested(RootPriority::of_route(200)),
+        QueueRank::of_root(RootPriority::of_account(0, 6)),
+        QueueRank::of_root(RootPriority::of_route(1)),
+        QueueRank::of_root(RootPriority::of_account(1, 1)),
+        QueueRank::of_root(RootPriority::of_account(250, 250)),
+    ];
+
+    assert!(ordered.is_sorted_by(|one, other| one < other), "{ordered:?}");
+    for rank in ordered {
+        let priority = rank.priority();
+        let same = match rank.is_nested() {
+            true => QueueRank::of_nested(priority),
+            false => QueueRank::of_root(priority),
+        };
+        assert_eq!(same, rank);
+    }
+}
