Return the tokens of refused requests to the account's quota owner

Cause: the token of a request that was refused for want of slots was kept for half a second at its entry. The owner takes the tokens back, reduced to the share of the account's requests that is within its rate and burst, so that the excess of an account far over its rate doesn't reach admission control again and again. Considered: dropping returned tokens for half a second after each denial (as at the entry before); in a burst just over the quota that drops them all.

--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -335,7 +335,7 @@
     /// Sends the call's response and removes the call.
     fn finish(&mut self, step: &mut ReducerStep<'_>, id: CallId, answer: CallAnswer) {
         let Some(call) = self.entry.calls.remove(&id) else { return };
-        self.return_token(step.now, &call);
+        self.return_token(step, &call);
         let is_success = matches!(&answer, CallAnswer::Complete { status, .. } if *status < 500);
         if call.is_nested() && !is_success {
             self.guard.record_failed_call(step.now, call.parent);
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -248,6 +248,13 @@
         /// Number of tokens granted.
         granted: u32,
     },
+    /// Returns tokens of requests that have not run to the account's quota owner.
+    QuotaReturn {
+        /// Account that the tokens are for.
+        account: AccountName,
+        /// Number of tokens returned.
+        n_tokens: u32,
+    },
     /// Requests the receiver's active settings.
     #[serde(rename = "SettingsAsk")]
     SettingsRequest,
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -400,6 +400,9 @@
                 let frame = PeerFrame::QuotaResponse { account, wanted, granted };
                 step.send_on_inbound(peer, frame, Bytes::new());
             }
+            PeerFrame::QuotaReturn { account, n_tokens } => {
+                self.take_back_tokens(&account, n_tokens);
+            }
             PeerFrame::QuotaResponse { account, wanted, granted } => {
                 self.handle_quota_response(step, &account, wanted, granted);
             }
--- a/crates/ivytrail/src/mesh/quota.rs
+++ b/crates/ivytrail/src/mesh/quota.rs
@@ -22,8 +22,8 @@
 const INITIAL_BURST_SHARE: f64 = 0.2;
 /// Time for which an entry denies calls by itself after a request that was not granted in full.
 const DENIAL_TIME: Duration = Duration::from_millis(40);
-/// Time after the end of a denial during which an account still counts as over its rate.
-const OVER_RATE_TIME: Duration = Duration::from_millis(500);
+/// Time constant of the moving average of the requested tokens, in seconds.
+const REQUEST_RATE_WINDOW_S: f64 = 3.0;
 /// Time for which an entry keeps an unused token.
 const TOKEN_TTL: Duration = Duration::from_millis(500);
 
@@ -32,18 +32,35 @@
 struct TokenBucket {
     tokens: f64,
     filled_at: TimePoint,
+    /// Moving average of the tokens requested per second.
+    requested_per_s: f64,
 }
 
 impl TokenBucket {
+    fn new(now: TimePoint, tokens: f64) -> TokenBucket {
+        TokenBucket { tokens, filled_at: now, requested_per_s: 0.0 }
+    }
+
     /// Takes up to `wanted` tokens and returns how many were available.
     fn take(&mut self, now: TimePoint, rate_per_s: f64, burst: f64, wanted: u32) -> u32 {
-        let earned = now.since(self.filled_at).as_secs_f64() * rate_per_s;
+        let elapsed_s = now.since(self.filled_at).as_secs_f64();
+        let earned = elapsed_s * rate_per_s;
         self.filled_at = now;
+        self.requested_per_s *= (-elapsed_s / REQUEST_RATE_WINDOW_S).exp();
+        self.requested_per_s += f64::from(wanted) / REQUEST_RATE_WINDOW_S;
         self.tokens = (self.tokens + earned).min(burst.max(1.0));
         let taken = wanted.min(self.tokens as u32);
         self.tokens -= f64::from(taken);
         taken
     }
+
+    /// Puts back tokens of requests that have not run, reduced to the share of the requests that is within the rate and
+    /// the burst.
+    fn put_back(&mut self, rate_per_s: f64, burst: f64, n_tokens: u32) {
+        let allowed_per_s = rate_per_s + burst / REQUEST_RATE_WINDOW_S;
+        let share = (allowed_per_s / self.requested_per_s.max(f64::MIN_POSITIVE)).min(1.0);
+        self.tokens = (self.tokens + f64::from(n_tokens) * share).min(burst.max(1.0));
+    }
 }
 
 /// Token buckets of one daemon: those of the accounts that it owns, and the fallback buckets of others.
@@ -67,11 +84,21 @@
         let bucket = self
             .owned
             .entry(account.name.clone())
-            .or_insert(TokenBucket { tokens: account.burst * INITIAL_BURST_SHARE, filled_at: now });
+            .or_insert_with(|| TokenBucket::new(now, account.burst * INITIAL_BURST_SHARE));
         let reachable = 1.0 - n_unreachable as f64 / n_daemons.max(1) as f64;
         bucket.take(now, account.rate_per_s * reachable, account.burst * reachable, wanted)
     }
 
+    /// Takes back tokens as the account's quota owner, for requests that have not run.
+    ///
+    /// The further an account is over its rate, the fewer of them are put back: its excess requests would otherwise reach
+    /// admission control repeatedly, at the expense of other accounts.
+    pub fn put_back_as_owner(&mut self, account: &AccountPolicy, n_tokens: u32) {
+        if let Some(bucket) = self.owned.get_mut(&account.name) {
+            bucket.put_back(account.rate_per_s, account.burst, n_tokens);
+        }
+    }
+
     /// Removes the buckets of accounts that this daemon no longer owns. If it becomes their owner again, it cannot know
     /// how many tokens were spent in between.
     pub fn retain_owned<F>(&mut self, is_owner: F)
@@ -93,7 +120,7 @@
         let bucket = self
             .fallbacks
             .entry(account.name.clone())
-            .or_insert(TokenBucket { tokens: 1.0, filled_at: now });
+            .or_insert_with(|| TokenBucket::new(now, 1.0));
         bucket.take(now, account.rate_per_s * share, account.burst * share, wanted)
     }
 }
@@ -183,15 +210,6 @@
         }
     }
 
-    /// Returns the token of a call that has not run. The token is dropped while the account is over its rate.
-    pub fn return_token(&mut self, now: TimePoint, account: &AccountName) {
-        let tokens = self.accounts.entry(account.clone()).or_default();
-        if now < tokens.denied_until.plus(OVER_RATE_TIME) {
-            return;
-        }
-        tokens.unused.push_back(now.plus(TOKEN_TTL));
-    }
-
     /// Clears the outstanding request of an account whose quota owner has not replied, so that the next call sends a new
     /// one.
     pub fn clear_pending_request(&mut self, account: &AccountName) {
--- a/crates/ivytrail/src/mesh/quota_flow.rs
+++ b/crates/ivytrail/src/mesh/quota_flow.rs
@@ -150,14 +150,27 @@
         self.refuse(step, id, RefusalReason::OverQuota, retry_after);
     }
 
-    /// Returns the token of a call that has not run to the cache for the account's next call. The cache drops it while
-    /// the account is over its rate, since the account's excess requests would otherwise reach admission control
-    /// repeatedly, at the expense of other accounts.
-    pub(super) fn return_token(&mut self, now: TimePoint, call: &EntryCall) {
-        if let Some(account) =
-            call.account.as_ref().filter(|_| call.has_token && !call.may_have_run)
-        {
-            self.token_cache.return_token(now, &account.name);
+    /// Returns the token of a call that has not run to the account's quota owner. In a large fleet, the account's next
+    /// request probably reaches another daemon, so that a token kept here would be lost to it.
+    pub(super) fn return_token(&mut self, step: &mut ReducerStep<'_>, call: &EntryCall) {
+        let Some(account) = call.account.as_ref().filter(|_| call.has_token && !call.may_have_run)
+        else {
+            return;
+        };
+        match self.quota_owner(&account.name) {
+            Some(owner) if owner != self.options.member.instance => {
+                let frame = PeerFrame::QuotaReturn { account: account.name.clone(), n_tokens: 1 };
+                step.send(&owner, frame, Bytes::new());
+            }
+            _ => self.quotas.put_back_as_owner(account, 1),
+        }
+    }
+
+    /// Takes back the tokens that another daemon returns to this one as the account's quota owner.
+    pub(super) fn take_back_tokens(&mut self, name: &AccountName, n_tokens: u32) {
+        let account = self.settings.as_ref().and_then(|it| it.account(name)).cloned();
+        if let Some(account) = account.filter(|it| 0.0 < it.rate_per_s) {
+            self.quotas.put_back_as_owner(&account, n_tokens);
         }
     }
 }
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -457,6 +457,28 @@
     assert!((18..=31).contains(&n_served), "{n_served} served, {n_denied} denied");
 }
 
+/// In a large fleet each entry sees few requests of an account. A request that was refused for want of slots at one entry
+/// must not use up the quota for requests at the others.
+#[test]
+fn the_token_of_a_refused_request_serves_a_request_at_another_entry() {
+    let mut fleet = TestFleet::start();
+    fleet.set_quota(0.1, 5.0);
+    for daemon in [1, 3] {
+        let mut draining = server_advertisement(daemon, "booking");
+        draining.phase = ServerPhase::Draining;
+        fleet.apply(daemon, MeshEvent::ServerAnnounced { advertisement: draining, sequence: 9 });
+    }
+
+    let refusals = [0, 1, 2, 3].map(|entry| {
+        fleet.call(entry, call_of(1 + entry as u64, "book"));
+        refused(fleet.answer_of(1 + entry as u64))
+    });
+    fleet.call(1, call_of(9, "track"));
+
+    assert!(refusals.iter().all(|it| it.1 == RefusalReason::NoUpstream), "{refusals:?}");
+    assert_eq!(fleet.only_run().request.request_id, "r9");
+}
+
 /// A client whose request exceeds its account's rate must be able to retry while a response is still within the target
 /// latency.
 #[test]
