Refuse roots at the entry whose calls servers will reject

Guards now measure the share of rejections and tell it with their load, at once when it changes by a fifth; entries multiply the chances over a root's expected calls and admit a route only in part where the chance is under a quarter. Roots that make no calls there, or one, are untouched. Considered: fitting the admitted roots to the repeats that the fleet's budget still has; nested calls may spend half of it, some 15 bookings a second. Tests (load: a leaf that rejects with free slots): roots_whose_calls_will_be_rejected_are_refused_at_the_entry, rejections_that_retries_make_up_for_refuse_no_root, the_gate_opens_as_the_rejections_end, mesh::rejection_share.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -31,6 +31,7 @@
 pub mod quota;
 mod quota_flow;
 pub mod rate_limiter;
+mod rejection_share;
 pub mod retry_budget;
 mod run_outcome;
 mod server_announcements;
@@ -391,6 +392,8 @@
         let me = self.options.member.instance.clone();
         if self.links.advertisement_interval() <= step.now.since(self.state_published_at) {
             self.publish_state(step);
+        } else if self.guard.rejections.take_change(step.now) {
+            self.publish_advertisement(step);
         }
         if self.demand_exchange.is_due(step.now) {
             self.exchange_demand(step);
--- a/crates/ivytrail/src/mesh/admission.rs
+++ b/crates/ivytrail/src/mesh/admission.rs
@@ -9,6 +9,9 @@
 //! daemons compute the same shares from the same inputs.
 //!
 //! The computed shares are corrected by the measured pressure on the slots, since reports lag and servers differ.
+//!
+//! Where servers reject requests although they have slots, a chain with many calls there has little chance to complete.
+//! Its root requests are then refused as well, until the rejections end.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -57,6 +60,10 @@
 const MIN_DELAY_SHARE: f64 = 0.8;
 /// Iterations of the bisection for the cost allowance.
 const SEARCH_STEPS: usize = 24;
+/// Share of rejected requests that retries at other servers make up for.
+const REPAIRED_REJECTIONS: f64 = 0.05;
+/// Chance of completion below which only part of a route's requests are admitted.
+const MIN_CHANCE: f64 = 0.25;
 /// Smallest share of its requests that a route keeps, so that no route starves.
 const MIN_SHARE: f64 = 0.02;
 
@@ -78,6 +85,8 @@
     pub slots: f64,
     /// Mean pressure on the slots, from 0 to 1.
     pub pressure: f64,
+    /// Mean share of requests that the servers reject unexecuted, from 0 to 1.
+    pub rejected: f64,
 }
 
 type DemandKey = (RouteName, QueueRank);
@@ -113,7 +122,7 @@
 /// Slot time offered to a service, and its capacity.
 #[derive(Clone, Debug, Display)]
 #[display(
-    "{service}:offered={offered:.0}/slots={slots:.0}/pressure={pressure:.2}/trim={correction:.2}"
+    "{service}:offered={offered:.0}/slots={slots:.0}/pressure={pressure:.2}/trim={correction:.2}/rejected={rejected:.2}"
 )]
 struct ServiceUsage {
     service: ServiceName,
@@ -121,6 +130,7 @@
     slots: f64,
     pressure: f64,
     correction: f64,
+    rejected: f64,
 }
 
 /// Moving average of a request rate.
@@ -239,6 +249,7 @@
                 slots: slots.slots,
                 pressure: slots.pressure,
                 correction: *correction,
+                rejected: slots.rejected,
             });
             fit_shares(
                 &offers,
@@ -247,6 +258,10 @@
                 &mut shares,
             );
         }
+        for (offer, share) in offers.iter().zip(&mut shares) {
+            let chance = offer.chance(|service| slots_of(service).rejected);
+            *share = share.min(chance / MIN_CHANCE);
+        }
         self.shares = offers
             .into_iter()
             .zip(shares)
@@ -313,6 +328,18 @@
         self.demand.get(service).map_or(0.0, |it| it.slot_time_s)
     }
 
+    /// Returns the chance that none of a request's calls, and not the request itself, is rejected by a server.
+    fn chance<R>(&self, rejected_share: R) -> f64
+    where
+        R: Fn(&ServiceName) -> f64,
+    {
+        let chances = self.demand.iter().map(|(service, demand)| {
+            let rejected = (rejected_share(service) - REPAIRED_REJECTIONS).max(0.0);
+            (1.0 - rejected).powf(demand.n_arrivals)
+        });
+        chances.product()
+    }
+
     /// Returns the admitted share of requests that cost `cost_s`, given that requests of the lowest priority are admitted
     /// in full up to a cost of `allowance_s`.
     fn share_at(&self, cost_s: f64, allowance_s: f64) -> f64 {
--- a/crates/ivytrail/src/mesh/admission/tests.rs
+++ b/crates/ivytrail/src/mesh/admission/tests.rs
@@ -50,23 +50,25 @@
             }
         }
         controller.update(step, &costs(), |service| match service.as_str() {
-            SERVICE => ServiceSlots { slots: quoting_slots, pressure },
-            _ => ServiceSlots { slots: 1_000.0, pressure: 0.0 },
+            SERVICE => ServiceSlots { slots: quoting_slots, pressure, rejected: 0.0 },
+            _ => ServiceSlots { slots: 1_000.0, ..ServiceSlots::default() },
         });
     }
     controller
 }
 
+/// Load within the capacity of 162 slots at the leaf.
+const LIGHT: [(&str, u8, u32); 4] =
+    [("track", 2, 230), ("book", 0, 110), ("release", 0, 90), ("quote", 2, 60)];
+
 const HEAVY: [(&str, u8, u32); 4] =
     [("track", 2, 500), ("book", 0, 250), ("release", 0, 190), ("quote", 2, 130)];
 
 #[test]
 fn all_requests_are_admitted_within_capacity() {
-    let light = [("track", 2, 230), ("book", 0, 110), ("release", 0, 90), ("quote", 2, 60)];
-
-    let controller = controller_under(&light, 162.0, 0.0);
+    let controller = controller_under(&LIGHT, 162.0, 0.0);
 
-    for (route, priority, _) in light {
+    for (route, priority, _) in LIGHT {
         assert_eq!(controller.admitted_share(&route.into(), root(priority)), 1.0, "{route}");
     }
 }
@@ -119,7 +121,7 @@
 
     controller.update(Duration::from_millis(100), &costs(), |_| ServiceSlots {
         slots: SHORT_SLOTS,
-        pressure: 0.0,
+        ..ServiceSlots::default()
     });
 
     assert_eq!(controller.admitted_share(&"book".into(), rank(0)), 1.0);
@@ -127,6 +129,51 @@
     assert!((0.2..0.6).contains(&track), "track {track}");
 }
 
+/// Returns a controller after three seconds of a load within capacity, followed by an update in which the leaf's servers
+/// reject a share of what reaches them.
+fn controller_under_rejections(rejected: f64) -> AdmissionController {
+    let mut controller = controller_under(&LIGHT, 162.0, 0.0);
+    controller.update(Duration::from_millis(100), &costs(), |service| match service.as_str() {
+        SERVICE => ServiceSlots { slots: 162.0, pressure: 0.0, rejected },
+        _ => ServiceSlots { slots: 1_000.0, ..ServiceSlots::default() },
+    });
+    controller
+}
+
+/// All servers of the leaf reject more than half of what reaches them while they have free slots. A chain that makes
+/// eight calls there ends unserved, and the slots above are wasted.
+#[test]
+fn roots_whose_calls_will_be_rejected_are_refused_at_the_entry() {
+    let controller = controller_under_rejections(0.55);
+
+    assert_eq!(controller.admitted_share(&"track".into(), root(2)), MIN_SHARE);
+    assert_eq!(controller.admitted_share(&"book".into(), root(0)), MIN_SHARE);
+    assert_eq!(controller.admitted_share(&"release".into(), root(0)), 1.0, "it makes no calls");
+    assert_eq!(controller.admitted_share(&"quote".into(), root(2)), 1.0, "it needs one run there");
+}
+
+#[test]
+fn rejections_that_retries_make_up_for_refuse_no_root() {
+    for rejected in [0.0, 0.05, 0.15] {
+        let controller = controller_under_rejections(rejected);
+
+        for (route, priority, _) in LIGHT {
+            let share = controller.admitted_share(&route.into(), root(priority));
+            assert_eq!(share, 1.0, "{route} at {rejected}");
+        }
+    }
+}
+
+#[test]
+fn the_gate_opens_as_the_rejections_end() {
+    let shares = [0.55, 0.4, 0.3, 0.2].map(|rejected| {
+        controller_under_rejections(rejected).admitted_share(&"track".into(), root(2))
+    });
+
+    assert!(shares.is_sorted(), "{shares:?}");
+    assert_eq!(shares[3], 1.0);
+}
+
 /// Two thirds of the leaf's servers are lost.
 #[test]
 fn urgent_roots_are_shed_last_and_no_route_starves() {
@@ -163,7 +210,7 @@
     controller.set_remote_demand(vec![demand]);
     controller.update(Duration::from_millis(100), &costs(), |_| ServiceSlots {
         slots: 162.0,
-        pressure: 0.0,
+        ..ServiceSlots::default()
     });
 
     assert!(controller.admitted_share(&"track".into(), root(2)) < 0.7);
@@ -221,8 +268,8 @@
     let before = controller.admitted_share(&"track".into(), root(2));
 
     controller.update(Duration::from_millis(100), &costs(), |service| match service.as_str() {
-        SERVICE => ServiceSlots { slots: 81.0, pressure: 1.0 },
-        _ => ServiceSlots { slots: 1_000.0, pressure: 0.0 },
+        SERVICE => ServiceSlots { slots: 81.0, pressure: 1.0, rejected: 0.0 },
+        _ => ServiceSlots { slots: 1_000.0, ..ServiceSlots::default() },
     });
 
     let after = controller.admitted_share(&"track".into(), root(2));
@@ -231,9 +278,7 @@
 
 #[test]
 fn the_correction_returns_to_one_after_an_overload() {
-    let light = [("track", 2, 230), ("book", 0, 110), ("release", 0, 90), ("quote", 2, 60)];
-
-    let controller = controller_under(&light, 162.0, 0.0);
+    let controller = controller_under(&LIGHT, 162.0, 0.0);
 
     assert!(
         controller.corrections.values().all(|correction| (correction - 1.0).abs() < 1e-6),
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -84,6 +84,8 @@
     pub pressure: u16,
     /// Rate of requests that the backend server accepts; `limit` takes it into account.
     pub request_limit: RequestLimit,
+    /// Recent share of requests that the backend server rejected unexecuted, from 0 to 1000.
+    pub rejected: u16,
 }
 
 /// Rate of requests that a backend server accepts from all instances together.
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -20,6 +20,7 @@
     },
     log_limit::LogPriority,
     queue::{QueueRank, RootPriority, SlotDecision, SlotQueue, SlotRequest},
+    rejection_share::RejectionShare,
 };
 use crate::{
     id::{AttemptId, ContentDigest, MemberId, RouteName},
@@ -74,6 +75,7 @@
     runs_by_request: HashMap<SmolStr, RunId>,
     /// Time of the last failure of a nested call whose parent run is unknown.
     orphan_call_failed_at: Option<TimePoint>,
+    pub(super) rejections: RejectionShare,
     /// Measures the costs of the routes that run at this guard.
     pub(super) cost_estimator: CostEstimator,
 }
@@ -92,6 +94,7 @@
             mean_run_us: u32::try_from(mean_run_time.as_micros()).unwrap_or(u32::MAX),
             pressure: (self.queue.pressure() * 1_000.0) as u16,
             request_limit: self.notice.request_limit,
+            rejected: (self.rejections.get() * 1_000.0) as u16,
         }
     }
 
@@ -433,6 +436,7 @@
 
     pub(super) fn tick_runs(&mut self, step: &mut ReducerStep<'_>) {
         self.guard.ended.expire(step.now);
+        self.guard.rejections.decay(step.now);
         if self.guard.target_limit(step.now) != self.guard.queue.limit() {
             self.update_limit(step);
         }
--- a/crates/ivytrail/src/mesh/picker.rs
+++ b/crates/ivytrail/src/mesh/picker.rs
@@ -158,18 +158,22 @@
         }
     }
 
-    /// Returns the total slots and mean pressure of a service's available servers. Of a server that is warming up only
-    /// part of the slots count.
+    /// Returns the total slots, mean pressure and mean share of rejections of a service's available servers. Of a server
+    /// that is warming up only part of the slots count.
     pub fn slots_of(&self, now: TimePoint, service: &ServiceName) -> ServiceSlots {
         let mut total = ServiceSlots::default();
-        let mut pressure_sum = 0.0;
+        let (mut pressure_sum, mut rejected_sum) = (0.0, 0.0);
         for record in self.available_servers(service) {
             let limit = f64::from(record.load.limit);
             let usable = if now < record.warm_up_until { limit / WARM_UP_FACTOR } else { limit };
             total.slots += usable;
             pressure_sum += usable * f64::from(record.load.pressure) / 1_000.0;
+            rejected_sum += usable * f64::from(record.load.rejected) / 1_000.0;
+        }
+        if 0.0 < total.slots {
+            total.pressure = pressure_sum / total.slots;
+            total.rejected = rejected_sum / total.slots;
         }
-        total.pressure = if 0.0 < total.slots { pressure_sum / total.slots } else { 0.0 };
         total
     }
 
--- a/crates/ivytrail/src/mesh/run_outcome.rs
+++ b/crates/ivytrail/src/mesh/run_outcome.rs
@@ -23,6 +23,7 @@
         let fingerprint = ended.request.fingerprint;
         match end {
             RunEnd::Answered { status, .. } => {
+                self.guard.rejections.record(step.now, false);
                 if *status < 500 {
                     let started = ended.started_at.unwrap_or(ended.arrived_at);
                     let hold_s = step.now.since(started).as_secs_f64();
@@ -49,7 +50,8 @@
                 self.guard.paused_until = step.now.plus(REFUSED_CONNECTION_COOLDOWN);
                 self.update_limit(step);
             }
-            RunEnd::Rejected { .. } | RunEnd::TimedOut => {}
+            RunEnd::Rejected { .. } => self.guard.rejections.record(step.now, true),
+            RunEnd::TimedOut => {}
         }
     }
 
