Tell the first costs of routes at once, and known ones to daemons that connect

Cause: costs were told with the regular reports, every 1.9 s at 95 daemons. For two seconds after a start of the whole fleet under load, and at a daemon that restarts, nothing was known to cost anything and all roots were admitted. A guard reports a route's cost after its third run now, and sends the costs that it knows on each link that another daemon opens. Tests: the_first_cost_of_a_route_is_due_after_a_few_runs_and_once, a_restarted_daemon_learns_the_costs_of_routes_with_its_links.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -390,7 +390,9 @@
         }
         self.admission_updated_at = step.now;
         let me = self.options.member.instance.clone();
-        if self.links.advertisement_interval() <= step.now.since(self.state_published_at) {
+        let is_state_due =
+            self.links.advertisement_interval() <= step.now.since(self.state_published_at);
+        if is_state_due || self.guard.cost_estimator.has_first_cost() {
             self.publish_state(step);
         } else if self.guard.rejections.take_change(step.now) {
             self.publish_advertisement(step);
--- a/crates/ivytrail/src/mesh/cost.rs
+++ b/crates/ivytrail/src/mesh/cost.rs
@@ -26,6 +26,8 @@
 const MIN_RUNS_PER_S: f64 = 1e-3;
 /// Lower bound on the time between two reports in the computation of rates, in seconds.
 const MIN_REPORT_INTERVAL_S: f64 = 1e-2;
+/// Number of runs after which the first cost of a route is reported without waiting for the next regular report.
+const FIRST_REPORT_RUNS: u64 = 3;
 /// Lower bound on the time for which a run holds a slot, in seconds.
 const MIN_HOLD_S: f64 = 1e-4;
 
@@ -57,6 +59,8 @@
     cost: RouteCost,
     n_runs: u64,
     n_unreported: u64,
+    /// Whether a cost based on [`FIRST_REPORT_RUNS`] runs was reported.
+    is_reported: bool,
 }
 
 impl CostEstimator {
@@ -76,6 +80,18 @@
         estimate.record_run(hold_s, calls);
     }
 
+    /// Returns whether a route has a first cost that should be reported now. After a start of the whole fleet, no daemon
+    /// can refuse what it can't serve before it knows the costs.
+    pub fn has_first_cost(&self) -> bool {
+        self.estimates.values().any(RouteEstimate::is_first_due)
+    }
+
+    /// Returns the costs of all known routes as last reported, for a daemon that has just connected.
+    pub fn known_costs(&self) -> Vec<RouteCost> {
+        let reported = self.estimates.values().filter(|it| it.is_reported);
+        reported.map(|it| it.cost.clone()).collect()
+    }
+
     /// Returns the costs of all known routes, to be reported to other daemons.
     pub fn report(&mut self, now: TimePoint) -> Vec<RouteCost> {
         let elapsed_s = now.since(self.reported_at).as_secs_f64().max(MIN_REPORT_INTERVAL_S);
@@ -88,7 +104,11 @@
     fn new(route: RouteName, service: ServiceName, hold_s: f64) -> RouteEstimate {
         let cost =
             RouteCost { route, service, hold_s, calls: Vec::new(), runs_per_s: MIN_RUNS_PER_S };
-        RouteEstimate { cost, n_runs: 0, n_unreported: 0 }
+        RouteEstimate { cost, n_runs: 0, n_unreported: 0, is_reported: false }
+    }
+
+    fn is_first_due(&self) -> bool {
+        !self.is_reported && FIRST_REPORT_RUNS <= self.n_runs
     }
 
     fn record_run(&mut self, hold_s: f64, calls: &[(RouteName, u32)]) {
@@ -112,6 +132,7 @@
     }
 
     fn report(&mut self, elapsed_s: f64) -> RouteCost {
+        self.is_reported |= FIRST_REPORT_RUNS <= self.n_runs;
         let gain = 1.0 - (-elapsed_s / RATE_WINDOW.as_secs_f64()).exp();
         let sample = std::mem::take(&mut self.n_unreported) as f64 / elapsed_s;
         let rate = self.cost.runs_per_s + gain * (sample - self.cost.runs_per_s);
--- a/crates/ivytrail/src/mesh/cost/tests.rs
+++ b/crates/ivytrail/src/mesh/cost/tests.rs
@@ -93,3 +93,25 @@
     assert!(demand[&ServiceName::from("booking")].n_arrivals < 0.05);
     assert!(0.95 < demand[&ServiceName::from("tracker")].n_arrivals);
 }
+
+/// All daemons start anew under load: the first few runs of each route must be told at once.
+#[test]
+fn the_first_cost_of_a_route_is_due_after_a_few_runs_and_once() {
+    let mut estimator = CostEstimator::default();
+    let run = |estimator: &mut CostEstimator| {
+        estimator.record_run(&"track".into(), &"tracker".into(), 0.2, &[("ledger".into(), 2)]);
+    };
+
+    run(&mut estimator);
+    let is_due_after_one = estimator.has_first_cost();
+    run(&mut estimator);
+    run(&mut estimator);
+    let is_due_after_three = estimator.has_first_cost();
+    let known_before = estimator.known_costs();
+    estimator.report(TimePoint::from_millis(500));
+
+    assert!(!is_due_after_one && is_due_after_three);
+    assert!(!estimator.has_first_cost());
+    assert!(known_before.is_empty());
+    assert_eq!(estimator.known_costs().len(), 1);
+}
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -293,6 +293,10 @@
         }
         self.abandon_runs_of_earlier_incarnations(step, &advertisement.member);
         self.record_advertisement(step, advertisement);
+        let costs = self.guard.cost_estimator.known_costs();
+        if !costs.is_empty() {
+            step.send_on_inbound(&instance, PeerFrame::Costs { costs }, Bytes::new());
+        }
         if !self.links.get(&instance).is_some_and(|it| it.is_open) {
             self.picker.set_reachable(&instance, false);
         }
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -56,6 +56,22 @@
     assert!(fleet.daemon(0).is_ready());
 }
 
+/// A daemon that restarts beside a running fleet must not wait for the next report to know what requests cost.
+#[test]
+fn a_restarted_daemon_learns_the_costs_of_routes_with_its_links() {
+    let mut fleet = TestFleet::start();
+    for id in 100..110 {
+        fleet.call_and_answer(0, call_of(id, "track"));
+    }
+    fleet.advance(Duration::from_millis(600));
+    fleet.crash(3);
+
+    fleet.rejoin(3);
+
+    let demand = fleet.daemon(3).costs.demand_of(&"track".into());
+    assert!(demand.contains_key(&"tracker".into()), "{demand:?}");
+}
+
 #[test]
 fn settings_of_an_older_version_are_ignored() {
     let mut fleet = TestFleet::start();
