Ask roots whose calls would be rejected to return later

They are asked to return after half of the target latency, which leaves time for the run; other refusals keep a quarter. Test: a_root_refused_for_rejections_is_asked_to_return_later_than_one_refused_ for_slots.

--- a/crates/ivytrail/src/mesh/admission.rs
+++ b/crates/ivytrail/src/mesh/admission.rs
@@ -14,7 +14,7 @@
 //! Its root requests are then refused as well, until the rejections end.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
@@ -64,6 +64,10 @@
 const REPAIRED_REJECTIONS: f64 = 0.05;
 /// Chance of completion below which only part of a route's requests are admitted.
 const MIN_CHANCE: f64 = 0.25;
+/// Fraction of the route's target latency after which a client should retry a request that was not admitted.
+pub(super) const REFUSAL_RETRY_FRACTION: f64 = 0.25;
+/// The same fraction for a request that was refused because servers would reject its calls.
+const REJECTED_RETRY_FRACTION: f64 = 0.5;
 /// Smallest share of its requests that a route keeps, so that no route starves.
 const MIN_SHARE: f64 = 0.02;
 
@@ -102,6 +106,8 @@
     corrections: HashMap<ServiceName, f64>,
     /// Admitted shares that are below 1.
     shares: HashMap<DemandKey, f64>,
+    /// Keys whose share is limited because servers would reject their calls.
+    rejected_keys: HashSet<DemandKey>,
     /// Admission credit of each key in `shares`: a request earns its share, and an admission costs 1.
     credits: HashMap<DemandKey, f64>,
     /// Demand and capacity of each service at the last update, for the log.
@@ -225,6 +231,15 @@
         self.shares.get(&(route.clone(), rank)).copied().unwrap_or(1.0)
     }
 
+    /// Returns the fraction of the target latency after which a refused request of a route should be retried. Free slots
+    /// are found again within moments, while rejections by servers tend to last.
+    pub fn retry_fraction(&self, route: &RouteName, rank: QueueRank) -> f64 {
+        match self.rejected_keys.contains(&(route.clone(), rank)) {
+            true => REJECTED_RETRY_FRACTION,
+            false => REFUSAL_RETRY_FRACTION,
+        }
+    }
+
     /// Recomputes the shares; `elapsed` is the time since the last update.
     pub fn update<S>(&mut self, elapsed: Duration, costs: &CostModel, slots_of: S)
     where
@@ -258,9 +273,13 @@
                 &mut shares,
             );
         }
+        self.rejected_keys.clear();
         for (offer, share) in offers.iter().zip(&mut shares) {
             let chance = offer.chance(|service| slots_of(service).rejected);
-            *share = share.min(chance / MIN_CHANCE);
+            if chance / MIN_CHANCE < *share {
+                *share = chance / MIN_CHANCE;
+                self.rejected_keys.insert(offer.key.clone());
+            }
         }
         self.shares = offers
             .into_iter()
--- a/crates/ivytrail/src/mesh/admission/tests.rs
+++ b/crates/ivytrail/src/mesh/admission/tests.rs
@@ -152,6 +152,18 @@
     assert_eq!(controller.admitted_share(&"quote".into(), root(2)), 1.0, "it needs one run there");
 }
 
+/// Rejections last longer than a shortage of slots: who returns too soon is refused a second time, which is final.
+#[test]
+fn a_root_refused_for_rejections_is_asked_to_return_later_than_one_refused_for_slots() {
+    let at_rejections = controller_under_rejections(0.55);
+    let at_shortage = controller_under(&HEAVY, 54.0, 0.0);
+
+    let fraction = |it: &AdmissionController| it.retry_fraction(&"track".into(), root(2));
+
+    assert!(at_shortage.admitted_share(&"track".into(), root(2)) < 1.0);
+    assert!(fraction(&at_shortage) < fraction(&at_rejections));
+}
+
 #[test]
 fn rejections_that_retries_make_up_for_refuse_no_root() {
     for rejected in [0.0, 0.05, 0.15] {
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -28,8 +28,6 @@
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Fraction of the route's target latency that a client request may wait for a slot.
 const ROOT_QUEUE_WAIT_FRACTION: f64 = 0.125;
-/// Fraction of the route's target latency after which a client should retry a request that was not admitted.
-pub(super) const REFUSAL_RETRY_FRACTION: f64 = 0.25;
 /// Fraction of the remaining time that a nested call may wait for a slot.
 const NESTED_QUEUE_WAIT_FRACTION: f64 = 0.6;
 /// Maximum number of further guards that a call is sent to after a refusal.
@@ -159,7 +157,8 @@
             self.record_expected_calls(step.now, id);
             return self.dispatch(step, id);
         }
-        let wait = self.jitter(target_latency.mul_f64(REFUSAL_RETRY_FRACTION));
+        let retry_fraction = self.admission.retry_fraction(&route, rank);
+        let wait = self.jitter(target_latency.mul_f64(retry_fraction));
         self.admission.record_refusal(step.now, fingerprint, wait);
         if self.log_limit.allows(step.now, LogPriority::Notable) {
             step.log(format!(
--- a/crates/ivytrail/src/mesh/quota_flow.rs
+++ b/crates/ivytrail/src/mesh/quota_flow.rs
@@ -6,7 +6,8 @@
 
 use super::{
     MeshReducer, ReducerStep,
-    entry::{CallStage, EntryCall, REFUSAL_RETRY_FRACTION},
+    admission::REFUSAL_RETRY_FRACTION,
+    entry::{CallStage, EntryCall},
     frame::PeerFrame,
     log_limit::LogPriority,
     policy::AccountPolicy,
