--- a/crates/ivytrail/src/mesh/admission.rs
+++ b/crates/ivytrail/src/mesh/admission.rs
@@ -9,9 +9,12 @@
 //! daemons compute the same shares from the same inputs.
 //!
 //! The computed shares are corrected by the measured pressure on the slots, since reports lag and servers differ.
+//!
+//! Where servers reject requests although they have slots, a chain with many calls there has little chance to complete.
+//! Its root requests are then refused as well, until the rejections end.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
@@ -20,22 +23,23 @@
 
 use super::{
     cost::{CostModel, ServiceDemand},
-    queue::QueueRank,
+    queue::{QueueRank, RootPriority},
 };
 use crate::{
-    id::{ContentDigest, InstanceName, RouteName, ServiceName},
+    id::{ContentDigest, RouteName, ServiceName},
     time::TimePoint,
 };
 
 /// Share of a service's slots that admitted root requests may use on average; the rest absorbs bursts.
 const TARGET_UTILISATION: f64 = 0.95;
-/// Ratio between the slot time granted to requests of one rank and that of the next less urgent one.
-const RANK_FACTOR: f64 = 6.0;
+/// Ratio between the shares of requests of one account priority and those of the next less urgent one.
+const ACCOUNT_PRIORITY_FACTOR: f64 = 6.0;
+/// Ratio between the shares of requests of one route priority and those of the next less urgent one, within the same
+/// account priority. Two steps weigh as much as one step of the account's priority, which takes precedence.
+const ROUTE_PRIORITY_FACTOR: f64 = 2.45;
 /// Exponent by which the share of a route falls with its cost: 0 gives all routes of a rank the same share, 1 the same
 /// slot time. The latter serves most requests but starves the costly routes.
 const COST_EXPONENT: f64 = 0.7;
-/// Least urgent priority that is distinguished; requests beyond it are treated like it.
-const LOWEST_PRIORITY: u8 = 6;
 /// Time constant of the moving average of the offered rates.
 const DEMAND_WINDOW: Duration = Duration::from_millis(800);
 /// Pressure above which the correction shrinks.
@@ -56,6 +60,14 @@
 const MIN_DELAY_SHARE: f64 = 0.8;
 /// Iterations of the bisection for the cost allowance.
 const SEARCH_STEPS: usize = 24;
+/// Share of rejected requests that retries at other servers make up for.
+const REPAIRED_REJECTIONS: f64 = 0.05;
+/// Chance of completion below which only part of a route's requests are admitted.
+const MIN_CHANCE: f64 = 0.25;
+/// Fraction of the route's target latency after which a client should retry a request that was not admitted.
+pub(super) const REFUSAL_RETRY_FRACTION: f64 = 0.25;
+/// The same fraction for a request that was refused because servers would reject its calls.
+const REJECTED_RETRY_FRACTION: f64 = 0.5;
 /// Smallest share of its requests that a route keeps, so that no route starves.
 const MIN_SHARE: f64 = 0.02;
 
@@ -77,6 +89,8 @@
     pub slots: f64,
     /// Mean pressure on the slots, from 0 to 1.
     pub pressure: f64,
+    /// Mean share of requests that the servers reject unexecuted, from 0 to 1.
+    pub rejected: f64,
 }
 
 type DemandKey = (RouteName, QueueRank);
@@ -86,12 +100,14 @@
 pub struct AdmissionController {
     /// Demand at this daemon.
     local: HashMap<DemandKey, OfferedRate>,
-    /// Demand reported by other daemons.
-    remote: HashMap<InstanceName, Vec<RouteDemand>>,
+    /// Demand at all other daemons.
+    remote: Vec<RouteDemand>,
     /// Factor on each service's slots, adapted to the measured pressure.
     corrections: HashMap<ServiceName, f64>,
     /// Admitted shares that are below 1.
     shares: HashMap<DemandKey, f64>,
+    /// Keys whose share is limited because servers would reject their calls.
+    rejected_keys: HashSet<DemandKey>,
     /// Admission credit of each key in `shares`: a request earns its share, and an admission costs 1.
     credits: HashMap<DemandKey, f64>,
     /// Demand and capacity of each service at the last update, for the log.
@@ -112,7 +128,7 @@
 /// Slot time offered to a service, and its capacity.
 #[derive(Clone, Debug, Display)]
 #[display(
-    "{service}:offered={offered:.0}/slots={slots:.0}/pressure={pressure:.2}/trim={correction:.2}"
+    "{service}:offered={offered:.0}/slots={slots:.0}/pressure={pressure:.2}/trim={correction:.2}/rejected={rejected:.2}"
 )]
 struct ServiceUsage {
     service: ServiceName,
@@ -120,6 +136,7 @@
     slots: f64,
     pressure: f64,
     correction: f64,
+    rejected: f64,
 }
 
 /// Moving average of a request rate.
@@ -176,14 +193,9 @@
         }
     }
 
-    /// Replaces the demand reported by another daemon.
-    pub fn record_demand(&mut self, instance: &InstanceName, demand: Vec<RouteDemand>) {
-        self.remote.insert(instance.clone(), demand);
-    }
-
-    /// Removes the demand of a daemon that is no longer reachable.
-    pub fn remove_daemon(&mut self, instance: &InstanceName) {
-        self.remote.remove(instance);
+    /// Replaces the demand at all other daemons. Routes and ranks may occur several times.
+    pub fn set_remote_demand(&mut self, demand: Vec<RouteDemand>) {
+        self.remote = demand;
     }
 
     /// Returns the demand at this daemon, to be reported to the others.
@@ -219,6 +231,15 @@
         self.shares.get(&(route.clone(), rank)).copied().unwrap_or(1.0)
     }
 
+    /// Returns the fraction of the target latency after which a refused request of a route should be retried. Free slots
+    /// are found again within moments, while rejections by servers tend to last.
+    pub fn retry_fraction(&self, route: &RouteName, rank: QueueRank) -> f64 {
+        match self.rejected_keys.contains(&(route.clone(), rank)) {
+            true => REJECTED_RETRY_FRACTION,
+            false => REFUSAL_RETRY_FRACTION,
+        }
+    }
+
     /// Recomputes the shares; `elapsed` is the time since the last update.
     pub fn update<S>(&mut self, elapsed: Duration, costs: &CostModel, slots_of: S)
     where
@@ -243,6 +264,7 @@
                 slots: slots.slots,
                 pressure: slots.pressure,
                 correction: *correction,
+                rejected: slots.rejected,
             });
             fit_shares(
                 &offers,
@@ -251,6 +273,14 @@
                 &mut shares,
             );
         }
+        self.rejected_keys.clear();
+        for (offer, share) in offers.iter().zip(&mut shares) {
+            let chance = offer.chance(|service| slots_of(service).rejected);
+            if chance / MIN_CHANCE < *share {
+                *share = chance / MIN_CHANCE;
+                self.rejected_keys.insert(offer.key.clone());
+            }
+        }
         self.shares = offers
             .into_iter()
             .zip(shares)
@@ -277,7 +307,7 @@
         for (key, rate) in &self.local {
             *total.entry(key.clone()).or_default() += rate.per_s;
         }
-        for demand in self.remote.values().flatten() {
+        for demand in &self.remote {
             let key = (demand.route.clone(), QueueRank(demand.rank));
             *total.entry(key).or_default() += demand.per_s;
         }
@@ -317,12 +347,27 @@
         self.demand.get(service).map_or(0.0, |it| it.slot_time_s)
     }
 
+    /// Returns the chance that none of a request's calls, and not the request itself, is rejected by a server.
+    fn chance<R>(&self, rejected_share: R) -> f64
+    where
+        R: Fn(&ServiceName) -> f64,
+    {
+        let chances = self.demand.iter().map(|(service, demand)| {
+            let rejected = (rejected_share(service) - REPAIRED_REJECTIONS).max(0.0);
+            (1.0 - rejected).powf(demand.n_arrivals)
+        });
+        chances.product()
+    }
+
     /// Returns the admitted share of requests that cost `cost_s`, given that requests of the lowest priority are admitted
     /// in full up to a cost of `allowance_s`.
     fn share_at(&self, cost_s: f64, allowance_s: f64) -> f64 {
         let (_, rank) = &self.key;
-        let steps = i32::from(LOWEST_PRIORITY.saturating_sub(rank.priority()));
-        ((allowance_s / cost_s).powf(COST_EXPONENT) * RANK_FACTOR.powi(steps)).min(1.0)
+        let priority = rank.priority();
+        let steps_above = |priority: u8| i32::from(RootPriority::LOWEST - priority);
+        let urgency = ACCOUNT_PRIORITY_FACTOR.powi(steps_above(priority.account()))
+            * ROUTE_PRIORITY_FACTOR.powi(steps_above(priority.route()));
+        ((allowance_s / cost_s).powf(COST_EXPONENT) * urgency).min(1.0)
     }
 }
 
@@ -344,7 +389,7 @@
         return;
     }
     // Bisects the logarithm of the allowance between values that admit nothing and everything.
-    let (mut low, mut high) = (-18.0_f64, 6.0_f64);
+    let (mut low, mut high) = (-36.0_f64, 6.0_f64);
     for _ in 0..SEARCH_STEPS {
         let middle = (low + high) / 2.0;
         match used_at(middle.exp()) <= slots {
--- a/crates/ivytrail/src/mesh/admission/tests.rs
+++ b/crates/ivytrail/src/mesh/admission/tests.rs
@@ -28,7 +28,7 @@
 }
 
 fn root(priority: u8) -> QueueRank {
-    QueueRank::of_root(priority)
+    QueueRank::of_root(RootPriority::of_route(priority))
 }
 
 /// Returns a controller after three seconds of requests at this entry alone, given as route, priority and requests per
@@ -50,23 +50,25 @@
             }
         }
         controller.update(step, &costs(), |service| match service.as_str() {
-            SERVICE => ServiceSlots { slots: quoting_slots, pressure },
-            _ => ServiceSlots { slots: 1_000.0, pressure: 0.0 },
+            SERVICE => ServiceSlots { slots: quoting_slots, pressure, rejected: 0.0 },
+            _ => ServiceSlots { slots: 1_000.0, ..ServiceSlots::default() },
         });
     }
     controller
 }
 
+/// Load within the capacity of 162 slots at the leaf.
+const LIGHT: [(&str, u8, u32); 4] =
+    [("track", 2, 230), ("book", 0, 110), ("release", 0, 90), ("quote", 2, 60)];
+
 const HEAVY: [(&str, u8, u32); 4] =
     [("track", 2, 500), ("book", 0, 250), ("release", 0, 190), ("quote", 2, 130)];
 
 #[test]
 fn all_requests_are_admitted_within_capacity() {
-    let light = [("track", 2, 230), ("book", 0, 110), ("release", 0, 90), ("quote", 2, 60)];
-
-    let controller = controller_under(&light, 162.0, 0.0);
+    let controller = controller_under(&LIGHT, 162.0, 0.0);
 
-    for (route, priority, _) in light {
+    for (route, priority, _) in LIGHT {
         assert_eq!(controller.admitted_share(&route.into(), root(priority)), 1.0, "{route}");
     }
 }
@@ -106,6 +108,84 @@
     assert!((1.3..1.8).contains(&ratio), "{ratio}");
 }
 
+/// All accounts have the same priority of their own, and the leaf is offered half again as much work as it has slots for.
+#[test]
+fn the_most_urgent_routes_of_accounts_with_equal_priority_are_shed_last() {
+    let mut controller = AdmissionController::default();
+    let rank = |route: u8| QueueRank::of_root(RootPriority::of_account(1, route));
+    let demand =
+        |name: &str, route, per_s| RouteDemand { route: name.into(), rank: rank(route).0, per_s };
+    let demands =
+        vec![demand("track", 2, 500.0), demand("book", 0, 250.0), demand("quote", 2, 130.0)];
+    controller.set_remote_demand(demands);
+
+    controller.update(Duration::from_millis(100), &costs(), |_| ServiceSlots {
+        slots: SHORT_SLOTS,
+        ..ServiceSlots::default()
+    });
+
+    assert_eq!(controller.admitted_share(&"book".into(), rank(0)), 1.0);
+    let track = controller.admitted_share(&"track".into(), rank(2));
+    assert!((0.2..0.6).contains(&track), "track {track}");
+}
+
+/// Returns a controller after three seconds of a load within capacity, followed by an update in which the leaf's servers
+/// reject a share of what reaches them.
+fn controller_under_rejections(rejected: f64) -> AdmissionController {
+    let mut controller = controller_under(&LIGHT, 162.0, 0.0);
+    controller.update(Duration::from_millis(100), &costs(), |service| match service.as_str() {
+        SERVICE => ServiceSlots { slots: 162.0, pressure: 0.0, rejected },
+        _ => ServiceSlots { slots: 1_000.0, ..ServiceSlots::default() },
+    });
+    controller
+}
+
+/// All servers of the leaf reject more than half of what reaches them while they have free slots. A chain that makes
+/// eight calls there ends unserved, and the slots above are wasted.
+#[test]
+fn roots_whose_calls_will_be_rejected_are_refused_at_the_entry() {
+    let controller = controller_under_rejections(0.55);
+
+    assert_eq!(controller.admitted_share(&"track".into(), root(2)), MIN_SHARE);
+    assert_eq!(controller.admitted_share(&"book".into(), root(0)), MIN_SHARE);
+    assert_eq!(controller.admitted_share(&"release".into(), root(0)), 1.0, "it makes no calls");
+    assert_eq!(controller.admitted_share(&"quote".into(), root(2)), 1.0, "it needs one run there");
+}
+
+/// Rejections last longer than a shortage of slots: who returns too soon is refused a second time, which is final.
+#[test]
+fn a_root_refused_for_rejections_is_asked_to_return_later_than_one_refused_for_slots() {
+    let at_rejections = controller_under_rejections(0.55);
+    let at_shortage = controller_under(&HEAVY, 54.0, 0.0);
+
+    let fraction = |it: &AdmissionController| it.retry_fraction(&"track".into(), root(2));
+
+    assert!(at_shortage.admitted_share(&"track".into(), root(2)) < 1.0);
+    assert!(fraction(&at_shortage) < fraction(&at_rejections));
+}
+
+#[test]
+fn rejections_that_retries_make_up_for_refuse_no_root() {
+    for rejected in [0.0, 0.05, 0.15] {
+        let controller = controller_under_rejections(rejected);
+
+        for (route, priority, _) in LIGHT {
+            let share = controller.admitted_share(&route.into(), root(priority));
+            assert_eq!(share, 1.0, "{route} at {rejected}");
+        }
+    }
+}
+
+#[test]
+fn the_gate_opens_as_the_rejections_end() {
+    let shares = [0.55, 0.4, 0.3, 0.2].map(|rejected| {
+        controller_under_rejections(rejected).admitted_share(&"track".into(), root(2))
+    });
+
+    assert!(shares.is_sorted(), "{shares:?}");
+    assert_eq!(shares[3], 1.0);
+}
+
 /// Two thirds of the leaf's servers are lost.
 #[test]
 fn urgent_roots_are_shed_last_and_no_route_starves() {
@@ -139,10 +219,10 @@
     assert_eq!(controller.admitted_share(&"track".into(), root(2)), 1.0);
 
     let demand = RouteDemand { route: "track".into(), rank: root(2).0, per_s: 1_400.0 };
-    controller.record_demand(&"i-2".into(), vec![demand]);
+    controller.set_remote_demand(vec![demand]);
     controller.update(Duration::from_millis(100), &costs(), |_| ServiceSlots {
         slots: 162.0,
-        pressure: 0.0,
+        ..ServiceSlots::default()
     });
 
     assert!(controller.admitted_share(&"track".into(), root(2)) < 0.7);
@@ -200,8 +280,8 @@
     let before = controller.admitted_share(&"track".into(), root(2));
 
     controller.update(Duration::from_millis(100), &costs(), |service| match service.as_str() {
-        SERVICE => ServiceSlots { slots: 81.0, pressure: 1.0 },
-        _ => ServiceSlots { slots: 1_000.0, pressure: 0.0 },
+        SERVICE => ServiceSlots { slots: 81.0, pressure: 1.0, rejected: 0.0 },
+        _ => ServiceSlots { slots: 1_000.0, ..ServiceSlots::default() },
     });
 
     let after = controller.admitted_share(&"track".into(), root(2));
@@ -210,9 +290,7 @@
 
 #[test]
 fn the_correction_returns_to_one_after_an_overload() {
-    let light = [("track", 2, 230), ("book", 0, 110), ("release", 0, 90), ("quote", 2, 60)];
-
-    let controller = controller_under(&light, 162.0, 0.0);
+    let controller = controller_under(&LIGHT, 162.0, 0.0);
 
     assert!(
         controller.corrections.values().all(|correction| (correction - 1.0).abs() < 1e-6),
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -12,7 +12,9 @@
 
 use crate::{
     id::{AccountName, ContentDigest, DomainName, InstanceName, MemberId, RouteName, ServiceName},
-    mesh::{admission::RouteDemand, cost::RouteCost},
+    mesh::{
+        admission::RouteDemand, cost::RouteCost, demand_exchange::DomainDemand, queue::RootPriority,
+    },
     message::{CallOutcome, RefusalReason},
     quarantine::EvidenceRecord,
 };
@@ -82,6 +84,8 @@
     pub pressure: u16,
     /// Rate of requests that the backend server accepts; `limit` takes it into account.
     pub request_limit: RequestLimit,
+    /// Recent share of requests that the backend server rejected unexecuted, from 0 to 1000.
+    pub rejected: u16,
 }
 
 /// Rate of requests that a backend server accepts from all instances together.
@@ -134,7 +138,7 @@
     /// Rank in the guard's queue; see [`super::queue::QueueRank`].
     pub rank: u8,
     /// Priority of the root request, which its nested calls inherit.
-    pub priority: u8,
+    pub priority: RootPriority,
     /// Time since the fleet received the root request, in microseconds.
     pub root_age_us: u64,
     /// Time left until the attempt's deadline, in microseconds.
@@ -248,6 +252,13 @@
         /// Number of tokens granted.
         granted: u32,
     },
+    /// Returns tokens of requests that have not run to the account's quota owner.
+    QuotaReturn {
+        /// Account that the tokens are for.
+        account: AccountName,
+        /// Number of tokens returned.
+        n_tokens: u32,
+    },
     /// Requests the receiver's active settings.
     #[serde(rename = "SettingsAsk")]
     SettingsRequest,
@@ -256,10 +267,18 @@
         /// Version of the settings.
         version: u64,
     },
-    /// Reports the demand that the sender receives and the route costs that it has measured.
+    /// Reports the demand that the sender receives to the collector of its failure domain.
     Demand {
         /// Client requests that the sender receives.
         demand: Vec<RouteDemand>,
+    },
+    /// Reports the demand on failure domains.
+    DomainDemands {
+        /// Demand on each domain; that on the receiver's domain leaves out the receiver.
+        sums: Vec<DomainDemand>,
+    },
+    /// Reports the route costs that the sender has measured.
+    Costs {
         /// Costs of the routes that the sender's backend server runs.
         costs: Vec<RouteCost>,
     },
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -56,6 +56,22 @@
     assert!(fleet.daemon(0).is_ready());
 }
 
+/// A daemon that restarts beside a running fleet must not wait for the next report to know what requests cost.
+#[test]
+fn a_restarted_daemon_learns_the_costs_of_routes_with_its_links() {
+    let mut fleet = TestFleet::start();
+    for id in 100..110 {
+        fleet.call_and_answer(0, call_of(id, "track"));
+    }
+    fleet.advance(Duration::from_millis(600));
+    fleet.crash(3);
+
+    fleet.rejoin(3);
+
+    let demand = fleet.daemon(3).costs.demand_of(&"track".into());
+    assert!(demand.contains_key(&"tracker".into()), "{demand:?}");
+}
+
 #[test]
 fn settings_of_an_older_version_are_ignored() {
     let mut fleet = TestFleet::start();
@@ -457,6 +473,28 @@
     assert!((18..=31).contains(&n_served), "{n_served} served, {n_denied} denied");
 }
 
+/// In a large fleet each entry sees few requests of an account. A request that was refused for want of slots at one entry
+/// must not use up the quota for requests at the others.
+#[test]
+fn the_token_of_a_refused_request_serves_a_request_at_another_entry() {
+    let mut fleet = TestFleet::start();
+    fleet.set_quota(0.1, 5.0);
+    for daemon in [1, 3] {
+        let mut draining = server_advertisement(daemon, "booking");
+        draining.phase = ServerPhase::Draining;
+        fleet.apply(daemon, MeshEvent::ServerAnnounced { advertisement: draining, sequence: 9 });
+    }
+
+    let refusals = [0, 1, 2, 3].map(|entry| {
+        fleet.call(entry, call_of(1 + entry as u64, "book"));
+        refused(fleet.answer_of(1 + entry as u64))
+    });
+    fleet.call(1, call_of(9, "track"));
+
+    assert!(refusals.iter().all(|it| it.1 == RefusalReason::NoUpstream), "{refusals:?}");
+    assert_eq!(fleet.only_run().request.request_id, "r9");
+}
+
 /// A client whose request exceeds its account's rate must be able to retry while a response is still within the target
 /// latency.
 #[test]
