Count rejections only once half of a service's slots are at servers that reject

Cause: the share of rejections was a mean over all servers. On a service of three, one that rejects most of what reaches it would have kept roots out at the entry, although requests avoid it. Test: rejections_count_once_half_of_the_slots_are_at_servers_that_ reject; two of its cases give 0.3 and 0.25 with the mean.

--- a/crates/ivytrail/src/mesh/admission.rs
+++ b/crates/ivytrail/src/mesh/admission.rs
@@ -89,7 +89,7 @@
     pub slots: f64,
     /// Mean pressure on the slots, from 0 to 1.
     pub pressure: f64,
-    /// Mean share of requests that the servers reject unexecuted, from 0 to 1.
+    /// Share of requests that the better half of the servers reject unexecuted, from 0 to 1.
     pub rejected: f64,
 }
 
@@ -275,7 +275,7 @@
         }
         self.rejected_keys.clear();
         for (offer, share) in offers.iter().zip(&mut shares) {
-            let chance = offer.chance(|service| slots_of(service).rejected);
+            let chance = offer.chance(&self.usage);
             if chance / MIN_CHANCE < *share {
                 *share = chance / MIN_CHANCE;
                 self.rejected_keys.insert(offer.key.clone());
@@ -348,13 +348,10 @@
     }
 
     /// Returns the chance that none of a request's calls, and not the request itself, is rejected by a server.
-    fn chance<R>(&self, rejected_share: R) -> f64
-    where
-        R: Fn(&ServiceName) -> f64,
-    {
-        let chances = self.demand.iter().map(|(service, demand)| {
-            let rejected = (rejected_share(service) - REPAIRED_REJECTIONS).max(0.0);
-            (1.0 - rejected).powf(demand.n_arrivals)
+    fn chance(&self, usage: &[ServiceUsage]) -> f64 {
+        let chances = usage.iter().map(|it| {
+            let n_arrivals = self.demand.get(&it.service).map_or(0.0, |demand| demand.n_arrivals);
+            (1.0 - (it.rejected - REPAIRED_REJECTIONS).max(0.0)).powf(n_arrivals)
         });
         chances.product()
     }
--- a/crates/ivytrail/src/mesh/picker.rs
+++ b/crates/ivytrail/src/mesh/picker.rs
@@ -158,21 +158,22 @@
         }
     }
 
-    /// Returns the total slots, mean pressure and mean share of rejections of a service's available servers. Of a server
-    /// that is warming up only part of the slots count.
+    /// Returns the total slots and mean pressure of a service's available servers, and the share of requests that they
+    /// reject. Of a server that is warming up only part of the slots count.
     pub fn slots_of(&self, now: TimePoint, service: &ServiceName) -> ServiceSlots {
         let mut total = ServiceSlots::default();
-        let (mut pressure_sum, mut rejected_sum) = (0.0, 0.0);
+        let mut pressure_sum = 0.0;
+        let mut rejections = Vec::new();
         for record in self.available_servers(service) {
             let limit = f64::from(record.load.limit);
             let usable = if now < record.warm_up_until { limit / WARM_UP_FACTOR } else { limit };
             total.slots += usable;
             pressure_sum += usable * f64::from(record.load.pressure) / 1_000.0;
-            rejected_sum += usable * f64::from(record.load.rejected) / 1_000.0;
+            rejections.push((record.load.rejected, usable));
         }
         if 0.0 < total.slots {
             total.pressure = pressure_sum / total.slots;
-            total.rejected = rejected_sum / total.slots;
+            total.rejected = rejected_by_better_half(rejections, total.slots);
         }
         total
     }
@@ -290,6 +291,18 @@
     }
 }
 
+/// Returns the greatest share of rejections among the servers that reject least and together have half of the slots, from
+/// shares in thousandths and slots. Requests avoid the other servers.
+fn rejected_by_better_half(mut rejections: Vec<(u16, f64)>, total_slots: f64) -> f64 {
+    rejections.sort_unstable_by_key(|(rejected, _)| *rejected);
+    let mut n_slots = 0.0;
+    let half = rejections.into_iter().find(|(_, slots)| {
+        n_slots += slots;
+        total_slots / 2.0 <= n_slots
+    });
+    half.map_or(0.0, |(rejected, _)| f64::from(rejected) / 1_000.0)
+}
+
 impl ServerRecord {
     fn is_available(&self) -> bool {
         self.is_reachable && !self.is_leaving && self.phase == ServerPhase::Ready
--- a/crates/ivytrail/src/mesh/picker/tests.rs
+++ b/crates/ivytrail/src/mesh/picker/tests.rs
@@ -198,3 +198,25 @@
 
     assert_eq!(pick(&picker, NOW, &[]).as_deref(), Some("a"));
 }
+
+/// Returns the share of rejections of a service whose servers report these shares, in thousandths.
+fn rejected_by(shares: &[u16]) -> f64 {
+    let names: Vec<String> = (0..shares.len()).map(|idx| format!("server-{idx}")).collect();
+    let mut picker =
+        picker_of(&names.iter().map(|it| advertisement(it, "kolkata")).collect::<Vec<_>>());
+    for (name, rejected) in names.iter().zip(shares) {
+        let load = ServerLoad { limit: 10, rejected: *rejected, ..ServerLoad::default() };
+        picker.set_load(&name.as_str().into(), load);
+    }
+    picker.slots_of(NOW, &"booking".into()).rejected
+}
+
+/// A few servers that reject what reaches them are avoided; when all do, there is nowhere else to go.
+#[test]
+fn rejections_count_once_half_of_the_slots_are_at_servers_that_reject() {
+    assert_eq!(rejected_by(&[0, 0, 900]), 0.0);
+    assert_eq!(rejected_by(&[100, 0, 900, 0]), 0.0);
+    assert_eq!(rejected_by(&[600, 500, 550]), 0.55);
+    assert_eq!(rejected_by(&[0, 550, 600]), 0.55);
+    assert_eq!(rejected_by(&[]), 0.0);
+}
