Refuse late requests that a stopping daemon may not be able to finish

Cause: a daemon that is told to stop while its clients have nowhere else to go (most daemons of the domain stop) accepted requests until 3 s before the end of its grace time, whatever their time limit, and exits 0.5 s before it. Client requests are accepted without a condition for 2.8 s, as before; after that only if their time limit fits into what is left. The others are refused as not run, with the time of the exit as the time to come back. Calls of the local backend server are accepted as before. Considered: closing the listener sooner, which leaves such clients without any answer. Test: a_stopping_daemon_refuses_requests_that_it_may_not_finish, failed before (the request ran).

--- a/crates/ivytrail-daemon/src/mesh.rs
+++ b/crates/ivytrail-daemon/src/mesh.rs
@@ -107,11 +107,11 @@
             _ = signals.terminate.recv() => {
                 shutdown.get_or_insert_with(ShutdownProgress::start);
                 log::info!("event=stop_requested signal=SIGTERM");
-                driver.apply(MeshEvent::StopRequested);
+                driver.apply(MeshEvent::StopRequested { exit_within: exit_within(&file.settings) });
             }
             _ = signals.interrupt.recv() => {
                 shutdown.get_or_insert_with(ShutdownProgress::start);
-                driver.apply(MeshEvent::StopRequested);
+                driver.apply(MeshEvent::StopRequested { exit_within: exit_within(&file.settings) });
             }
             _ = signals.hang_up.recv() => {
                 log::info!("event=reload_requested signal=SIGHUP");
@@ -134,6 +134,11 @@
     }
 }
 
+/// Returns the time after a request to shut down at which the daemon exits even if requests are still open.
+fn exit_within(settings: &MeshSettings) -> Duration {
+    settings.shutdown_grace.saturating_sub(EXIT_MARGIN)
+}
+
 struct SignalSet {
     terminate: Signal,
     interrupt: Signal,
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -98,7 +98,7 @@
     settings: Option<Arc<FleetSettings>>,
     /// The active settings as stored in the platform's table, sent to peers that request them.
     settings_document: Bytes,
-    is_leaving: bool,
+    shutdown: Option<ShutdownPlan>,
     /// Whether the daemon advertises that its guard accepts no more attempts.
     is_guard_closed: bool,
     links: PeerLinks,
@@ -122,6 +122,14 @@
     rng: SmallRng,
 }
 
+/// Times of a requested shutdown.
+#[derive(Clone, Copy, Debug)]
+struct ShutdownPlan {
+    requested_at: TimePoint,
+    /// Time at which the process exits even if requests are still open.
+    exit_at: TimePoint,
+}
+
 /// Context of one reducer step: the current time and the list that collects effects.
 struct ReducerStep<'o> {
     now: TimePoint,
@@ -148,7 +156,7 @@
         MeshReducer {
             settings: None,
             settings_document: Bytes::new(),
-            is_leaving: false,
+            shutdown: None,
             is_guard_closed: false,
             links: PeerLinks::default(),
             picker: ServerPicker::new(options.domain.clone()),
@@ -209,7 +217,7 @@
                 self.apply_settings(&mut step, settings, document);
             }
             MeshEvent::PeersDiscovered(peers) => self.add_peers(&mut step, peers),
-            MeshEvent::StopRequested => self.start_leaving(&mut step),
+            MeshEvent::StopRequested { exit_within } => self.start_leaving(&mut step, exit_within),
             MeshEvent::GuardClosed => self.close_guard(&mut step),
             MeshEvent::Tick => self.tick(&mut step),
         }
@@ -217,7 +225,7 @@
 
     /// Returns whether the daemon can serve clients: it has settings and isn't shutting down.
     pub fn is_ready(&self) -> bool {
-        self.settings.is_some() && !self.is_leaving
+        self.settings.is_some() && !self.is_leaving()
     }
 
     /// Returns whether no call or attempt is in progress, so that the daemon can exit without interrupting one.
@@ -232,7 +240,7 @@
 
     /// Returns whether the daemon has begun to shut down.
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving
+        self.shutdown.is_some()
     }
 
     /// Returns the daemon's instance and incarnation.
@@ -322,16 +330,17 @@
         }
     }
 
-    fn start_leaving(&mut self, step: &mut ReducerStep<'_>) {
-        if self.is_leaving {
+    fn start_leaving(&mut self, step: &mut ReducerStep<'_>, exit_within: Duration) {
+        if self.shutdown.is_some() {
             return;
         }
-        self.is_leaving = true;
-        step.log("event=leaving".to_string());
+        let (requested_at, exit_at) = (step.now, step.now.plus(exit_within));
+        self.shutdown = Some(ShutdownPlan { requested_at, exit_at });
+        step.log(format!("event=leaving exit_within_ms={}", exit_within.as_millis()));
     }
 
     fn close_guard(&mut self, step: &mut ReducerStep<'_>) {
-        self.start_leaving(step);
+        self.start_leaving(step, Duration::ZERO);
         if !self.is_guard_closed {
             self.is_guard_closed = true;
             step.log(format!("event=guard_closed running={}", self.guard.attempts.len()));
--- a/crates/ivytrail/src/mesh/event.rs
+++ b/crates/ivytrail/src/mesh/event.rs
@@ -184,7 +184,10 @@
     /// The platform's table lists other daemons.
     PeersDiscovered(Vec<PeerAddress>),
     /// The process received a signal to shut down.
-    StopRequested,
+    StopRequested {
+        /// Time after which the process exits even if requests are still open.
+        exit_within: Duration,
+    },
     /// The guard stops accepting attempts, because the daemon is about to exit.
     GuardClosed,
     /// Periodic timer.
--- a/crates/ivytrail/src/mesh/intake.rs
+++ b/crates/ivytrail/src/mesh/intake.rs
@@ -20,6 +20,10 @@
 
 /// Retry delay sent to callers while the daemon has no settings.
 const NO_SETTINGS_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time after a requested shutdown in which all client requests are accepted.
+const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_800);
+/// Time between the time limit of a client request and the exit of the process that is left for its response.
+const FINISH_MARGIN: Duration = Duration::from_millis(100);
 /// Fraction of a nested call that counts towards the retry budget at the call's own entry; the rest counts at the entry
 /// of its root request.
 const NESTED_CALL_ENTRY_SHARE: f64 = 0.5;
@@ -37,6 +41,12 @@
                 return self.refuse_request(step, &request, reason, retry_after);
             }
         };
+        let time_limit = request.time_limit.unwrap_or(route.timeout).min(route.timeout);
+        if let Some(delay) =
+            self.late_request_delay(step.now, time_limit).filter(|_| account.is_some())
+        {
+            return self.refuse_request(step, &request, RefusalReason::Draining, Some(delay));
+        }
         let fingerprint = fingerprint_of(&request, account.as_ref().map(|it| &it.name));
         if let Some(span) = self.quarantine.remaining_quarantine(step.now, &fingerprint) {
             return self.refuse_request(step, &request, RefusalReason::Quarantined, Some(span));
@@ -57,6 +67,15 @@
         self.check_quota(step, id);
     }
 
+    /// Returns the retry delay for a client request that the process may not be able to finish before it exits, or `None`
+    /// if it may accept the request. Most clients have moved to other daemons by then.
+    fn late_request_delay(&self, now: TimePoint, time_limit: Duration) -> Option<Duration> {
+        let plan = self.shutdown?;
+        let time_left = plan.exit_at.since(now);
+        let is_late = STOP_ACCEPT_TIME <= now.since(plan.requested_at);
+        (is_late && time_left < time_limit + FINISH_MARGIN).then_some(time_left)
+    }
+
     /// Returns the route of a request and the account of its API key; requests on public routes have no account.
     fn find_route_and_account(
         &self,
