Log and count what is known of requests that crash servers

Each piece of evidence that a daemon applies is logged with its origin, the number of crashes that count and the quarantine that follows from it; a request refused for it is logged with its fingerprint, and run_ended names the fingerprint of each run. Metrics: crash_suspects, quarantined_requests, server_crashes. No decision changes.

--- a/crates/ivytrail-daemon/src/mesh/metrics.rs
+++ b/crates/ivytrail-daemon/src/mesh/metrics.rs
@@ -17,7 +17,10 @@
 };
 use tokio::time::Instant;
 
-use super::{driver::MeshDriver, local_api};
+use super::{
+    driver::{MeshDriver, boot_time},
+    local_api,
+};
 use crate::metrics::AnswerLabels;
 
 /// Labels of the counter of ended runs.
@@ -39,6 +42,9 @@
     limit: Gauge,
     links: Gauge,
     settings_version: Gauge,
+    suspects: Gauge,
+    quarantined: Gauge,
+    server_crashes: Gauge,
     settings_watch_age: Gauge<f64, AtomicU64>,
     /// Time of the last response to a request for the configuration.
     table_responded_at: Cell<Instant>,
@@ -80,6 +86,12 @@
             limit: gauge("concurrency_limit", "Requests that may run at once"),
             links: gauge("links_open", "Daemons that can be reached"),
             settings_version: gauge("settings_version", "Version of the settings in force"),
+            suspects: gauge("crash_suspects", "Requests suspected of crashing backend servers"),
+            quarantined: gauge("quarantined_requests", "Suspects that are refused"),
+            server_crashes: gauge(
+                "server_crashes",
+                "Crashes of the own backend server with requests in flight",
+            ),
             settings_watch_age,
             table_responded_at: Cell::new(Instant::now()),
             registry,
@@ -128,6 +140,13 @@
         self.limit.set(i64::from(load.limit));
         self.links.set(i64::try_from(n_links).unwrap_or(i64::MAX));
         self.settings_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        let (n_suspects, n_quarantined, n_crashes) = driver.inspect(|it| {
+            let quarantine = it.quarantine();
+            (quarantine.n_suspects(), quarantine.n_quarantined(boot_time()), it.n_server_crashes())
+        });
+        self.suspects.set(i64::try_from(n_suspects).unwrap_or(i64::MAX));
+        self.quarantined.set(i64::try_from(n_quarantined).unwrap_or(i64::MAX));
+        self.server_crashes.set(i64::try_from(n_crashes).unwrap_or(i64::MAX));
         self.settings_watch_age.set(self.table_responded_at.get().elapsed().as_secs_f64());
         let mut text = String::new();
         // Writing to a string can't fail.
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -263,6 +263,16 @@
         self.guard.load()
     }
 
+    /// Returns the number of crashes of the local backend server that were noticed with requests in flight.
+    pub fn n_server_crashes(&self) -> u64 {
+        self.guard.n_crashes
+    }
+
+    /// Returns the requests that are suspected of crashing backend servers.
+    pub fn quarantine(&self) -> &CrashQuarantine {
+        &self.quarantine
+    }
+
     /// Returns the number of calls that have no response yet.
     pub fn n_calls(&self) -> usize {
         self.entry.len()
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -71,6 +71,8 @@
     pub(super) paused_until: TimePoint,
     /// Time and fingerprint of recent runs whose connection broke.
     pub(super) broken_runs: VecDeque<(TimePoint, ContentDigest)>,
+    /// Number of crashes of the backend server with requests in flight.
+    pub(super) n_crashes: u64,
     /// Running attempts by request identifier.
     runs_by_request: HashMap<SmolStr, RunId>,
     /// Time of the last failure of a nested call whose parent run is unknown.
@@ -299,10 +301,11 @@
         let priority = if is_complete { LogPriority::Routine } else { LogPriority::Notable };
         if self.log_limit.allows(step.now, priority) {
             step.log(format!(
-                "event=run_ended request={} attempt={} route={} waited_ms={} ran_ms={} end={}",
+                "event=run_ended request={} attempt={} route={} fingerprint={:?} waited_ms={} ran_ms={} end={}",
                 ended.request.request_id,
                 ended.id,
                 ended.request.route,
+                ended.request.fingerprint,
                 started.since(ended.arrived_at).as_millis(),
                 step.now.since(started).as_millis(),
                 end.name(),
--- a/crates/ivytrail/src/mesh/intake.rs
+++ b/crates/ivytrail/src/mesh/intake.rs
@@ -49,6 +49,13 @@
         }
         let fingerprint = fingerprint_of(&request, account.as_ref().map(|it| &it.name));
         if let Some(span) = self.quarantine.remaining_quarantine(step.now, &fingerprint) {
+            if self.log_limit.allows(step.now, LogPriority::Notable) {
+                step.log(format!(
+                    "event=request_quarantined request={} fingerprint={fingerprint:?} quarantine_ms={}",
+                    request.request_id,
+                    span.as_millis()
+                ));
+            }
             return self.refuse_request(step, &request, RefusalReason::Quarantined, Some(span));
         }
         let Some(service) = self.choose_target(&route) else {
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -422,7 +422,7 @@
             }
             PeerFrame::ServerLimited { id, per_s } => self.handle_reported_limit(step, &id, per_s),
             PeerFrame::Silent { instance } => self.handle_silence_report(step, &instance),
-            PeerFrame::Evidence(record) => self.quarantine.merge(step.now, &record),
+            PeerFrame::Evidence(record) => self.merge_evidence(step, &record),
         }
     }
 
--- a/crates/ivytrail/src/mesh/run_outcome.rs
+++ b/crates/ivytrail/src/mesh/run_outcome.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use super::{MeshReducer, ReducerStep, event::RunEnd, frame::PeerFrame, guard::GuardAttempt};
+use super::{
+    MeshReducer, ReducerStep, event::RunEnd, frame::PeerFrame, guard::GuardAttempt,
+    log_limit::LogPriority,
+};
 use crate::{id::ContentDigest, quarantine::EvidenceRecord};
 
 /// Time for which a backend server that refuses connections gets no work.
@@ -79,12 +82,37 @@
         );
         step.log(format!("event=server_unreachable in_flight={}", in_flight.len()));
         if !in_flight.is_empty() {
+            self.guard.n_crashes += 1;
             let records = self.quarantine.record_crash(now, &in_flight);
+            for record in &records {
+                self.log_evidence(step, record);
+            }
             self.broadcast_evidence(step, records);
         }
         self.update_limit(step);
     }
 
+    /// Applies evidence from another daemon.
+    pub(super) fn merge_evidence(&mut self, step: &mut ReducerStep<'_>, record: &EvidenceRecord) {
+        self.quarantine.merge(step.now, record);
+        self.log_evidence(step, record);
+    }
+
+    /// Logs evidence that was applied, and what is known of its request since.
+    fn log_evidence(&mut self, step: &mut ReducerStep<'_>, record: &EvidenceRecord) {
+        if !self.log_limit.allows(step.now, LogPriority::Notable) {
+            return;
+        }
+        let (n_crashes, quarantine_ms) = self
+            .quarantine
+            .status(step.now, &record.fingerprint)
+            .map_or((0, 0), |it| (it.n_crashes, it.quarantine.as_millis()));
+        step.log(format!(
+            "event=crash_evidence fingerprint={:?} evidence={} origin={} serial={} crashes={n_crashes} quarantine_ms={quarantine_ms}",
+            record.fingerprint, record.evidence, record.origin, record.serial,
+        ));
+    }
+
     fn broadcast_evidence(&mut self, step: &mut ReducerStep<'_>, records: Vec<EvidenceRecord>) {
         for record in records {
             self.broadcast(step, &PeerFrame::Evidence(record));
--- a/crates/ivytrail/src/quarantine.rs
+++ b/crates/ivytrail/src/quarantine.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -35,10 +36,11 @@
 const N_COMPLETED_SLOTS: usize = 4_096;
 
 /// Evidence of one daemon about one fingerprint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CrashEvidence {
     /// The request was in flight when the backend server crashed.
+    #[display("{}", if *proven { "crashed-alone" } else { "crashed" })]
     Crashed {
         /// Whether it was the only suspect in flight, so that the crash is attributed to it alone.
         #[serde(rename = "alone")]
@@ -46,9 +48,11 @@
     },
     /// The request was in flight when the backend server crashed, but had completed before. One such crash is excused
     /// across all daemons.
+    #[display("excused")]
     Excused,
     /// The request completed after it had become a suspect.
     #[serde(rename = "whole")]
+    #[display("completed")]
     Completed,
 }
 
@@ -65,6 +69,15 @@
     pub evidence: CrashEvidence,
 }
 
+/// What is known of a suspect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectStatus {
+    /// Number of crashes that count against it, at most [`MAX_CRASHES`].
+    pub n_crashes: usize,
+    /// Remaining time for which it is refused; zero if it may run.
+    pub quarantine: Duration,
+}
+
 #[derive(Debug)]
 struct SuspectRecord {
     n_crashes: usize,
@@ -200,6 +213,23 @@
         (now < record.quarantined_until).then(|| record.quarantined_until.since(now))
     }
 
+    /// Returns what is known of a fingerprint, or `None` if it is no suspect.
+    pub fn status(&self, now: TimePoint, fingerprint: &ContentDigest) -> Option<SuspectStatus> {
+        let record = self.suspects.get(fingerprint)?;
+        let quarantine = record.quarantined_until.since(now);
+        Some(SuspectStatus { n_crashes: record.n_crashes, quarantine })
+    }
+
+    /// Returns the number of suspects.
+    pub fn n_suspects(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Returns the number of suspects that are refused at `now`.
+    pub fn n_quarantined(&self, now: TimePoint) -> usize {
+        self.suspects.values().filter(|it| now < it.quarantined_until).count()
+    }
+
     /// Returns whether the fingerprint is a suspect. A suspect may run only if [`CrashQuarantine::try_isolate`] allows
     /// it.
     pub fn is_suspect(&self, fingerprint: &ContentDigest) -> bool {
