Add failing tests of requests that crash backend servers again and again

Directed tests name one way each in which evidence is lost, expires or does not apply. Two process tests play it with real daemons; the stand-in server ends its process at such a request and returns 1.5 s later.

--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of several reducers that exchange frames through an in-memory queue, with injected faults.
 
+mod crash_sessions;
+mod crashing_requests;
 mod fleet;
 mod quota;
 mod random;
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use rand::rngs::SmallRng;
 
 use crate::{
     id::{CallId, ContentDigest, InstanceName, MemberId},
@@ -35,6 +36,9 @@
 /// Slots of each backend server.
 const SLOTS: u32 = 10;
 
+/// Start time of the backend servers that run at the beginning of a test, in milliseconds.
+const INITIAL_SERVER_START_MS: u64 = 1_000;
+
 /// A frame in transit: sender, receiver, header and body.
 pub(super) type FrameInTransit = (usize, usize, (PeerFrame, Bytes));
 
@@ -46,10 +50,31 @@
     run: RunId,
 }
 
+/// Faults of the frames that carry crash evidence.
+pub(super) struct EvidenceFaults {
+    pub(super) rng: SmallRng,
+    /// Longest delay of a frame.
+    pub(super) max_delay: Duration,
+    /// Share of the frames that arrive twice.
+    pub(super) duplicate_share: f64,
+}
+
 /// The daemons, the frames in transit between them and the effects observed so far.
 pub(super) struct TestFleet {
     daemons: Vec<MeshReducer>,
+    /// Services of the daemons' backend servers.
+    services: Vec<&'static str>,
     incarnations: Vec<u64>,
+    /// Start time of each backend server, in milliseconds.
+    server_starts: Vec<u64>,
+    /// Backend servers that accept no connections.
+    down_servers: HashSet<usize>,
+    /// Runs that could not be sent to their backend server, and have not ended yet.
+    unsent_runs: VecDeque<(usize, RunId)>,
+    /// Delays and duplicates crash evidence, if set.
+    evidence_faults: Option<EvidenceFaults>,
+    /// Delayed frames and the time of their delivery.
+    delayed: Vec<(TimePoint, FrameInTransit)>,
     now: TimePoint,
     settings: Arc<FleetSettings>,
     answers: HashMap<u64, CallAnswer>,
@@ -76,7 +101,7 @@
 pub(super) fn server_advertisement(daemon: usize, service: &str) -> ServerAdvertisement {
     ServerAdvertisement {
         id: format!("server-{daemon}").into(),
-        started_at_ms: 1_000,
+        started_at_ms: INITIAL_SERVER_START_MS,
         service: service.into(),
         slots: SLOTS,
         phase: ServerPhase::Ready,
@@ -161,12 +186,12 @@
     name.as_str()[2..].parse().expect("instances are named i-0 to i-3")
 }
 
-fn reducer_of(daemon: usize, incarnation: u64) -> MeshReducer {
+fn reducer_of(daemon: usize, incarnation: u64, service: &str) -> MeshReducer {
     MeshReducer::new(MeshOptions {
         member: MemberId { instance: name_of(daemon), incarnation },
         domain: "kolkata".into(),
         address: format!("10.0.0.{daemon}:7000"),
-        service: SERVICES[daemon].into(),
+        service: service.into(),
         retry_policy: RetryPolicy { ratio: 0.2, window_s: 10.0, base_allowance: 40.0 },
         seed: daemon as u64,
     })
@@ -175,10 +200,21 @@
 impl TestFleet {
     /// Starts four connected daemons that have their backend servers and the settings.
     pub(super) fn start() -> TestFleet {
-        let n_daemons = SERVICES.len();
+        TestFleet::start_with(&SERVICES)
+    }
+
+    /// Starts one connected daemon for each item of `services`, with its backend server and the settings.
+    pub(super) fn start_with(services: &[&'static str]) -> TestFleet {
+        let n_daemons = services.len();
         let mut fleet = TestFleet {
-            daemons: (0..n_daemons).map(|it| reducer_of(it, 1)).collect(),
+            daemons: (0..n_daemons).map(|it| reducer_of(it, 1, services[it])).collect(),
+            services: services.to_vec(),
             incarnations: vec![1; n_daemons],
+            server_starts: vec![INITIAL_SERVER_START_MS; n_daemons],
+            down_servers: HashSet::new(),
+            unsent_runs: VecDeque::new(),
+            evidence_faults: None,
+            delayed: Vec::new(),
             now: TimePoint::from_millis(1_000),
             settings: settings_of(VERSION, 0.0, 0.0),
             answers: HashMap::new(),
@@ -197,10 +233,10 @@
             held: Vec::new(),
             queue: VecDeque::new(),
         };
-        for (daemon, service) in SERVICES.into_iter().enumerate() {
+        for daemon in 0..n_daemons {
             let event = fleet.settings_event(VERSION);
             fleet.apply(daemon, event);
-            let advertisement = server_advertisement(daemon, service);
+            let advertisement = fleet.running_server(daemon);
             fleet.apply(daemon, MeshEvent::ServerAnnounced { advertisement, sequence: 1 });
             let peers = (0..n_daemons)
                 .map(|it| PeerAddress {
@@ -221,6 +257,16 @@
         &self.daemons[daemon]
     }
 
+    pub(super) fn now(&self) -> TimePoint {
+        self.now
+    }
+
+    /// Returns the advertisement of a daemon's backend server in its current run.
+    fn running_server(&self, daemon: usize) -> ServerAdvertisement {
+        let started_at_ms = self.server_starts[daemon];
+        ServerAdvertisement { started_at_ms, ..server_advertisement(daemon, self.services[daemon]) }
+    }
+
     pub(super) fn settings_event(&self, version: u64) -> MeshEvent {
         let settings = if version == VERSION {
             Arc::clone(&self.settings)
@@ -260,6 +306,9 @@
         for effect in effects {
             self.apply_effect(daemon, effect);
         }
+        while let Some((daemon, run)) = self.unsent_runs.pop_front() {
+            self.apply_one(daemon, MeshEvent::RunEnded { run, end: RunEnd::NotSent });
+        }
     }
 
     fn apply_effect(&mut self, daemon: usize, effect: MeshEffect) {
@@ -274,6 +323,11 @@
                 if self.silent_links.contains(&(daemon, index_of(&peer))) => {}
             MeshEffect::SendOnInbound { peer, .. }
                 if self.silent_links.contains(&(index_of(&peer), daemon)) => {}
+            MeshEffect::Send { peer, frame: frame @ PeerFrame::Evidence(_), body }
+                if self.evidence_faults.is_some() =>
+            {
+                self.delay_evidence(&(daemon, index_of(&peer), (frame, body)));
+            }
             MeshEffect::Send { peer, frame, body }
             | MeshEffect::SendOnInbound { peer, frame, body } => {
                 let to = index_of(&peer);
@@ -281,6 +335,9 @@
                     self.queue.push_back((daemon, to, (frame, body)));
                 }
             }
+            MeshEffect::StartRun { run, .. } if self.down_servers.contains(&daemon) => {
+                self.unsent_runs.push_back((daemon, run));
+            }
             MeshEffect::StartRun { run, request, .. } => {
                 let started = TestRun { daemon, request, run };
                 self.started.push(started.clone());
@@ -355,6 +412,7 @@
         let end = self.now.plus(span);
         while self.now < end {
             self.now = self.now.plus(STEP);
+            self.deliver_delayed();
             for daemon in 0..self.daemons.len() {
                 self.apply(daemon, MeshEvent::Tick);
             }
@@ -421,6 +479,11 @@
         self.cancelled.contains(&(run.daemon, run.run))
     }
 
+    /// Returns whether a run has neither ended nor been cancelled.
+    pub(super) fn is_in_progress(&self, run: &TestRun) -> bool {
+        self.runs.iter().any(|it| (it.daemon, it.run) == (run.daemon, run.run))
+    }
+
     pub(super) fn is_redialed(&self, daemon: usize, peer: usize) -> bool {
         self.redialed.contains(&(daemon, name_of(peer)))
     }
--- a/crates/ivytrail/src/mesh/tests/fleet/faults.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet/faults.rs
@@ -1,11 +1,11 @@
 //! Fault injection for the test fleet: broken links, crashed daemons and lost frames.
 
-use super::{
-    FrameInTransit, SERVICES, TestFleet, VERSION, name_of, reducer_of, server_advertisement,
-};
+use rand::RngExt;
+
+use super::{EvidenceFaults, FrameInTransit, TestFleet, VERSION, name_of, reducer_of};
 use crate::{
     id::MemberId,
-    mesh::event::{MeshEvent, PeerAddress},
+    mesh::event::{MeshEvent, PeerAddress, RunEnd},
 };
 
 impl TestFleet {
@@ -33,9 +33,24 @@
         self.link(dialer, acceptor);
     }
 
+    /// Replaces a silent link by a new one, if it is still silent and both daemons run.
+    pub(in super::super) fn redial_silent_link(&mut self, dialer: usize, acceptor: usize) {
+        if self.silent_links.remove(&(dialer, acceptor)) {
+            self.apply(dialer, MeshEvent::OutboundLinkClosed { peer: name_of(acceptor) });
+            self.apply(acceptor, MeshEvent::InboundLinkClosed { peer: name_of(dialer) });
+            self.link(dialer, acceptor);
+        }
+    }
+
+    /// Delays and duplicates the frames with crash evidence from now on.
+    pub(in super::super) fn set_evidence_faults(&mut self, faults: EvidenceFaults) {
+        self.evidence_faults = Some(faults);
+    }
+
     /// Crashes a daemon: its links break, and its runs no longer report their end.
     pub(in super::super) fn crash(&mut self, daemon: usize) {
         self.dead.insert(daemon);
+        self.silent_links.retain(|(a, b)| *a != daemon && *b != daemon);
         self.runs.retain(|it| it.daemon != daemon);
         for other in (0..self.daemons.len()).filter(|it| *it != daemon) {
             self.break_link(daemon, other);
@@ -47,7 +62,7 @@
         self.dead.remove(&daemon);
         self.outbound_muted.remove(&daemon);
         self.incarnations[daemon] += 1;
-        self.daemons[daemon] = reducer_of(daemon, self.incarnations[daemon]);
+        self.daemons[daemon] = reducer_of(daemon, self.incarnations[daemon], self.services[daemon]);
         let peers = (0..self.daemons.len())
             .map(|it| PeerAddress { instance: name_of(it), address: format!("10.0.0.{it}:7000") })
             .collect();
@@ -106,11 +121,59 @@
         self.muted.remove(&daemon);
         let event = self.settings_event(VERSION);
         self.apply(daemon, event);
-        let advertisement = server_advertisement(daemon, SERVICES[daemon]);
-        self.apply(daemon, MeshEvent::ServerAnnounced { advertisement, sequence: 1 });
+        if !self.is_server_down(daemon) {
+            self.announce_server(daemon);
+        }
         self.relink(daemon);
     }
 
+    fn announce_server(&mut self, daemon: usize) {
+        let advertisement = self.running_server(daemon);
+        self.apply(daemon, MeshEvent::ServerAnnounced { advertisement, sequence: 1 });
+    }
+
+    /// Crashes a backend server: its runs break, and it accepts no connections until it is restarted.
+    pub(in super::super) fn crash_server(&mut self, daemon: usize) {
+        self.down_servers.insert(daemon);
+        for run in self.runs().iter().filter(|it| it.daemon == daemon) {
+            self.end_run(run, RunEnd::Broken);
+        }
+    }
+
+    /// Starts a new run of a backend server that has crashed.
+    pub(in super::super) fn restart_server(&mut self, daemon: usize) {
+        self.down_servers.remove(&daemon);
+        self.server_starts[daemon] += 1;
+        self.announce_server(daemon);
+    }
+
+    pub(in super::super) fn is_server_down(&self, daemon: usize) -> bool {
+        self.down_servers.contains(&daemon)
+    }
+
+    /// Puts a frame with crash evidence on its way, with the delay and the copies that the evidence faults cause.
+    pub(super) fn delay_evidence(&mut self, frame: &FrameInTransit) {
+        let Some(faults) = &mut self.evidence_faults else { return };
+        let n_copies = 1 + usize::from(faults.rng.random_bool(faults.duplicate_share));
+        for _ in 0..n_copies {
+            let delay = faults.max_delay.mul_f64(faults.rng.random_range(0.0..1.0));
+            self.delayed.push((self.now.plus(delay), frame.clone()));
+        }
+    }
+
+    /// Delivers the delayed frames that are due, except those on cut links or to or from crashed daemons.
+    pub(super) fn deliver_delayed(&mut self) {
+        let now = self.now;
+        let due: Vec<FrameInTransit> =
+            self.delayed.extract_if(.., |(at, _)| *at <= now).map(|(_, frame)| frame).collect();
+        for frame in due {
+            let (from, to) = (frame.0, frame.1);
+            if !self.is_cut(from, to) && !self.dead.contains(&from) && !self.dead.contains(&to) {
+                self.deliver(frame);
+            }
+        }
+    }
+
     /// Ends a daemon's silence: its links break and are redialed, unless they are cut.
     pub(in super::super) fn unmute(&mut self, daemon: usize) {
         if self.muted.remove(&daemon) {
--- a/tests/src/site/backend.rs
+++ b/tests/src/site/backend.rs
@@ -12,7 +12,12 @@
     prelude::{Depot, Handler, Request, Response},
 };
 use serde_json::json;
-use tokio::{task::JoinHandle, time::Instant};
+use tokio::{
+    runtime::Runtime,
+    sync::mpsc,
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
 
 /// Interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
@@ -22,6 +27,12 @@
 pub const NESTED_CALL_SEGMENT: &str = "/calls/";
 /// Path segment that makes the backend server send a response body without end.
 pub const ENDLESS_SEGMENT: &str = "/endless/";
+/// Path segment of a request that crashes each backend server that runs it, at the end of its processing time.
+pub const CRASH_SEGMENT: &str = "/crash/";
+/// Time from a crash to the next start.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
+/// Interval between attempts to start a backend server again after a crash.
+const RESTART_INTERVAL: Duration = Duration::from_millis(20);
 /// Size of one chunk of an endless body.
 const ENDLESS_CHUNK: &[u8] = &[b'x'; 64 << 10];
 /// Number of slots reported in heartbeats and response headers.
@@ -42,6 +53,9 @@
     leaving_since: Option<Instant>,
     /// Ranges of time in which the server named a limit.
     limit_periods: Vec<LimitPeriod>,
+    /// Times at which a request crashed the server.
+    crashes: Vec<Instant>,
+    is_down: bool,
 }
 
 /// Range of time in which a server named a limit in its responses.
@@ -56,6 +70,14 @@
 }
 
 impl BackendState {
+    /// Returns the identity of the server's current run.
+    fn id(&self, idx: usize) -> String {
+        match self.crashes.len() {
+            0 => format!("server-{idx}"),
+            n_crashes => format!("server-{idx}-{n_crashes}"),
+        }
+    }
+
     /// Returns the headers with which the server reports its state in all responses.
     fn notice_headers(&self) -> Vec<(&'static str, String)> {
         let limit = self.request_limit.map(|it| ("server-limit", it.to_string()));
@@ -64,12 +86,43 @@
     }
 }
 
+/// The listener of a backend server, on a runtime of its own. Dropping it ends all of the server's tasks at once, as the
+/// end of a process does.
+#[derive(Debug)]
+struct BackendProcess {
+    runtime: Option<Runtime>,
+    address: SocketAddr,
+}
+
+impl BackendProcess {
+    async fn start(address: SocketAddr, handler: BackendHandler) -> Result<BackendProcess> {
+        let runtime =
+            tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
+        let mut process = BackendProcess { runtime: None, address };
+        let runtime = process.runtime.insert(runtime);
+        let mut server = runtime.spawn(LocalServer::start(address, handler)).await??;
+        process.address = server.address();
+        // The server lives as long as the runtime.
+        runtime.spawn(async move { server.join().await });
+        Ok(process)
+    }
+}
+
+impl Drop for BackendProcess {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 /// A fake backend server that runs until it is dropped.
 #[derive(Debug)]
 pub struct SiteBackend {
-    server: LocalServer,
+    address: SocketAddr,
     state: Arc<Mutex<BackendState>>,
     heartbeats: JoinHandle<()>,
+    supervisor: JoinHandle<()>,
 }
 
 impl SiteBackend {
@@ -84,20 +137,28 @@
         local_address: SocketAddr,
         caller_address: Option<SocketAddr>,
     ) -> Result<SiteBackend> {
-        let id = format!("server-{idx}");
         let state = Arc::new(Mutex::new(BackendState::default()));
         let client = Client::builder().no_proxy().timeout(CALL_TIMEOUT).build()?;
+        let (crashes, crash_receiver) = mpsc::unbounded_channel();
         let handler =
-            BackendHandler { id: id.clone(), state: Arc::clone(&state), caller_address, client };
-        let server = LocalServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
+            BackendHandler { idx, state: Arc::clone(&state), caller_address, client, crashes };
+        let free_address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let process = BackendProcess::start(free_address, handler.clone()).await?;
+        let address = process.address;
         let heartbeats =
-            send_heartbeats(id, service.to_string(), local_address, Arc::clone(&state));
-        Ok(SiteBackend { server, state, heartbeats: tokio::spawn(heartbeats) })
+            send_heartbeats(idx, service.to_string(), local_address, Arc::clone(&state));
+        let supervisor = restart_after_crashes(process, handler, crash_receiver);
+        Ok(SiteBackend {
+            address,
+            state,
+            heartbeats: tokio::spawn(heartbeats),
+            supervisor: tokio::spawn(supervisor),
+        })
     }
 
     /// Returns the address on which it accepts requests.
     pub fn address(&self) -> SocketAddr {
-        self.server.address()
+        self.address
     }
 
     /// Reports the draining phase in all further heartbeats.
@@ -137,6 +198,11 @@
         self.state.lock().arrivals.clone()
     }
 
+    /// Returns the times at which a request crashed the server.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.state.lock().crashes.clone()
+    }
+
     /// Returns the number of runs of one request at this server.
     pub fn n_runs_of(&self, request_id: &str) -> usize {
         self.state.lock().runs.get(request_id).copied().unwrap_or(0)
@@ -156,26 +222,61 @@
 impl Drop for SiteBackend {
     fn drop(&mut self) {
         self.heartbeats.abort();
+        self.supervisor.abort();
+    }
+}
+
+/// Ends the server's process at each crash, and starts it again at the same address.
+async fn restart_after_crashes(
+    process: BackendProcess,
+    handler: BackendHandler,
+    mut crashes: mpsc::UnboundedReceiver<Instant>,
+) {
+    let address = process.address;
+    let mut process = Some(process);
+    while let Some(at) = crashes.recv().await {
+        {
+            let mut state = handler.state.lock();
+            state.crashes.push(at);
+            state.is_down = true;
+        }
+        process.take();
+        sleep(CRASH_DOWNTIME).await;
+        // Reports of other requests that were in flight at the same crash.
+        while crashes.try_recv().is_ok() {}
+        while process.is_none() {
+            // The port is free again as soon as the former process has ended.
+            process = BackendProcess::start(address, handler.clone()).await.ok();
+            sleep(RESTART_INTERVAL).await;
+        }
+        handler.state.lock().is_down = false;
     }
 }
 
 async fn send_heartbeats(
-    id: String,
+    idx: usize,
     service: String,
     local_address: SocketAddr,
     state: Arc<Mutex<BackendState>>,
 ) {
     let client = Client::new();
     for sequence in 1_u64.. {
-        let phase = if state.lock().is_draining { "draining" } else { "ready" };
+        let (id, phase, is_down, n_crashes) = {
+            let state = state.lock();
+            let phase = if state.is_draining { "draining" } else { "ready" };
+            (state.id(idx), phase, state.is_down, state.crashes.len())
+        };
         let body = json!({
             "service": service, "address": "127.0.0.1:1", "zone": "kolkata", "version": "v1",
-            "slots": REPORTED_SLOTS, "phase": phase, "warmup_left": 0, "sequence": sequence, "born": 1_000,
+            "slots": REPORTED_SLOTS, "phase": phase, "warmup_left": 0, "sequence": sequence,
+            "born": 1_000 + n_crashes,
         });
         let url = format!("http://{local_address}/Instances.Heartbeat/{id}");
-        // A daemon that is down receives a later heartbeat.
-        let _ = client.post(url).json(&body).send().await;
-        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        if !is_down {
+            // A daemon that is down receives a later heartbeat.
+            let _ = client.post(url).json(&body).send().await;
+        }
+        sleep(HEARTBEAT_INTERVAL).await;
     }
 }
 
@@ -189,11 +290,14 @@
     }
 }
 
+#[derive(Clone)]
 struct BackendHandler {
-    id: String,
+    idx: usize,
     state: Arc<Mutex<BackendState>>,
     caller_address: Option<SocketAddr>,
     client: Client,
+    /// Receives the time at which a request crashes the server.
+    crashes: mpsc::UnboundedSender<Instant>,
 }
 
 impl BackendHandler {
@@ -228,7 +332,8 @@
                 res.headers_mut().insert(name, value);
             }
         };
-        set_header("x-ivytrail-instance-id", &self.id);
+        let id = self.state.lock().id(self.idx);
+        set_header("x-ivytrail-instance-id", &id);
         set_header("x-ivytrail-server-load", &format!("0,0,{REPORTED_SLOTS}"));
         for (name, value) in self.state.lock().notice_headers() {
             set_header(name, &value);
@@ -239,7 +344,7 @@
         let request_id = header("x-ivytrail-request-id");
         set_header("x-ivytrail-request-id", &request_id);
         self.state.lock().arrivals.push((Instant::now(), request_id.clone()));
-        if header("x-ivytrail-expected-instance") != self.id {
+        if header("x-ivytrail-expected-instance") != id {
             res.status_code(StatusCode::MISDIRECTED_REQUEST);
             return;
         }
@@ -263,7 +368,12 @@
                 state.protocol_violations.push(format!("{request_id}: {problem}"));
             }
         }
-        tokio::time::sleep(processing_time(&path)).await;
+        sleep(processing_time(&path)).await;
+        if path.contains(CRASH_SEGMENT) {
+            // The receiver lives as long as the backend server, which ends here.
+            let _ = self.crashes.send(Instant::now());
+            return std::future::pending().await;
+        }
         let is_served =
             !path.contains(NESTED_CALL_SEGMENT) || self.make_nested_call(&request_id).await;
         if !is_served {
@@ -273,7 +383,7 @@
             let chunks = futures_util::stream::repeat_with(|| Ok::<_, Infallible>(ENDLESS_CHUNK));
             return res.stream(chunks);
         }
-        res.body(format!("{path} {request_id} by {}", self.id));
+        res.body(format!("{path} {request_id} by {id}"));
     }
 }
 
--- a/tests/tests/site_processes.rs
+++ b/tests/tests/site_processes.rs
@@ -7,7 +7,7 @@
     mesh::MESH_LOCK,
     site::{
         API_KEY, TestSite,
-        backend::{SiteBackend, max_in_window},
+        backend::{CRASH_SEGMENT, SiteBackend, max_in_window},
         config_at_version, config_with_keys,
         table::TableMode,
     },
@@ -406,3 +406,73 @@
     assert_eq!(unanswered, Vec::<String>::new(), "log:\n{}", site.daemon_log(0));
     Ok(())
 }
+
+/// Time after the third crash from which on a crashing request may reach backend servers only a few times.
+const STABILITY_WINDOW: Duration = Duration::from_secs(3);
+/// Number of crashes before that.
+const N_FREE_CRASHES: usize = 3;
+/// Number of times that the request may reach backend servers later, in all.
+const MAX_LATE_ARRIVALS: usize = 3;
+
+/// Sends a request that crashes backend servers to all entries in turn, once per `interval` for `duration`. Returns the
+/// number of its arrivals at backend servers that count after the third crash.
+async fn n_late_arrivals(
+    site: &TestSite,
+    name: &str,
+    interval: Duration,
+    duration: Duration,
+) -> usize {
+    let path = format!("/track{CRASH_SEGMENT}{name}/20");
+    let until = Instant::now() + duration;
+    for n in 0.. {
+        if until <= Instant::now() {
+            break;
+        }
+        let id = format!("{name}-{n}");
+        status_at(site, n % site.addresses.len(), &path, &id).await;
+        sleep(interval).await;
+    }
+    let mut crashes: Vec<Instant> = site.backends.iter().flat_map(SiteBackend::crashes).collect();
+    crashes.sort_unstable();
+    let Some(third) = crashes.get(N_FREE_CRASHES - 1) else { return 0 };
+    let arrivals = site.backends.iter().flat_map(SiteBackend::arrivals);
+    let is_counted =
+        |(at, id): &(Instant, String)| id.starts_with(name) && *third + STABILITY_WINDOW < *at;
+    arrivals.filter(is_counted).count()
+}
+
+/// Guards against a quarantine that ends by itself while nothing bounds what follows: requests that crash each backend
+/// server that runs them come again and again, beside other requests, and none is alone at a crash.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_crash_backend_servers_are_not_sent_to_them_again() -> Result<()> {
+    let _lock = MESH_LOCK.lock().await;
+    let site = TestSite::start_with(&["tracker"; 3], false).await?;
+    let interval = Duration::from_millis(100);
+    let duration = Duration::from_secs(22);
+
+    let (first, second, third, statuses) = tokio::join!(
+        n_late_arrivals(&site, "first", interval, duration),
+        n_late_arrivals(&site, "second", interval, duration),
+        n_late_arrivals(&site, "third", interval, duration),
+        send_for(&site, "/track/20", duration),
+    );
+
+    let n_late = [first, second, third];
+    let log = || site.daemon_log(0);
+    assert!(n_late.iter().all(|it| *it <= MAX_LATE_ARRIVALS), "{n_late:?}, log:\n{}", log());
+    assert!(0 < statuses[&200], "{statuses:?}");
+    Ok(())
+}
+
+/// Guards against crashes that leave no evidence, because no other request meets the crashed server.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_backend_servers_is_noticed_without_other_requests() -> Result<()> {
+    let _lock = MESH_LOCK.lock().await;
+    let site = TestSite::start_with(&["tracker"; 3], false).await?;
+    let interval = Duration::from_millis(1_600);
+
+    let n_late = n_late_arrivals(&site, "culprit", interval, Duration::from_secs(16)).await;
+
+    assert!(n_late <= MAX_LATE_ARRIVALS, "{n_late} late arrivals, log:\n{}", site.daemon_log(0));
+    Ok(())
+}
