Refuse waiting attempts whose request has been quarantined

What callers saw: a copy of a request that crashes servers that waited for a slot while the request was quarantined took the slot and the server. Cause: the guard checked the quarantine when an attempt arrived, not when it started, and an attempt may wait for an eighth of its target latency. Why it works: every start goes through one place (mesh::run_start), which asks the quarantine again, gives the slot back and refuses the attempt as not run. The start and refusal of attempts moved to a module of their own.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -34,6 +34,7 @@
 mod rejection_share;
 pub mod retry_budget;
 mod run_outcome;
+mod run_start;
 mod server_announcements;
 pub mod settings_file;
 pub mod table_watch;
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -19,7 +19,7 @@
         ServerNotice, ServerPhase,
     },
     log_limit::LogPriority,
-    queue::{QueueRank, RootPriority, SlotDecision, SlotQueue, SlotRequest},
+    queue::{QueueRank, RootPriority, SlotQueue, SlotRequest},
     rejection_share::RejectionShare,
 };
 use crate::{
@@ -38,10 +38,10 @@
 /// An attempt that waits or runs at this guard.
 #[derive(Debug)]
 pub(super) struct GuardAttempt {
-    id: AttemptId,
+    pub(super) id: AttemptId,
     pub(super) request: Arc<AttemptRequest>,
-    body: Bytes,
-    deadline: TimePoint,
+    pub(super) body: Bytes,
+    pub(super) deadline: TimePoint,
     pub(super) arrived_at: TimePoint,
     pub(super) started_at: Option<TimePoint>,
     /// Whether the entry no longer waits for the attempt.
@@ -74,7 +74,7 @@
     /// Number of crashes of the backend server with requests in flight.
     pub(super) n_crashes: u64,
     /// Running attempts by request identifier.
-    runs_by_request: HashMap<SmolStr, RunId>,
+    pub(super) runs_by_request: HashMap<SmolStr, RunId>,
     /// Time of the last failure of a nested call whose parent run is unknown.
     orphan_call_failed_at: Option<TimePoint>,
     pub(super) rejections: RejectionShare,
@@ -157,7 +157,7 @@
     }
 
     /// Removes an attempt from all indexes.
-    fn remove_attempt(&mut self, run: RunId) -> Option<GuardAttempt> {
+    pub(super) fn remove_attempt(&mut self, run: RunId) -> Option<GuardAttempt> {
         let ended = self.attempts.remove(&run)?;
         self.run_ids.remove(&ended.id);
         if self.runs_by_request.get(&ended.request.request_id) == Some(&run) {
@@ -241,59 +241,6 @@
         }
     }
 
-    pub(super) fn apply_decisions(
-        &mut self,
-        step: &mut ReducerStep<'_>,
-        decisions: Vec<SlotDecision<RunId>>,
-    ) {
-        for decision in decisions {
-            match decision {
-                SlotDecision::Start(run) => self.start_run(step, run),
-                SlotDecision::Refuse { key, retry_after } => {
-                    let retry_after = self.jitter(retry_after);
-                    let reason = match &self.guard.server {
-                        Some(it) if it.phase == ServerPhase::Ready => RefusalReason::Overloaded,
-                        _ => RefusalReason::Draining,
-                    };
-                    self.refuse_run(step, key, AttemptResult::not_run(reason, Some(retry_after)));
-                }
-            }
-        }
-    }
-
-    fn start_run(&mut self, step: &mut ReducerStep<'_>, run: RunId) {
-        let Some(server) = &self.guard.server else { return };
-        let server_id = server.id.clone();
-        let Some(attempt) = self.guard.attempts.get_mut(&run) else { return };
-        attempt.started_at = Some(step.now);
-        self.guard.runs_by_request.insert(attempt.request.request_id.clone(), run);
-        step.out.push(MeshEffect::StartRun {
-            run,
-            request: Arc::clone(&attempt.request),
-            server_id,
-            body: std::mem::take(&mut attempt.body),
-            time_left: attempt.deadline.since(step.now),
-        });
-    }
-
-    fn refuse_run(&mut self, step: &mut ReducerStep<'_>, run: RunId, result: AttemptResult) {
-        let Some(ended) = self.guard.remove_attempt(run) else { return };
-        if self.log_limit.allows(step.now, LogPriority::Notable) {
-            step.log(format!(
-                "event=attempt_refused request={} attempt={} route={} rank={} waited_ms={} running={} queued={} limit={} result={result:?}",
-                ended.request.request_id,
-                ended.id,
-                ended.request.route,
-                ended.request.rank,
-                step.now.since(ended.arrived_at).as_millis(),
-                self.guard.queue.n_running(),
-                self.guard.queue.n_waiting(),
-                self.guard.queue.limit(),
-            ));
-        }
-        self.reply(step, &ended.id, result, Bytes::new());
-    }
-
     pub(super) fn end_run(&mut self, step: &mut ReducerStep<'_>, run: RunId, end: RunEnd) {
         let Some(ended) = self.guard.remove_attempt(run) else { return };
         let started = ended.started_at.unwrap_or(ended.arrived_at);
@@ -420,7 +367,7 @@
         step.send_on_inbound(&from.instance, frame, body);
     }
 
-    fn reply(
+    pub(super) fn reply(
         &mut self,
         step: &mut ReducerStep<'_>,
         attempt: &AttemptId,
