Clear suspects only by responses that are no errors

What callers saw: a request that crashes servers was released after a server in trouble had answered it with an error of its own. Cause: any complete response counted as a completed run, which clears the suspect at all daemons and excuses its next crash. A server that fails its requests answers 500 without running them to their end. Evidence: an_error_response_does_not_clear_a_suspect failed before. Why it works: only responses below 500 clear and excuse; those are also the ones that the cost estimates count.

--- a/crates/ivytrail/src/mesh/run_outcome.rs
+++ b/crates/ivytrail/src/mesh/run_outcome.rs
@@ -33,10 +33,11 @@
                     let request = &ended.request;
                     let estimator = &mut self.guard.cost_estimator;
                     estimator.record_run(&request.route, &request.service, hold_s, &ended.calls);
+                    // An error response doesn't show that the server ran the request to its end.
+                    self.quarantine.record_completion(&fingerprint);
+                    let clearances = self.quarantine.take_clearances();
+                    self.broadcast_evidence(step, clearances);
                 }
-                self.quarantine.record_completion(&fingerprint);
-                let clearances = self.quarantine.take_clearances();
-                self.broadcast_evidence(step, clearances);
             }
             RunEnd::Broken => {
                 self.guard.broken_runs.push_back((step.now, fingerprint));
