Notice crashes without another request, and count each once

Cause: a crash became evidence only if another attempt was refused a connection within one second after the runs had broken. No evidence came from a server that got no attempt in that second, that was replaced before, or that stopped responding, so that its runs timed out; a run whose client had left was not in the list. A connection that was refused to a daemon for its own reasons, such as a lack of descriptors, counted as a crash, and so did each further refusal by a server that had crashed before, so that requests which never ran became suspects and culprits were not alone among them. Change: mesh::crash_detector. A run without a response is followed by a probe, one connection that the next run uses; a new run of a server that had not said that it leaves counts as a crash, too. Candidates are the runs that ended without a response, or were cancelled, since a second before the server last responded, and those in progress. A crash counts once until the server is known to run again.

--- a/crates/ivytrail-daemon/src/mesh/backend_pool.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool.rs
@@ -102,6 +102,28 @@
     _task: ConnectionTask,
 }
 
+/// Reason why no connection to the local backend server was established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectError {
+    /// The server refused the connection or did not respond.
+    Unreachable,
+    /// The failure says nothing about the server, such as a lack of descriptors.
+    Other,
+}
+
+impl From<&io::Error> for ConnectError {
+    fn from(error: &io::Error) -> ConnectError {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+            | io::ErrorKind::TimedOut => ConnectError::Unreachable,
+            _ => ConnectError::Other,
+        }
+    }
+}
+
 /// Monitors a request on a reused connection.
 ///
 /// If the request is still without a response after [`SILENCE_TIMEOUT`] when it fails or is canceled, all connections
@@ -228,8 +250,9 @@
             let (mut connection, is_reused) = match self.take_idle(attempt.is_idempotent) {
                 Some(connection) => (connection, true),
                 None => match self.connect().await {
-                    Some(connection) => (connection, false),
-                    None => return RunEnd::NotSent.into(),
+                    Ok(connection) => (connection, false),
+                    Err(ConnectError::Unreachable) => return RunEnd::Unreachable.into(),
+                    Err(ConnectError::Other) => return RunEnd::NotSent.into(),
                 },
             };
             let idle_for = connection.idle_since.elapsed();
@@ -279,14 +302,26 @@
         None
     }
 
-    async fn connect(&self) -> Option<BackendConnection> {
+    /// Returns whether the backend server accepts connections. The connection is kept for the next run.
+    pub async fn is_reachable(&self) -> bool {
+        match self.connect().await {
+            Ok(connection) => {
+                self.idle.borrow_mut().push_back(connection);
+                true
+            }
+            // A failure at this end says nothing about the server.
+            Err(error) => error != ConnectError::Unreachable,
+        }
+    }
+
+    async fn connect(&self) -> Result<BackendConnection, ConnectError> {
         let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(cause)) => {
                 log::debug!("event=server_connect_failed cause={:?}", cause.to_string());
-                return None;
+                return Err(ConnectError::from(&cause));
             }
-            Err(_) => return None,
+            Err(_) => return Err(ConnectError::Unreachable),
         };
         if let Err(cause) = configure_socket(&stream) {
             // The connection works without the options: requests are delayed, and silence is noticed late.
@@ -294,13 +329,17 @@
         }
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
-        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|cause| {
+            log::debug!("event=server_handshake_failed cause={:?}", cause.to_string());
+            ConnectError::Other
+        })?;
         let task = tokio::task::spawn_local(async move {
             if let Err(cause) = connection.await {
                 log::debug!("event=server_connection_ended cause={:?}", cause.to_string());
             }
         });
-        Some(BackendConnection {
+        Ok(BackendConnection {
             sender,
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
--- a/crates/ivytrail-daemon/src/mesh/backend_pool/probe.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool/probe.rs
@@ -54,7 +54,7 @@
     path: &str,
     service: &ServiceName,
 ) -> Option<(ServerAdvertisement, ServerNotice)> {
-    let mut connection = pool.connect().await?;
+    let mut connection = pool.connect().await.ok()?;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse().ok()?;
     let host = HeaderValue::from_str(&pool.address.to_string()).ok()?;
--- a/crates/ivytrail-daemon/src/mesh/driver.rs
+++ b/crates/ivytrail-daemon/src/mesh/driver.rs
@@ -196,6 +196,13 @@
                 });
                 self.runs.borrow_mut().insert(run, task.abort_handle());
             }
+            MeshEffect::ProbeServer => {
+                let driver = Rc::clone(self);
+                tokio::task::spawn_local(async move {
+                    let is_reachable = driver.pool.is_reachable().await;
+                    driver.apply(MeshEvent::ServerProbed { is_reachable });
+                });
+            }
             MeshEffect::CancelRun { run } => {
                 if let Some(task) = self.runs.borrow_mut().remove(&run) {
                     task.abort();
--- a/crates/ivytrail/examples/measure_heavy_days/fleet.rs
+++ b/crates/ivytrail/examples/measure_heavy_days/fleet.rs
@@ -270,6 +270,7 @@
                 | MeshEffect::StopDialing { .. }
                 | MeshEffect::RemovePeerRow(_)
                 | MeshEffect::DecodeSettings { .. }
+                | MeshEffect::ProbeServer
                 | MeshEffect::Log(_) => {}
             }
         }
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -14,6 +14,7 @@
 pub mod admission;
 mod attempt_recovery;
 pub mod cost;
+mod crash_detector;
 pub mod demand_exchange;
 mod ended_attempts;
 mod entry;
@@ -214,6 +215,9 @@
             MeshEvent::ServerNoticed { id, notice } => {
                 self.handle_server_notice(&mut step, &id, notice);
             }
+            MeshEvent::ServerProbed { is_reachable } => {
+                self.handle_server_probe(&mut step, is_reachable);
+            }
             MeshEvent::SettingsReceived { settings, document } => {
                 self.apply_settings(&mut step, settings, document);
             }
@@ -266,7 +270,7 @@
 
     /// Returns the number of crashes of the local backend server that were noticed with requests in flight.
     pub fn n_server_crashes(&self) -> u64 {
-        self.guard.n_crashes
+        self.guard.crash_detector.n_crashes()
     }
 
     /// Returns the requests that are suspected of crashing backend servers.
--- a/crates/ivytrail/src/mesh/event.rs
+++ b/crates/ivytrail/src/mesh/event.rs
@@ -80,7 +80,9 @@
         /// Whether a different backend server responded at the address.
         is_misdirected: bool,
     },
-    /// The request was not sent, because no connection could be established.
+    /// The request was not sent, because the backend server accepts no connections.
+    Unreachable,
+    /// The request was not sent for another reason, such as a connection that was closed first.
     NotSent,
     /// The connection broke, or the response was incomplete.
     Broken,
@@ -95,6 +97,7 @@
             RunEnd::Answered { .. } => "answered",
             RunEnd::Rejected { is_misdirected: false } => "rejected",
             RunEnd::Rejected { is_misdirected: true } => "misdirected",
+            RunEnd::Unreachable => "unreachable",
             RunEnd::NotSent => "not-sent",
             RunEnd::Broken => "broken",
             RunEnd::TimedOut => "timed-out",
@@ -174,6 +177,11 @@
         /// What it reported.
         notice: ServerNotice,
     },
+    /// A probe of the local backend server has ended.
+    ServerProbed {
+        /// Whether the server accepted a connection.
+        is_reachable: bool,
+    },
     /// Settings were decoded, either from the platform's table or from a peer.
     SettingsReceived {
         /// The decoded settings.
@@ -249,6 +257,8 @@
         /// Time until the deadline of the attempt.
         time_left: Duration,
     },
+    /// Check whether the local backend server accepts connections.
+    ProbeServer,
     /// Cancel a run.
     CancelRun {
         /// Identifier of the run.
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -1,10 +1,6 @@
 //! The guard in front of the local backend server: attempts from their arrival to their reply.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use smol_str::SmolStr;
@@ -12,6 +8,7 @@
 use super::{
     MeshReducer, ReducerStep,
     cost::CostEstimator,
+    crash_detector::CrashDetector,
     ended_attempts::{AttemptStatus, EndedAttempts},
     event::{MeshEffect, RunEnd, RunId},
     frame::{
@@ -23,7 +20,7 @@
     rejection_share::RejectionShare,
 };
 use crate::{
-    id::{AttemptId, ContentDigest, MemberId, RouteName},
+    id::{AttemptId, MemberId, RouteName},
     message::{CallOutcome, RefusalReason},
     time::TimePoint,
 };
@@ -69,10 +66,7 @@
     next_run: u64,
     /// Time until which no run is started, because the backend server refused a connection or another one responded.
     pub(super) paused_until: TimePoint,
-    /// Time and fingerprint of recent runs whose connection broke.
-    pub(super) broken_runs: VecDeque<(TimePoint, ContentDigest)>,
-    /// Number of crashes of the backend server with requests in flight.
-    pub(super) n_crashes: u64,
+    pub(super) crash_detector: CrashDetector,
     /// Running attempts by request identifier.
     pub(super) runs_by_request: HashMap<SmolStr, RunId>,
     /// Time of the last failure of a nested call whose parent run is unknown.
@@ -295,7 +289,9 @@
             RunEnd::Rejected { .. } => {
                 refused(CallOutcome::NotRun, RefusalReason::Overloaded, true)
             }
-            RunEnd::NotSent => refused(CallOutcome::NotRun, RefusalReason::NoUpstream, false),
+            RunEnd::Unreachable | RunEnd::NotSent => {
+                refused(CallOutcome::NotRun, RefusalReason::NoUpstream, false)
+            }
             RunEnd::Broken => refused(CallOutcome::Unknown, RefusalReason::BrokenAnswer, true),
             RunEnd::TimedOut => {
                 refused(CallOutcome::Unknown, RefusalReason::DeadlineExceeded, true)
@@ -329,6 +325,8 @@
         if running.request.is_idempotent {
             step.out.push(MeshEffect::CancelRun { run });
             if let Some(cancelled) = self.guard.remove_attempt(run) {
+                // The server may already be crashing under it.
+                self.record_unanswered_run(step.now, &cancelled);
                 self.guard.ended.mark_forgotten(&cancelled.id);
             }
             let mut decisions = Vec::new();
--- a/crates/ivytrail/src/mesh/run_outcome.rs
+++ b/crates/ivytrail/src/mesh/run_outcome.rs
@@ -2,18 +2,29 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use super::{
-    MeshReducer, ReducerStep, event::RunEnd, frame::PeerFrame, guard::GuardAttempt,
+    MeshReducer, ReducerStep,
+    event::{MeshEffect, RunEnd},
+    frame::{PeerFrame, ServerPhase},
+    guard::GuardAttempt,
     log_limit::LogPriority,
 };
-use crate::{id::ContentDigest, quarantine::EvidenceRecord};
+use crate::{quarantine::EvidenceRecord, time::TimePoint};
+
+/// Time for which a backend server that accepts no connections gets no work.
+const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(300);
 
-/// Time for which a backend server that refuses connections gets no work.
-const REFUSED_CONNECTION_COOLDOWN: Duration = Duration::from_millis(300);
-/// Time before a refused connection within which broken runs are attributed to the same crash.
-const CRASH_WINDOW: Duration = Duration::from_millis(1_000);
-/// Maximum number of recent broken runs that are kept for that attribution.
-const MAX_BROKEN_RUNS: usize = 512;
+/// How a crash of the local backend server showed.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "kebab-case")]
+pub(super) enum CrashSign {
+    /// It accepted no connection.
+    Unreachable,
+    /// Another run of the server took its place without notice.
+    Replaced,
+}
 
 impl MeshReducer {
     /// Updates the state of the backend server and of the request from the end of a run.
@@ -26,6 +37,7 @@
         let fingerprint = ended.request.fingerprint;
         match end {
             RunEnd::Answered { status, .. } => {
+                self.guard.crash_detector.record_response(step.now);
                 self.guard.rejections.record(step.now, false);
                 if *status < 500 {
                     let started = ended.started_at.unwrap_or(ended.arrived_at);
@@ -39,58 +51,80 @@
                     self.broadcast_evidence(step, clearances);
                 }
             }
-            RunEnd::Broken => {
-                self.guard.broken_runs.push_back((step.now, fingerprint));
-                if MAX_BROKEN_RUNS < self.guard.broken_runs.len() {
-                    self.guard.broken_runs.pop_front();
+            RunEnd::Broken | RunEnd::TimedOut => {
+                self.record_unanswered_run(step.now, ended);
+                if self.guard.crash_detector.start_probe() {
+                    step.out.push(MeshEffect::ProbeServer);
                 }
             }
-            RunEnd::NotSent => self.handle_refused_connection(step),
+            RunEnd::Unreachable => self.handle_unreachable_server(step),
+            RunEnd::NotSent => self.pause_server(step),
             RunEnd::Rejected { is_misdirected: true } => {
                 step.log(format!(
                     "event=server_replaced request={} service={}",
                     ended.request.request_id, ended.request.service
                 ));
-                self.guard.paused_until = step.now.plus(REFUSED_CONNECTION_COOLDOWN);
+                self.record_server_crash(step, CrashSign::Replaced);
+                self.guard.paused_until = step.now.plus(UNREACHABLE_COOLDOWN);
                 self.update_limit(step);
             }
-            RunEnd::Rejected { .. } => self.guard.rejections.record(step.now, true),
-            RunEnd::TimedOut => {}
+            RunEnd::Rejected { .. } => {
+                self.guard.crash_detector.record_response(step.now);
+                self.guard.rejections.record(step.now, true);
+            }
+        }
+    }
+
+    /// Records that a run has ended, or was cancelled, without a complete response.
+    pub(super) fn record_unanswered_run(&mut self, now: TimePoint, ended: &GuardAttempt) {
+        let started_at = ended.started_at.unwrap_or(ended.arrived_at);
+        let fingerprint = ended.request.fingerprint;
+        self.guard.crash_detector.record_unanswered(now, started_at, fingerprint);
+    }
+
+    /// Handles the result of a probe.
+    pub(super) fn handle_server_probe(&mut self, step: &mut ReducerStep<'_>, is_reachable: bool) {
+        self.guard.crash_detector.end_probe();
+        if !is_reachable {
+            self.handle_unreachable_server(step);
+        }
+    }
+
+    fn handle_unreachable_server(&mut self, step: &mut ReducerStep<'_>) {
+        self.record_server_crash(step, CrashSign::Unreachable);
+        self.pause_server(step);
+    }
+
+    /// Starts no more runs at the backend server for a while.
+    fn pause_server(&mut self, step: &mut ReducerStep<'_>) {
+        if self.guard.paused_until <= step.now {
+            self.guard.paused_until = step.now.plus(UNREACHABLE_COOLDOWN);
+            step.log("event=server_unreachable".to_string());
+            self.update_limit(step);
         }
     }
 
-    /// Treats a refused connection as a crash of the backend server. Runs that broke shortly before and runs that are
-    /// still in progress become suspects.
-    fn handle_refused_connection(&mut self, step: &mut ReducerStep<'_>) {
-        let now = step.now;
-        if now < self.guard.paused_until {
+    /// Records a crash of the backend server, unless it has been recorded before or the server was leaving. Runs without a
+    /// response since it last responded and runs that are still in progress become suspects.
+    pub(super) fn record_server_crash(&mut self, step: &mut ReducerStep<'_>, sign: CrashSign) {
+        let is_expected = self.guard.server().is_none_or(|it| it.phase == ServerPhase::Draining);
+        let unanswered = match is_expected {
+            true => None,
+            false => self.guard.crash_detector.record_crash(step.now),
+        };
+        let Some(mut in_flight) = unanswered else { return };
+        let running = self.guard.attempts.values().filter(|it| it.started_at.is_some());
+        in_flight.extend(running.map(|it| it.request.fingerprint));
+        if in_flight.is_empty() {
             return;
         }
-        self.guard.paused_until = now.plus(REFUSED_CONNECTION_COOLDOWN);
-        let mut in_flight: Vec<ContentDigest> = self
-            .guard
-            .broken_runs
-            .drain(..)
-            .filter(|(at, _)| now.since(*at) < CRASH_WINDOW)
-            .map(|(_, fingerprint)| fingerprint)
-            .collect();
-        in_flight.extend(
-            self.guard
-                .attempts
-                .values()
-                .filter(|it| it.started_at.is_some())
-                .map(|it| it.request.fingerprint),
-        );
-        step.log(format!("event=server_unreachable in_flight={}", in_flight.len()));
-        if !in_flight.is_empty() {
-            self.guard.n_crashes += 1;
-            let records = self.quarantine.record_crash(now, &in_flight);
-            for record in &records {
-                self.log_evidence(step, record);
-            }
-            self.broadcast_evidence(step, records);
+        self.guard.crash_detector.count_crash();
+        step.log(format!("event=server_crashed sign={sign} in_flight={}", in_flight.len()));
+        let records = self.quarantine.record_crash(step.now, &in_flight);
+        for record in &records {
+            self.log_evidence(step, record);
         }
-        self.update_limit(step);
+        self.broadcast_evidence(step, records);
     }
 
     /// Applies evidence from another daemon.
--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -10,6 +10,7 @@
     frame::{RequestLimit, ServerAdvertisement, ServerNotice, ServerPhase},
     leaving_servers::LeavingRun,
     log_limit::LogPriority,
+    run_outcome::CrashSign,
 };
 use crate::time::TimePoint;
 
@@ -70,6 +71,10 @@
             // A server that was found by its health check has an unknown start time.
             it.id == announced.id && [0, announced.started_at_ms].contains(&it.started_at_ms)
         });
+        if !is_same_run {
+            self.record_server_crash(step, CrashSign::Replaced);
+            self.guard.crash_detector.record_restart();
+        }
         self.guard.server = Some(announced);
         self.guard.paused_until = TimePoint::ORIGIN;
         if !is_same_run {
--- a/crates/ivytrail/src/mesh/tests/crashing_requests.rs
+++ b/crates/ivytrail/src/mesh/tests/crashing_requests.rs
@@ -55,10 +55,12 @@
 
 /// Sends other requests, some of which meet the crashed backend server.
 fn notice_crash(fleet: &mut TestFleet) {
-    for id in 100..120 {
+    let first_id = 100 + fleet.n_runs_started() as u64;
+    for id in first_id..first_id + 40 {
         fleet.call(ENTRY, call_of(id, "track"));
     }
-    fleet.runs().iter().for_each(|run| fleet.end_run(run, answered(200)));
+    let others = fleet.runs().into_iter().filter(|it| it.request.target != CULPRIT);
+    others.for_each(|run| fleet.end_run(&run, answered(200)));
 }
 
 /// Guards against an error response that clears a suspect, although the server has not run the request to its end.
@@ -143,6 +145,24 @@
     assert_eq!(n_crashes_known(&fleet), [1; SERVICES.len()]);
 }
 
+/// Guards against a crash that counts twice, so that requests which ran beside the culprit are quarantined with it: a
+/// refused connection may be noticed before the runs that broke.
+#[test]
+fn a_crash_counts_once_in_whichever_order_it_is_noticed() {
+    let mut fleet = TestFleet::start_with(&SERVICES);
+    fleet.call(ENTRY, culprit_of(1));
+    let run = fleet.only_run();
+    let server = run.daemon;
+    fleet.crash_server_silently(server);
+    notice_crash(&mut fleet);
+
+    fleet.end_run(&run, RunEnd::Broken);
+    fleet.advance(Duration::from_millis(400));
+    notice_crash(&mut fleet);
+
+    assert_eq!(n_crashes_known(&fleet), [1; SERVICES.len()]);
+}
+
 /// Guards against daemons that start after the crashes: when all have been restarted one after the other, none knows of the
 /// request.
 #[test]
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -71,6 +71,8 @@
     down_servers: HashSet<usize>,
     /// Runs that could not be sent to their backend server, and have not ended yet.
     unsent_runs: VecDeque<(usize, RunId)>,
+    /// Daemons that probe their backend server.
+    probes: VecDeque<usize>,
     /// Delays and duplicates crash evidence, if set.
     evidence_faults: Option<EvidenceFaults>,
     /// Delayed frames and the time of their delivery.
@@ -213,6 +215,7 @@
             server_starts: vec![INITIAL_SERVER_START_MS; n_daemons],
             down_servers: HashSet::new(),
             unsent_runs: VecDeque::new(),
+            probes: VecDeque::new(),
             evidence_faults: None,
             delayed: Vec::new(),
             now: TimePoint::from_millis(1_000),
@@ -307,7 +310,11 @@
             self.apply_effect(daemon, effect);
         }
         while let Some((daemon, run)) = self.unsent_runs.pop_front() {
-            self.apply_one(daemon, MeshEvent::RunEnded { run, end: RunEnd::NotSent });
+            self.apply_one(daemon, MeshEvent::RunEnded { run, end: RunEnd::Unreachable });
+        }
+        while let Some(daemon) = self.probes.pop_front() {
+            let is_reachable = !self.down_servers.contains(&daemon);
+            self.apply_one(daemon, MeshEvent::ServerProbed { is_reachable });
         }
     }
 
@@ -343,6 +350,7 @@
                 self.started.push(started.clone());
                 self.runs.push(started);
             }
+            MeshEffect::ProbeServer => self.probes.push_back(daemon),
             MeshEffect::CancelRun { run } => {
                 self.cancelled.insert((daemon, run));
                 self.runs.retain(|it| (it.daemon, it.run) != (daemon, run));
--- a/crates/ivytrail/src/mesh/tests/fleet/faults.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet/faults.rs
@@ -132,9 +132,14 @@
         self.apply(daemon, MeshEvent::ServerAnnounced { advertisement, sequence: 1 });
     }
 
+    /// Crashes a backend server whose open connections do not break yet.
+    pub(in super::super) fn crash_server_silently(&mut self, daemon: usize) {
+        self.down_servers.insert(daemon);
+    }
+
     /// Crashes a backend server: its runs break, and it accepts no connections until it is restarted.
     pub(in super::super) fn crash_server(&mut self, daemon: usize) {
-        self.down_servers.insert(daemon);
+        self.crash_server_silently(daemon);
         for run in self.runs().iter().filter(|it| it.daemon == daemon) {
             self.end_run(run, RunEnd::Broken);
         }
