Send the evidence against suspects on each new link

Cause: evidence was broadcast once, at the moment of the crash, on the links that were open then. A link that had gone silent lost it for good, and a daemon that started later never learned of it. Change: each suspect keeps its last four records, and both ends of a link send what they know when it opens, 512 records at most. Records carry their origin and serial number, so that duplicates are ignored. The wire format does not change. A daemon that starts counts a quarantine anew from then.

--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -218,6 +218,9 @@
             closed_for.as_millis(),
         ));
         self.record_advertisement(step, advertisement);
+        for frame in self.evidence_frames(step.now) {
+            step.send(peer, frame, Bytes::new());
+        }
         // Cancels first: the response that opens the link also clears them.
         self.repeat_cancels(step, peer);
         self.record_response(step.now, peer);
@@ -277,6 +280,9 @@
         if !costs.is_empty() {
             step.send_on_inbound(&instance, PeerFrame::Costs { costs }, Bytes::new());
         }
+        for frame in self.evidence_frames(step.now) {
+            step.send_on_inbound(&instance, frame, Bytes::new());
+        }
         if !self.links.get(&instance).is_some_and(|it| it.is_open) {
             self.picker.set_reachable(&instance, false);
         }
--- a/crates/ivytrail/src/mesh/run_outcome.rs
+++ b/crates/ivytrail/src/mesh/run_outcome.rs
@@ -148,6 +148,11 @@
         ));
     }
 
+    /// Returns frames with all evidence that a peer may have missed while it was not connected.
+    pub(super) fn evidence_frames(&self, now: TimePoint) -> impl Iterator<Item = PeerFrame> {
+        self.quarantine.known_evidence(now).into_iter().map(PeerFrame::Evidence)
+    }
+
     fn broadcast_evidence(&mut self, step: &mut ReducerStep<'_>, records: Vec<EvidenceRecord>) {
         for record in records {
             self.broadcast(step, &PeerFrame::Evidence(record));
--- a/crates/ivytrail/src/quarantine.rs
+++ b/crates/ivytrail/src/quarantine.rs
@@ -5,6 +5,7 @@
 //! A suspect that completes is cleared. Daemons exchange their evidence as [`EvidenceRecord`]s.
 
 use std::{
+    cmp::Reverse,
     collections::{HashMap, HashSet, VecDeque},
     time::Duration,
 };
@@ -31,6 +32,8 @@
 const SUSPECT_TTL: Duration = Duration::from_secs(120);
 const MAX_SUSPECTS: usize = 4_096;
 const MAX_BROADCAST_RECORDS: usize = 512;
+/// Maximum number of records that are kept for each suspect; the latest ones stay.
+const MAX_RECORDS_PER_SUSPECT: usize = 4;
 const MAX_SEEN_RECORDS: usize = 8_192;
 /// Slots of the cache of completed fingerprints; a power of two.
 const N_COMPLETED_SLOTS: usize = 4_096;
@@ -83,6 +86,8 @@
     n_crashes: usize,
     quarantined_until: TimePoint,
     expiry: TimePoint,
+    /// The records of the crashes, for daemons that have not received them.
+    records: VecDeque<EvidenceRecord>,
 }
 
 /// Fingerprints of requests that are suspected of crashing backend servers.
@@ -198,6 +203,15 @@
         self.completed[completed_slot(fingerprint)] = Some(*fingerprint);
     }
 
+    /// Returns the evidence against all suspects, those with the most crashes first, for a daemon that may have missed it.
+    pub fn known_evidence(&self, now: TimePoint) -> Vec<EvidenceRecord> {
+        let is_known = |it: &&SuspectRecord| now < it.expiry;
+        let mut suspects: Vec<&SuspectRecord> = self.suspects.values().filter(is_known).collect();
+        suspects.sort_unstable_by_key(|it| (Reverse(it.n_crashes), Reverse(it.expiry)));
+        let records = suspects.into_iter().flat_map(|it| &it.records);
+        records.take(MAX_BROADCAST_RECORDS).cloned().collect()
+    }
+
     /// Drains the records of suspects that this daemon cleared, to be broadcast to the other daemons.
     pub fn take_clearances(&mut self) -> Vec<EvidenceRecord> {
         std::mem::take(&mut self.clearances)
@@ -277,11 +291,12 @@
             CrashEvidence::Crashed { .. } if self.has_completed(&fingerprint) => {
                 self.completed[completed_slot(&fingerprint)] = None;
             }
-            CrashEvidence::Crashed { proven } => self.add_crash(now, fingerprint, proven),
+            CrashEvidence::Crashed { proven } => self.add_crash(now, record, proven),
         }
     }
 
-    fn add_crash(&mut self, now: TimePoint, fingerprint: ContentDigest, proven: bool) {
+    fn add_crash(&mut self, now: TimePoint, evidence: &EvidenceRecord, proven: bool) {
+        let fingerprint = evidence.fingerprint;
         if !self.suspects.contains_key(&fingerprint) {
             self.evict_if_full();
         }
@@ -289,7 +304,12 @@
             n_crashes: 0,
             quarantined_until: TimePoint::ORIGIN,
             expiry: TimePoint::ORIGIN,
+            records: VecDeque::new(),
         });
+        record.records.push_back(evidence.clone());
+        if MAX_RECORDS_PER_SUSPECT < record.records.len() {
+            record.records.pop_front();
+        }
         record.n_crashes = (record.n_crashes + 1).min(MAX_CRASHES);
         if record.n_crashes == MAX_CRASHES {
             let span = if proven { PROVEN_QUARANTINE } else { UNPROVEN_QUARANTINE };
