Keep the evidence against quarantined requests in the platform's table

Cause: the evidence lived in the daemons' memory and was handed on over links; when all restart together, nobody is left who knows it. What lasts goes through the platform's store. Change: the daemons that noticed a crash store the evidence of quarantined requests, one row each, written once at each change by one call; each daemon reads the rows once when it starts, and takes those of the last hour. The daemon at which a trial completes removes the row; outdated rows are removed by who finds them. While the table is away, links carry the evidence as before. Probes after runs that timed out are limited to two a second. The process test that restarts all daemons finds no arrival afterwards; it came with the change and was not run before it. Two tests of trials come with it.

--- a/crates/ivytrail-daemon/src/mesh/driver.rs
+++ b/crates/ivytrail-daemon/src/mesh/driver.rs
@@ -19,6 +19,7 @@
         settings_file::MeshSettings,
     },
     message::frame::encode_frame,
+    quarantine::SuspectChanges,
     time::TimePoint,
 };
 use ivytrail_platform::document::parse_declaration;
@@ -55,6 +56,8 @@
     pub metrics: MeshMetrics,
     removals: mpsc::UnboundedSender<PeerAddress>,
     removal_receiver: RefCell<Option<mpsc::UnboundedReceiver<PeerAddress>>>,
+    suspect_changes: mpsc::UnboundedSender<SuspectChanges>,
+    suspect_change_receiver: RefCell<Option<mpsc::UnboundedReceiver<SuspectChanges>>>,
     closing: watch::Sender<bool>,
     /// Open connections of clients.
     pub clients: ConnectionCount,
@@ -70,6 +73,7 @@
     /// Always returns `Ok` at present.
     pub fn start(options: MeshOptions, settings: &MeshSettings) -> anyhow::Result<Rc<MeshDriver>> {
         let (removals, removal_receiver) = mpsc::unbounded_channel();
+        let (suspect_changes, suspect_change_receiver) = mpsc::unbounded_channel();
         Ok(Rc::new(MeshDriver {
             reducer: RefCell::new(MeshReducer::new(options)),
             pending_calls: RefCell::default(),
@@ -81,6 +85,8 @@
             metrics: MeshMetrics::new(),
             removals,
             removal_receiver: RefCell::new(Some(removal_receiver)),
+            suspect_changes,
+            suspect_change_receiver: RefCell::new(Some(suspect_change_receiver)),
             closing: watch::Sender::new(false),
             clients: ConnectionCount::new(settings.max_descriptors),
             next_call_id: Cell::new(1),
@@ -142,6 +148,11 @@
         self.removal_receiver.borrow_mut().take()
     }
 
+    /// Returns the receiver of changes of the stored evidence against requests, or `None` after the first call.
+    pub fn take_suspect_changes(&self) -> Option<mpsc::UnboundedReceiver<SuspectChanges>> {
+        self.suspect_change_receiver.borrow_mut().take()
+    }
+
     /// Drops connections to the local backend server that have been idle for too long.
     pub fn prune(&self) {
         self.pool.prune();
@@ -196,6 +207,8 @@
                 });
                 self.runs.borrow_mut().insert(run, task.abort_handle());
             }
+            // The receiver lives as long as the process.
+            MeshEffect::SaveSuspects(changes) => drop(self.suspect_changes.send(changes)),
             MeshEffect::ProbeServer => {
                 let driver = Rc::clone(self);
                 tokio::task::spawn_local(async move {
--- a/crates/ivytrail-daemon/src/mesh/table_loop.rs
+++ b/crates/ivytrail-daemon/src/mesh/table_loop.rs
@@ -1,22 +1,25 @@
-//! Tasks that use the platform's table: they watch the configuration, discover other daemons and remove the rows of
-//! daemons that are gone.
+//! Tasks that use the platform's table: they watch the configuration, discover other daemons, remove the rows of daemons
+//! that are gone, and store the evidence against quarantined requests.
 
 use std::{rc::Rc, time::Duration};
 
-use ivytrail::mesh::{
-    MeshReducer,
-    event::{MeshEvent, PeerAddress},
-    settings_file::MeshSettings,
-    table_watch::{HistoryId, TableWatch, WatchRequest, WatchTiming},
+use ivytrail::{
+    mesh::{
+        MeshReducer,
+        event::{MeshEvent, PeerAddress},
+        settings_file::MeshSettings,
+        table_watch::{HistoryId, TableWatch, WatchRequest, WatchTiming},
+    },
+    quarantine::{MAX_CHANGES, SuspectChanges},
 };
-use ivytrail_platform::table::{TableClient, TableError};
+use ivytrail_platform::table::{SuspectRow, TableClient, TableError};
 use rand::RngExt;
 use tokio::{
     sync::{mpsc, watch},
     time::Instant,
 };
 
-use super::driver::MeshDriver;
+use super::driver::{MeshDriver, unix_millis};
 
 /// Interval between reads of the daemons' table after a successful discovery.
 const PEER_REFRESH_INTERVAL: Duration = Duration::from_secs(60);
@@ -24,6 +27,9 @@
 /// still be executed for some seconds, and remove a row that has been written again.
 const RESTORED_REFRESH_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Time for which stored evidence against a request is used.
+const STORED_SUSPECT_TTL: Duration = Duration::from_secs(3_600);
+
 /// Starts the tasks.
 ///
 /// # Errors
@@ -45,7 +51,11 @@
     };
     tokio::task::spawn_local(discovery.run());
     if let Some(removals) = driver.take_removals() {
-        tokio::task::spawn_local(remove_rows(table, removals));
+        tokio::task::spawn_local(remove_rows(table.clone(), removals));
+    }
+    tokio::task::spawn_local(load_suspects(Rc::clone(driver), table.clone(), timing));
+    if let Some(changes) = driver.take_suspect_changes() {
+        tokio::task::spawn_local(save_suspects(table, timing, changes));
     }
     Ok(())
 }
@@ -219,3 +229,51 @@
         }
     }
 }
+
+/// Reads the evidence against quarantined requests once, since the daemons that know it may all have restarted, and removes
+/// what is out of date.
+async fn load_suspects(driver: Rc<MeshDriver>, table: TableClient, timing: WatchTiming) {
+    let mut backoff = DependencyBackoff::new("table-quarantine", timing);
+    let rows = loop {
+        match table.list_suspects().await {
+            Ok(rows) => break rows,
+            Err(cause) => backoff.wait_after_failure(&cause).await,
+        }
+    };
+    backoff.record_success();
+    let ttl_ms = u64::try_from(STORED_SUSPECT_TTL.as_millis()).unwrap_or(u64::MAX);
+    let oldest_ms = unix_millis().saturating_sub(ttl_ms);
+    let (current, outdated): (Vec<SuspectRow>, Vec<SuspectRow>) =
+        rows.into_iter().partition(|it| oldest_ms <= it.stored_at_ms);
+    log::info!("event=suspects_loaded count={} outdated={}", current.len(), outdated.len());
+    let records = current.into_iter().flat_map(|it| it.records).collect();
+    driver.apply(MeshEvent::SuspectsLoaded(records));
+    let removed = outdated.into_iter().map(|it| it.fingerprint).take(MAX_CHANGES).collect();
+    let changes = SuspectChanges { removed, ..SuspectChanges::default() };
+    if !changes.is_empty()
+        && let Err(cause) = table.save_suspects(&changes, unix_millis()).await
+    {
+        // The next daemon that starts removes them.
+        log::warn!("event=suspects_not_removed cause={:?}", cause.to_string());
+    }
+}
+
+/// Stores changes of the evidence in their order, and retries each until it is stored.
+async fn save_suspects(
+    table: TableClient,
+    timing: WatchTiming,
+    mut changes: mpsc::UnboundedReceiver<SuspectChanges>,
+) {
+    let mut backoff = DependencyBackoff::new("table-quarantine-writes", timing);
+    while let Some(change) = changes.recv().await {
+        while let Err(cause) = table.save_suspects(&change, unix_millis()).await {
+            backoff.wait_after_failure(&cause).await;
+        }
+        backoff.record_success();
+        log::info!(
+            "event=suspects_saved stored={} removed={}",
+            change.stored.len(),
+            change.removed.len()
+        );
+    }
+}
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -218,6 +218,9 @@
             MeshEvent::ServerProbed { is_reachable } => {
                 self.handle_server_probe(&mut step, is_reachable);
             }
+            MeshEvent::SuspectsLoaded(records) => {
+                records.iter().for_each(|it| self.merge_evidence(&mut step, it));
+            }
             MeshEvent::SettingsReceived { settings, document } => {
                 self.apply_settings(&mut step, settings, document);
             }
@@ -401,6 +404,7 @@
         self.tick_runs(step);
         self.tick_links(step);
         self.tick_admission(step);
+        step.out.extend(self.quarantine.take_changes().map(MeshEffect::SaveSuspects));
         if let Some(n_dropped) = self.log_limit.take_dropped(step.now) {
             step.log(format!("event=log_lines_dropped count={n_dropped}"));
         }
--- a/crates/ivytrail/src/mesh/crash_detector.rs
+++ b/crates/ivytrail/src/mesh/crash_detector.rs
@@ -10,6 +10,8 @@
 /// Time before a response of the server up to which runs without a response are still attributed to a later crash;
 /// connections that break together are noticed one after the other.
 const RESPONSE_ORDER_MARGIN: Duration = Duration::from_millis(1_000);
+/// Minimum interval between probes after runs that timed out. Those of an overloaded server are frequent.
+const TIMEOUT_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of runs without a response that are kept.
 const MAX_UNANSWERED_RUNS: usize = 512;
 
@@ -22,6 +24,7 @@
     /// Time at which the last crash was noticed, unless the server is known to have run since.
     crashed_at: Option<TimePoint>,
     is_probing: bool,
+    probed_at: TimePoint,
     n_crashes: u64,
 }
 
@@ -50,10 +53,14 @@
         }
     }
 
-    /// Returns whether a probe of the server must be sent, which is then in progress.
-    pub(super) fn start_probe(&mut self) -> bool {
-        let is_needed = !self.is_probing && self.crashed_at.is_none();
-        self.is_probing |= is_needed;
+    /// Returns whether a probe of the server must be sent after a run without a response. The probe is then in progress.
+    pub(super) fn start_probe(&mut self, now: TimePoint, has_timed_out: bool) -> bool {
+        let is_due = !has_timed_out || TIMEOUT_PROBE_INTERVAL <= now.since(self.probed_at);
+        let is_needed = is_due && !self.is_probing && self.crashed_at.is_none();
+        if is_needed {
+            self.is_probing = true;
+            self.probed_at = now;
+        }
         is_needed
     }
 
--- a/crates/ivytrail/src/mesh/event.rs
+++ b/crates/ivytrail/src/mesh/event.rs
@@ -15,6 +15,7 @@
         policy::FleetSettings,
     },
     message::{CallOutcome, RefusalReason},
+    quarantine::{EvidenceRecord, SuspectChanges},
 };
 
 /// A request from a client or from the local backend server.
@@ -182,6 +183,8 @@
         /// Whether the server accepted a connection.
         is_reachable: bool,
     },
+    /// Evidence against quarantined requests was read from the platform's table.
+    SuspectsLoaded(Vec<EvidenceRecord>),
     /// Settings were decoded, either from the platform's table or from a peer.
     SettingsReceived {
         /// The decoded settings.
@@ -244,6 +247,8 @@
     },
     /// Remove a peer's row from the platform's table.
     RemovePeerRow(PeerAddress),
+    /// Store evidence against quarantined requests in the platform's table, and remove that against cleared ones.
+    SaveSuspects(SuspectChanges),
     /// Run an attempt at the local backend server.
     StartRun {
         /// Identifier of the run.
--- a/crates/ivytrail/src/mesh/run_outcome.rs
+++ b/crates/ivytrail/src/mesh/run_outcome.rs
@@ -54,7 +54,8 @@
             }
             RunEnd::Broken | RunEnd::TimedOut => {
                 self.record_unanswered_run(step, ended, was_trial);
-                if self.guard.crash_detector.start_probe() {
+                let has_timed_out = *end == RunEnd::TimedOut;
+                if self.guard.crash_detector.start_probe(step.now, has_timed_out) {
                     step.out.push(MeshEffect::ProbeServer);
                 }
             }
--- a/crates/ivytrail/src/mesh/tests/crash_sessions.rs
+++ b/crates/ivytrail/src/mesh/tests/crash_sessions.rs
@@ -46,6 +46,8 @@
     evidence_delay: Duration,
     /// Restarts of a random daemon per second.
     restarts_per_s: f64,
+    /// Time from the start of the session at which all daemons restart at once.
+    restart_all_at: Option<Duration>,
     /// Links per second that go silent, and are replaced within two seconds.
     silent_links_per_s: f64,
 }
@@ -60,6 +62,7 @@
             n_copies: 1,
             evidence_delay: Duration::ZERO,
             restarts_per_s: 0.0,
+            restart_all_at: None,
             silent_links_per_s: 0.0,
         }
     }
@@ -72,6 +75,7 @@
     fleet: TestFleet,
     next_call: u64,
     next_culprit: TimePoint,
+    restart_all_at: Option<TimePoint>,
     n_seen_runs: usize,
     /// Runs in progress and the time at which they end.
     running: Vec<(TimePoint, TestRun)>,
@@ -103,6 +107,7 @@
             plan,
             rng,
             next_culprit: fleet.now().plus(Duration::from_secs(1)),
+            restart_all_at: plan.restart_all_at.map(|it| fleet.now().plus(it)),
             fleet,
             next_call: 1,
             n_seen_runs: 0,
@@ -148,11 +153,12 @@
         for (_, dialer, acceptor) in self.redials.extract_if(.., |(at, ..)| *at <= now) {
             self.fleet.redial_silent_link(dialer, acceptor);
         }
+        if self.restart_all_at.take_if(|at| *at <= now).is_some() {
+            (0..SERVICES.len()).for_each(|daemon| self.restart_daemon(daemon));
+        }
         let daemon = self.random_daemon();
-        if self.happens(self.plan.restarts_per_s) && !self.fleet.is_dead(daemon) {
-            self.running.retain(|(_, run)| run.daemon != daemon);
-            self.fleet.crash(daemon);
-            self.daemon_restarts.push((now.plus(DAEMON_DOWNTIME), daemon));
+        if self.happens(self.plan.restarts_per_s) {
+            self.restart_daemon(daemon);
         }
         let acceptor = self.random_daemon();
         if self.happens(self.plan.silent_links_per_s) && daemon != acceptor {
@@ -162,6 +168,14 @@
         }
     }
 
+    fn restart_daemon(&mut self, daemon: usize) {
+        if !self.fleet.is_dead(daemon) {
+            self.running.retain(|(_, run)| run.daemon != daemon);
+            self.fleet.crash(daemon);
+            self.daemon_restarts.push((self.fleet.now().plus(DAEMON_DOWNTIME), daemon));
+        }
+    }
+
     fn send_calls(&mut self) {
         for _ in 0..self.plan.calls_per_step {
             let request = self.next_request();
@@ -315,3 +329,14 @@
         ..SessionPlan::calm()
     });
 }
+
+/// Guards against a restart of all daemons at once, after which none knows of the request.
+#[test]
+fn a_crashing_request_is_not_released_by_a_restart_of_all_daemons() {
+    check_sessions(SessionPlan {
+        culprit_interval: Duration::from_millis(4_700),
+        n_copies: 2,
+        restart_all_at: Some(Duration::from_secs(15)),
+        ..SessionPlan::calm()
+    });
+}
--- a/crates/ivytrail/src/mesh/tests/crashing_requests.rs
+++ b/crates/ivytrail/src/mesh/tests/crashing_requests.rs
@@ -6,7 +6,7 @@
 use crate::{
     id::{CallId, ContentDigest, MemberId},
     mesh::{
-        event::{CallRequest, MeshEvent, RunEnd},
+        event::{CallAnswer, CallRequest, MeshEvent, RunEnd},
         frame::PeerFrame,
     },
     message::{CallOutcome, RefusalReason},
@@ -195,3 +195,54 @@
 
     assert_eq!(n_crashes_known(&fleet), [1; SERVICES.len()]);
 }
+
+/// Guards against evidence that outlasts the suspicion: of two requests that were in flight at the same two crashes, each
+/// is cleared by its own trial.
+#[test]
+fn a_trial_that_completes_clears_the_request_in_the_table_and_at_all_daemons() {
+    let mut fleet = TestFleet::start_with(&SERVICES);
+    let companion_of =
+        |id| CallRequest { target: "/track/companion".into(), ..call_of(id, "track") };
+    fleet.call(ENTRY, culprit_of(1));
+    fleet.call(ENTRY, companion_of(2));
+    while let Some(run) = fleet.runs().pop() {
+        fleet.crash_server(run.daemon);
+    }
+    (0..ENTRY).for_each(|server| fleet.restart_server(server));
+    fleet.advance(Duration::from_secs(6));
+    assert_eq!(n_crashes_known(&fleet), [2; SERVICES.len()]);
+    assert_eq!(fleet.stored_suspects().len(), 2);
+
+    let answer = fleet.call_and_answer(ENTRY, culprit_of(3));
+    fleet.advance(Duration::from_millis(20));
+
+    assert!(matches!(answer, CallAnswer::Complete { status: 200, .. }), "{answer:?}");
+    assert_eq!(n_crashes_known(&fleet), [0; SERVICES.len()]);
+    assert_eq!(fleet.stored_suspects().len(), 1);
+    fleet.call_and_answer(ENTRY, companion_of(4));
+    fleet.advance(Duration::from_millis(20));
+    assert_eq!(fleet.stored_suspects(), []);
+}
+
+/// Guards against several trials of a request at once, also where entries choose different servers for them.
+#[test]
+fn copies_of_a_request_on_trial_run_one_at_a_time_at_one_server() {
+    let mut fleet = TestFleet::start_with(&SERVICES);
+    report_crashes(&mut fleet, 2, false);
+    fleet.advance(Duration::from_secs(6));
+
+    for id in 1..=8 {
+        fleet.call(id as usize % SERVICES.len(), culprit_of(id));
+    }
+
+    let run = fleet.only_run();
+    assert_eq!(fleet.n_runs_started(), 1);
+    fleet.end_run(&run, answered(200));
+    let refusals = (1..=8).filter(|id| fleet.status_of(*id).is_none());
+    assert!(refusals.clone().count() == 7);
+    for id in refusals {
+        let (outcome, reason, retry_after) = refused(fleet.answer_of(id));
+        assert_eq!((outcome, reason), (CallOutcome::NotRun, RefusalReason::Quarantined));
+        assert!(retry_after.is_some());
+    }
+}
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -3,7 +3,7 @@
 mod faults;
 
 use std::{
-    collections::{HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -22,6 +22,7 @@
         retry_budget::RetryPolicy,
     },
     message::{CallOutcome, RefusalReason},
+    quarantine::{EvidenceRecord, StoredSuspect},
     time::TimePoint,
 };
 
@@ -71,6 +72,8 @@
     down_servers: HashSet<usize>,
     /// Runs that could not be sent to their backend server, and have not ended yet.
     unsent_runs: VecDeque<(usize, RunId)>,
+    /// Evidence in the platform's table.
+    stored_suspects: BTreeMap<ContentDigest, StoredSuspect>,
     /// Daemons that probe their backend server.
     probes: VecDeque<usize>,
     /// Delays and duplicates crash evidence, if set.
@@ -215,6 +218,7 @@
             server_starts: vec![INITIAL_SERVER_START_MS; n_daemons],
             down_servers: HashSet::new(),
             unsent_runs: VecDeque::new(),
+            stored_suspects: BTreeMap::new(),
             probes: VecDeque::new(),
             evidence_faults: None,
             delayed: Vec::new(),
@@ -264,6 +268,15 @@
         self.now
     }
 
+    /// Returns the fingerprints of the requests against which the platform's table has evidence.
+    pub(super) fn stored_suspects(&self) -> Vec<ContentDigest> {
+        self.stored_suspects.keys().copied().collect()
+    }
+
+    fn stored_evidence(&self) -> Vec<EvidenceRecord> {
+        self.stored_suspects.values().flat_map(|it| it.records.clone()).collect()
+    }
+
     /// Returns the advertisement of a daemon's backend server in its current run.
     fn running_server(&self, daemon: usize) -> ServerAdvertisement {
         let started_at_ms = self.server_starts[daemon];
@@ -350,6 +363,10 @@
                 self.started.push(started.clone());
                 self.runs.push(started);
             }
+            MeshEffect::SaveSuspects(changes) => {
+                self.stored_suspects.retain(|it, _| !changes.removed.contains(it));
+                self.stored_suspects.extend(changes.stored);
+            }
             MeshEffect::ProbeServer => self.probes.push_back(daemon),
             MeshEffect::CancelRun { run } => {
                 self.cancelled.insert((daemon, run));
--- a/crates/ivytrail/src/mesh/tests/fleet/faults.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet/faults.rs
@@ -67,6 +67,8 @@
             .map(|it| PeerAddress { instance: name_of(it), address: format!("10.0.0.{it}:7000") })
             .collect();
         self.apply(daemon, MeshEvent::PeersDiscovered(peers));
+        let evidence = self.stored_evidence();
+        self.apply(daemon, MeshEvent::SuspectsLoaded(evidence));
     }
 
     /// Drops all frames that a daemon sends from now on; its links stay open.
--- a/crates/ivytrail/src/quarantine.rs
+++ b/crates/ivytrail/src/quarantine.rs
@@ -18,9 +18,12 @@
     time::TimePoint,
 };
 
+mod suspect_changes;
 #[cfg(test)]
 mod tests;
 
+pub use self::suspect_changes::{MAX_CHANGES, StoredSuspect, SuspectChanges};
+
 /// Number of crashes with the same fingerprint after which the fingerprint is quarantined.
 pub const MAX_CRASHES: usize = 2;
 /// Duration of the quarantine of a fingerprint that was the only suspect in flight at its last crash.
@@ -145,6 +148,7 @@
     seen: HashSet<(MemberId, u64)>,
     seen_order: VecDeque<(MemberId, u64)>,
     clearances: Vec<EvidenceRecord>,
+    changes: SuspectChanges,
 }
 
 impl CrashQuarantine {
@@ -171,6 +175,7 @@
             seen: HashSet::new(),
             seen_order: VecDeque::new(),
             clearances: Vec::new(),
+            changes: SuspectChanges::default(),
         }
     }
 
@@ -227,11 +232,14 @@
     /// Records that a call with this fingerprint completed. It is no longer a suspect, and its next crash is excused.
     pub fn record_completion(&mut self, fingerprint: &ContentDigest) {
         self.release(fingerprint);
-        if self.suspects.remove(fingerprint).is_some()
-            && self.clearances.len() < MAX_BROADCAST_RECORDS
-        {
-            let clearance = self.new_record(*fingerprint, CrashEvidence::Completed);
-            self.clearances.push(clearance);
+        if let Some(cleared) = self.suspects.remove(fingerprint) {
+            if MAX_CRASHES <= cleared.n_crashes {
+                self.changes.remove(*fingerprint);
+            }
+            if self.clearances.len() < MAX_BROADCAST_RECORDS {
+                let clearance = self.new_record(*fingerprint, CrashEvidence::Completed);
+                self.clearances.push(clearance);
+            }
         }
         self.completed[completed_slot(fingerprint)] = Some(*fingerprint);
     }
@@ -250,6 +258,11 @@
         std::mem::take(&mut self.clearances)
     }
 
+    /// Takes the changes since the last call of what must outlast the daemons, or returns `None` if there are none.
+    pub fn take_changes(&mut self) -> Option<SuspectChanges> {
+        (!self.changes.is_empty()).then(|| std::mem::take(&mut self.changes))
+    }
+
     /// Returns the remaining time for which calls with this fingerprint are refused, or `None` if they may run.
     pub fn remaining_quarantine(
         &self,
@@ -395,6 +408,11 @@
                 if proven { PROVEN_QUARANTINE } else { unproven_quarantine(record.n_crashes) };
             record.quarantined_until = record.quarantined_until.max(now.plus(span));
             record.expiry = record.quarantined_until.plus(RESTRICTED_TTL);
+            // The daemons that have contributed to the quarantine store it.
+            if record.records.iter().any(|it| it.origin == self.origin) {
+                let records = record.records.iter().cloned().collect();
+                self.changes.store(fingerprint, StoredSuspect { records });
+            }
         }
         assert!(self.suspects.len() <= MAX_SUSPECTS, "suspects exceed the limit");
     }
--- a/tests/tests/site_processes.rs
+++ b/tests/tests/site_processes.rs
@@ -476,3 +476,45 @@
     assert!(n_late <= MAX_LATE_ARRIVALS, "{n_late} late arrivals, log:\n{}", site.daemon_log(0));
     Ok(())
 }
+
+/// Guards against a restart of all daemons at once, after which none knows of the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restart_of_all_daemons_releases_no_request_that_crashes_backend_servers() -> Result<()> {
+    let _lock = MESH_LOCK.lock().await;
+    let mut site = TestSite::start_with(&["tracker"; 3], false).await?;
+    let n_before =
+        n_arrivals(&site, "before", Duration::from_millis(100), Duration::from_secs(4)).await;
+    sleep(Duration::from_secs(1)).await;
+
+    for idx in 0..3 {
+        site.daemons[idx].kill()?;
+    }
+    for idx in 0..3 {
+        site.daemons[idx] = site.start_daemon(idx)?;
+    }
+    for idx in 0..3 {
+        site.wait_until_serving(idx).await?;
+    }
+    let n_after =
+        n_arrivals(&site, "after", Duration::from_millis(100), Duration::from_secs(4)).await;
+
+    assert!(2 <= n_before, "{n_before} arrivals before the restart");
+    assert_eq!(n_after, 0, "log:\n{}", site.daemon_log(0));
+    Ok(())
+}
+
+/// Sends one request that crashes backend servers, with identifiers that begin with `name`, to all entries in turn for
+/// `duration`. Returns the number of its arrivals at backend servers.
+async fn n_arrivals(site: &TestSite, name: &str, interval: Duration, duration: Duration) -> usize {
+    let path = format!("/track{CRASH_SEGMENT}same/20");
+    let until = Instant::now() + duration;
+    for n in 0.. {
+        if until <= Instant::now() {
+            break;
+        }
+        status_at(site, n % site.addresses.len(), &path, &format!("{name}-{n}")).await;
+        sleep(interval).await;
+    }
+    let arrivals = site.backends.iter().flat_map(SiteBackend::arrivals);
+    arrivals.filter(|(_, id)| id.starts_with(name)).count()
+}
