Split the test fleet's fixtures and the process tests of crashing requests

Requests, servers and settings of the reducer fleet move to fleet/fixtures.rs, the process tests of requests that crash servers to tests/crashing_requests.rs, and what sends requests to a test site to site/load.rs. No test and no check changes.

--- /dev/null
+++ b/crates/ivytrail/src/mesh/tests/fleet/fixtures.rs
@@ -0,0 +1,96 @@
+//! Requests, responses, servers and settings of the test fleet.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+
+use super::{CLIENT, INITIAL_SERVER_START_MS, SLOTS, TIMEOUT};
+use crate::{
+    id::{CallId, ContentDigest},
+    mesh::{
+        event::{CallAnswer, CallRequest, RunEnd},
+        frame::{ServerAdvertisement, ServerPhase},
+        policy::{AccountPolicy, FleetDeclaration, FleetSettings, RoutePolicy, RouteTarget},
+    },
+    message::{CallOutcome, RefusalReason},
+};
+
+pub(in super::super) fn server_advertisement(daemon: usize, service: &str) -> ServerAdvertisement {
+    ServerAdvertisement {
+        id: format!("server-{daemon}").into(),
+        started_at_ms: INITIAL_SERVER_START_MS,
+        service: service.into(),
+        slots: SLOTS,
+        phase: ServerPhase::Ready,
+        warm_up: Duration::ZERO,
+    }
+}
+
+pub(in super::super) fn call_of(id: u64, route: &str) -> CallRequest {
+    CallRequest {
+        call: CallId(id),
+        request_id: format!("r{id}").into(),
+        method: "GET".into(),
+        host: "a.example".into(),
+        target: format!("/{route}/{id}").into(),
+        headers: Vec::new(),
+        key: Some(ContentDigest::of_parts(&[b"key"])),
+        time_limit: Some(Duration::from_secs(5)),
+        body: Bytes::from_static(b"body"),
+    }
+}
+
+pub(in super::super) fn answered(status: u16) -> RunEnd {
+    RunEnd::Answered { status, headers: Vec::new(), body: Bytes::from_static(b"answer") }
+}
+
+pub(in super::super) fn answered_with(n_bytes: usize) -> RunEnd {
+    RunEnd::Answered { status: 200, headers: Vec::new(), body: Bytes::from(vec![0; n_bytes]) }
+}
+
+pub(in super::super) fn refused(
+    answer: Option<CallAnswer>,
+) -> (CallOutcome, RefusalReason, Option<Duration>) {
+    match answer {
+        Some(CallAnswer::Refused { outcome, reason, retry_after }) => {
+            (outcome, reason, retry_after)
+        }
+        other => panic!("expected a refusal, found {other:?}"),
+    }
+}
+
+const READ_TARGET: Duration = Duration::from_millis(1_500);
+/// Target latency of the route `release`.
+pub(in super::super) const RELEASE_TARGET: Duration = Duration::from_millis(200);
+
+pub(super) fn settings_of(version: u64, rate_per_s: f64, burst: f64) -> Arc<FleetSettings> {
+    let route = |name: &str, service: &str, is_idempotent: bool, target_latency| RoutePolicy {
+        name: name.into(),
+        host: "a.example".to_string(),
+        prefix: format!("/{name}/"),
+        is_idempotent,
+        timeout: TIMEOUT,
+        target_latency,
+        priority: 0,
+        targets: vec![RouteTarget { service: service.into(), weight: 1 }],
+        max_attempts: 2,
+        is_public: false,
+    };
+    let account = AccountPolicy {
+        name: CLIENT.into(),
+        keys: vec![ContentDigest::of_parts(&[b"key"])],
+        priority: None,
+        rate_per_s,
+        burst,
+    };
+    Arc::new(FleetSettings::new(FleetDeclaration {
+        version,
+        routes: vec![
+            route("track", "tracker", true, READ_TARGET),
+            route("book", "booking", false, READ_TARGET),
+            route("release", "booking", false, RELEASE_TARGET),
+        ],
+        accounts: vec![account],
+        ..FleetDeclaration::default()
+    }))
+}
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -2,6 +2,7 @@
 //! servers that speak the platform's protocol.
 
 pub mod backend;
+pub mod load;
 pub mod table;
 
 use std::{net::SocketAddr, time::Duration};
