Say plainly what counts as a crash, and rename two locals

Read as a newcomer: the module's first lines on crash detection were hard to follow, one metric's help text said 'own' where the others say 'local', and two locals shared a name with the field they were drained from. No behaviour changes.

--- a/crates/ivytrail-daemon/src/mesh/metrics.rs
+++ b/crates/ivytrail-daemon/src/mesh/metrics.rs
@@ -90,7 +90,7 @@
             quarantined: gauge("quarantined_requests", "Suspects that are refused"),
             server_crashes: gauge(
                 "server_crashes",
-                "Crashes of the own backend server with requests in flight",
+                "Crashes of the local backend server with requests in flight",
             ),
             settings_watch_age,
             table_responded_at: Cell::new(Instant::now()),
--- a/crates/ivytrail/src/mesh/crash_detector.rs
+++ b/crates/ivytrail/src/mesh/crash_detector.rs
@@ -1,7 +1,8 @@
 //! Detection of crashes of the local backend server, and of the requests that may have caused them.
 //!
-//! A crash shows as a refused connection, also that of a probe after a run without a response, or as a new run of the
-//! server. Each crash counts once: until the server is known to run again, further refused connections are no crash.
+//! Two signs count as a crash: the server refuses a connection (of an attempt, or of the probe that follows a run without
+//! a response), or a new run of the server announces itself although the former one had not said that it leaves. Each
+//! crash counts once: further refused connections are ignored until the server is known to run again.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -78,8 +79,8 @@
         let last_response_at = self.last_response_at;
         let is_candidate =
             |ended_at: TimePoint| last_response_at.since(ended_at) < RESPONSE_ORDER_MARGIN;
-        let unanswered = self.unanswered_runs.drain(..);
-        Some(unanswered.filter(|(at, _)| is_candidate(*at)).map(|(_, it)| it).collect())
+        let runs = self.unanswered_runs.drain(..);
+        Some(runs.filter(|(at, _)| is_candidate(*at)).map(|(_, it)| it).collect())
     }
 
     /// Records that a new run of the server has started.
--- a/crates/ivytrail/src/mesh/run_outcome.rs
+++ b/crates/ivytrail/src/mesh/run_outcome.rs
@@ -120,11 +120,11 @@
     /// response since it last responded and runs that are still in progress become suspects.
     pub(super) fn record_server_crash(&mut self, step: &mut ReducerStep<'_>, sign: CrashSign) {
         let is_expected = self.guard.server().is_none_or(|it| it.phase == ServerPhase::Draining);
-        let unanswered = match is_expected {
+        let interrupted = match is_expected {
             true => None,
             false => self.guard.crash_detector.record_crash(step.now),
         };
-        let Some(mut in_flight) = unanswered else { return };
+        let Some(mut in_flight) = interrupted else { return };
         let running = self.guard.attempts.values().filter(|it| it.started_at.is_some());
         in_flight.extend(running.map(|it| it.request.fingerprint));
         if in_flight.is_empty() {
