Show the time of each step and the source of quota tokens

Adds event=slow_step with the input and the time of each step of 50 ms or more, and the metrics longest_step_seconds and quota_tokens{source}. No decision changes.

--- a/crates/ivytrail-daemon/src/mesh/driver.rs
+++ b/crates/ivytrail-daemon/src/mesh/driver.rs
@@ -5,7 +5,7 @@
     collections::HashMap,
     rc::Rc,
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use bytes::Bytes;
@@ -110,7 +110,9 @@
     /// Applies an event to the reducer and executes the resulting effects.
     pub fn apply(self: &Rc<Self>, event: MeshEvent) {
         let mut effects = Vec::new();
+        let (name, started) = (event.name(), Instant::now());
         self.reducer.borrow_mut().apply(boot_time(), event, &mut effects);
+        self.metrics.record_step(name, started.elapsed());
         for effect in effects {
             self.execute(effect);
         }
--- a/crates/ivytrail-daemon/src/mesh/metrics.rs
+++ b/crates/ivytrail-daemon/src/mesh/metrics.rs
@@ -26,6 +26,9 @@
 };
 use crate::metrics::AnswerLabels;
 
+/// Duration of a reducer step from which it is logged. Nothing else is served during a step.
+const SLOW_STEP: Duration = Duration::from_millis(50);
+
 /// Labels of the counter of ended runs.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct RunLabels {
@@ -78,6 +81,12 @@
     }
 }
 
+/// Labels of the count of quota tokens.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct TokenLabels {
+    source: &'static str,
+}
+
 /// Metric registry of the mesh daemon, with handles to its metrics.
 #[derive(Debug)]
 pub struct MeshMetrics {
@@ -95,6 +104,8 @@
     quarantined: Gauge,
     server_crashes: Gauge,
     capacity: CapacityMetrics,
+    longest_step: Gauge<f64, AtomicU64>,
+    quota_tokens: Family<TokenLabels, Gauge>,
     settings_watch_age: Gauge<f64, AtomicU64>,
     /// Time of the last response to a request for the configuration.
     table_responded_at: Cell<Instant>,
@@ -125,6 +136,19 @@
             Unit::Seconds,
             settings_watch_age.clone(),
         );
+        let longest_step = Gauge::<f64, AtomicU64>::default();
+        registry.register_with_unit(
+            "longest_step",
+            "Longest time that the reducer took for one event, since the start",
+            Unit::Seconds,
+            longest_step.clone(),
+        );
+        let quota_tokens = Family::<TokenLabels, Gauge>::default();
+        registry.register(
+            "quota_tokens",
+            "Quota tokens granted by this daemon as an account's owner or from its own share, since the start",
+            quota_tokens.clone(),
+        );
         let capacity = CapacityMetrics::new(&mut registry);
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
@@ -144,6 +168,8 @@
                 "Crashes of the local backend server with requests in flight",
             ),
             capacity,
+            longest_step,
+            quota_tokens,
             settings_watch_age,
             table_responded_at: Cell::new(Instant::now()),
             registry,
@@ -178,6 +204,16 @@
         self.runs.get_or_create(&RunLabels { end: end.name() }).inc();
     }
 
+    /// Records the time that the reducer took for an event, and logs it if nothing else was served for long.
+    pub fn record_step(&self, event: &str, duration: Duration) {
+        if self.longest_step.get() < duration.as_secs_f64() {
+            self.longest_step.set(duration.as_secs_f64());
+        }
+        if SLOW_STEP <= duration {
+            log::warn!("event=slow_step input={event} took_ms={}", duration.as_millis());
+        }
+    }
+
     /// Records a response of the platform's table to a request for the configuration.
     pub fn record_table_response(&self) {
         self.table_responded_at.set(Instant::now());
@@ -200,6 +236,10 @@
         self.quarantined.set(i64::try_from(n_quarantined).unwrap_or(i64::MAX));
         self.server_crashes.set(i64::try_from(n_crashes).unwrap_or(i64::MAX));
         driver.inspect(|it| self.capacity.update(it));
+        for (source, n_tokens) in driver.inspect(MeshReducer::n_quota_tokens) {
+            let gauge = self.quota_tokens.get_or_create(&TokenLabels { source });
+            gauge.set(i64::try_from(n_tokens).unwrap_or(i64::MAX));
+        }
         self.settings_watch_age.set(self.table_responded_at.get().elapsed().as_secs_f64());
         let mut text = String::new();
         // Writing to a string can't fail.
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -296,6 +296,11 @@
         &self.quarantine
     }
 
+    /// Returns the number of quota tokens that this daemon has granted, by the name of their source.
+    pub fn n_quota_tokens(&self) -> [(&'static str, u64); 2] {
+        self.quotas.n_granted()
+    }
+
     /// Returns the number of calls that have no response yet.
     pub fn n_calls(&self) -> usize {
         self.entry.len()
--- a/crates/ivytrail/src/mesh/event.rs
+++ b/crates/ivytrail/src/mesh/event.rs
@@ -219,6 +219,34 @@
     Tick,
 }
 
+impl MeshEvent {
+    /// Returns the event's name in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            MeshEvent::CallReceived(_) => "call-received",
+            MeshEvent::CallerDisconnected { .. } => "caller-disconnected",
+            MeshEvent::OutboundLinkOpened(_) => "outbound-link-opened",
+            MeshEvent::OutboundLinkClosed { .. } => "outbound-link-closed",
+            MeshEvent::InboundLinkOpened(_) => "inbound-link-opened",
+            MeshEvent::InboundLinkClosed { .. } => "inbound-link-closed",
+            MeshEvent::FrameReceived { .. } => "frame-received",
+            MeshEvent::RunEnded { .. } => "run-ended",
+            MeshEvent::ServerAnnounced { .. } => "server-announced",
+            MeshEvent::ServerLeaving { .. } => "server-leaving",
+            MeshEvent::ServerNoticed { .. } => "server-noticed",
+            MeshEvent::ServerProbed { .. } => "server-probed",
+            MeshEvent::HealthProbed(_) => "health-probed",
+            MeshEvent::EvacuationsRead(_) => "evacuations-read",
+            MeshEvent::SuspectsLoaded(_) => "suspects-loaded",
+            MeshEvent::SettingsReceived { .. } => "settings-received",
+            MeshEvent::PeersDiscovered(_) => "peers-discovered",
+            MeshEvent::StopRequested { .. } => "stop-requested",
+            MeshEvent::GuardClosed => "guard-closed",
+            MeshEvent::Tick => "tick",
+        }
+    }
+}
+
 /// An output of the reducer, to be executed by the runtime.
 #[derive(Clone, Debug, PartialEq)]
 pub enum MeshEffect {
--- a/crates/ivytrail/src/mesh/quota.rs
+++ b/crates/ivytrail/src/mesh/quota.rs
@@ -68,6 +68,8 @@
 pub struct QuotaBuckets {
     owned: HashMap<AccountName, TokenBucket>,
     fallbacks: HashMap<AccountName, TokenBucket>,
+    n_granted_as_owner: u64,
+    n_granted_as_fallback: u64,
 }
 
 impl QuotaBuckets {
@@ -86,7 +88,10 @@
             .entry(account.name.clone())
             .or_insert_with(|| TokenBucket::new(now, account.burst * INITIAL_BURST_SHARE));
         let reachable = 1.0 - n_unreachable as f64 / n_daemons.max(1) as f64;
-        bucket.take(now, account.rate_per_s * reachable, account.burst * reachable, wanted)
+        let granted =
+            bucket.take(now, account.rate_per_s * reachable, account.burst * reachable, wanted);
+        self.n_granted_as_owner += u64::from(granted);
+        granted
     }
 
     /// Takes back tokens as the account's quota owner, for requests that have not run.
@@ -121,7 +126,14 @@
             .fallbacks
             .entry(account.name.clone())
             .or_insert_with(|| TokenBucket::new(now, 1.0));
-        bucket.take(now, account.rate_per_s * share, account.burst * share, wanted)
+        let granted = bucket.take(now, account.rate_per_s * share, account.burst * share, wanted);
+        self.n_granted_as_fallback += u64::from(granted);
+        granted
+    }
+
+    /// Returns the number of tokens granted, by the name of the bucket that they came from.
+    pub fn n_granted(&self) -> [(&'static str, u64); 2] {
+        [("owner", self.n_granted_as_owner), ("fallback", self.n_granted_as_fallback)]
     }
 }
 
