Compute the demand of all routes level by level

The daemons used a whole core and answered nothing.

Cause: CostModel::add_demand followed every path of the call graph, 3^19 for the first route, ten times a second for each route with demand, on the daemon's only thread. A storm of reports would make it grow by a constant, and calls that wait for each other would leave the daemons idle.

A route's demand is the cost of its own run plus the demand of the routes that it calls, so all demands are now computed together, one level of calls after the other, in levels x calls x services steps. Results are the same. Reported numbers that are not finite, or negative, are left out.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -420,6 +420,7 @@
             self.exchange_demand(step);
         }
         self.picker.set_load(&me, self.guard.load());
+        self.costs.update_demands();
         let picker = &self.picker;
         self.admission.update(elapsed, &self.costs, |service| picker.slots_of(step.now, service));
         if ADMISSION_LOG_INTERVAL <= step.now.since(self.admission_logged_at)
--- a/crates/ivytrail/src/mesh/admission.rs
+++ b/crates/ivytrail/src/mesh/admission.rs
@@ -22,7 +22,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    cost::{CostModel, ServiceDemand},
+    cost::{CostModel, ServiceDemands},
     queue::{QueueRank, RootPriority},
 };
 use crate::{
@@ -317,7 +317,11 @@
         }
         let mut offers: Vec<RouteOffer> = total
             .into_iter()
-            .map(|(key, per_s)| RouteOffer { demand: costs.demand_of(&key.0), per_s, key })
+            .map(|(key, per_s)| RouteOffer {
+                demand: costs.demand_of(&key.0).cloned().unwrap_or_default(),
+                per_s,
+                key,
+            })
             .collect();
         offers.sort_unstable_by(|a, b| a.key.cmp(&b.key));
         offers
@@ -345,7 +349,7 @@
     key: DemandKey,
     per_s: f64,
     /// Cost of one request at each service.
-    demand: HashMap<ServiceName, ServiceDemand>,
+    demand: ServiceDemands,
 }
 
 impl RouteOffer {
--- a/crates/ivytrail/src/mesh/admission/tests.rs
+++ b/crates/ivytrail/src/mesh/admission/tests.rs
@@ -24,6 +24,7 @@
             cost("window", SERVICE, 0.03, &[]),
         ],
     );
+    model.update_demands();
     model
 }
 
--- a/crates/ivytrail/src/mesh/cost.rs
+++ b/crates/ivytrail/src/mesh/cost.rs
@@ -8,7 +8,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::retry_budget::ServiceArrivals;
 use crate::{
     id::{InstanceName, RouteName, ServiceName},
     time::TimePoint,
@@ -46,6 +45,14 @@
     pub runs_per_s: f64,
 }
 
+impl RouteCost {
+    /// Returns whether all numbers are finite and none is negative.
+    fn is_valid(&self) -> bool {
+        let ratios = self.calls.iter().map(|(_, ratio)| *ratio);
+        ratios.chain([self.hold_s, self.runs_per_s]).all(|it| it.is_finite() && 0.0 <= it)
+    }
+}
+
 /// Measures the cost of the routes that the local backend server runs.
 #[derive(Debug, Default)]
 pub struct CostEstimator {
@@ -152,75 +159,162 @@
     pub slot_time_s: f64,
 }
 
+/// Cost of one request at each service that it reaches.
+pub type ServiceDemands = HashMap<ServiceName, ServiceDemand>;
+
 /// Costs of all routes, combined from the reports of all daemons.
+///
+/// The demand of a route is the cost of its own run plus the demand of the routes that it calls. It is computed for all
+/// routes together, one level of calls at a time, so that the time it takes grows with the number of calls in the graph
+/// and with its depth, and not with the number of paths through it. Reports only mark the demands as outdated:
+/// [`CostModel::update_demands`] bounds how often they are computed, however many daemons report.
 #[derive(Debug, Default)]
 pub struct CostModel {
     reports: HashMap<RouteName, HashMap<InstanceName, RouteCost>>,
-    /// Cached arrivals by route; each report clears them.
-    arrivals: HashMap<RouteName, ServiceArrivals>,
+    /// Demand of one request of each route, as of the last update.
+    demands: HashMap<RouteName, ServiceDemands>,
+    is_outdated: bool,
 }
 
 impl CostModel {
-    /// Replaces the report of a daemon.
+    /// Replaces the report of a daemon. Costs that are no finite numbers, or are negative, are ignored.
     pub fn record_report(&mut self, instance: &InstanceName, costs: Vec<RouteCost>) {
         for reports in self.reports.values_mut() {
             reports.remove(instance);
         }
-        for cost in costs {
+        for cost in costs.into_iter().filter(RouteCost::is_valid) {
             let reports = self.reports.entry(cost.route.clone()).or_default();
             reports.insert(instance.clone(), cost);
         }
         self.reports.retain(|_, reports| !reports.is_empty());
-        self.arrivals.clear();
+        self.is_outdated = true;
+    }
+
+    /// Computes the demands of all routes anew if reports have arrived since the last update.
+    pub fn update_demands(&mut self) {
+        if std::mem::take(&mut self.is_outdated) {
+            self.demands = CallGraph::new(&self.reports).demands();
+        }
     }
 
     /// Returns the number of arrivals that one request of `route` causes at each service other than `called_service`,
-    /// which runs the request itself.
+    /// which runs the request itself, as of the last update.
     pub fn nested_arrivals(
-        &mut self,
+        &self,
         route: &RouteName,
         called_service: &ServiceName,
-    ) -> impl Iterator<Item = &(ServiceName, f64)> {
-        if !self.arrivals.contains_key(route) {
-            let demand = self.demand_of(route).into_iter();
-            let arrivals = demand.map(|(service, it)| (service, it.n_arrivals)).collect();
-            self.arrivals.insert(route.clone(), arrivals);
+    ) -> impl Iterator<Item = (&ServiceName, f64)> {
+        let demands = self.demands.get(route).into_iter().flatten();
+        demands
+            .filter(move |(service, _)| *service != called_service)
+            .map(|(service, demand)| (service, demand.n_arrivals))
+    }
+
+    /// Returns the cost of one request of `route` at each service as of the last update, or `None` if no daemon has
+    /// reported the route.
+    pub fn demand_of(&self, route: &RouteName) -> Option<&ServiceDemands> {
+        self.demands.get(route)
+    }
+}
+
+/// Routes, their mean costs and the calls between them.
+#[derive(Debug)]
+struct CallGraph<'r> {
+    services: Vec<&'r ServiceName>,
+    routes: Vec<RouteNode<'r>>,
+}
+
+/// Mean cost of one request of a route, and the calls that it makes.
+#[derive(Debug)]
+struct RouteNode<'r> {
+    name: &'r RouteName,
+    /// Cost of the route's own run at each service of the graph.
+    own: Vec<ServiceDemand>,
+    /// Index of each called route, with the number of calls.
+    calls: Vec<(usize, f64)>,
+}
+
+impl<'r> CallGraph<'r> {
+    fn new(reports: &'r HashMap<RouteName, HashMap<InstanceName, RouteCost>>) -> CallGraph<'r> {
+        let all_costs = reports.values().flat_map(HashMap::values);
+        let mut services: Vec<&ServiceName> = all_costs.map(|it| &it.service).collect();
+        services.sort_unstable();
+        services.dedup();
+        let indices: HashMap<&RouteName, usize> =
+            reports.keys().enumerate().map(|(idx, name)| (name, idx)).collect();
+        let routes = reports
+            .iter()
+            .map(|(name, reports)| RouteNode::new(name, reports, &indices, &services))
+            .collect();
+        CallGraph { services, routes }
+    }
+
+    /// Returns the demand of one request of each route, with calls up to [`MAX_DEPTH`] levels deep.
+    fn demands(&self) -> HashMap<RouteName, ServiceDemands> {
+        let mut demands =
+            vec![vec![ServiceDemand::default(); self.services.len()]; self.routes.len()];
+        for _ in 0..MAX_DEPTH {
+            let deeper: Vec<_> = self.routes.iter().map(|it| it.demand(&demands)).collect();
+            let is_complete = deeper == demands;
+            demands = deeper;
+            // Without a cycle of calls, nothing is added below the deepest level.
+            if is_complete {
+                break;
+            }
         }
-        self.arrivals[route].iter().filter(move |(service, _)| service != called_service)
+        let names = self.routes.iter().map(|it| it.name.clone());
+        names.zip(demands.iter().map(|demands| self.by_service(demands))).collect()
     }
 
-    /// Returns the cost of one request of `route` at each service.
-    pub fn demand_of(&self, route: &RouteName) -> HashMap<ServiceName, ServiceDemand> {
-        let mut total = HashMap::new();
-        self.add_demand(route, 1.0, MAX_DEPTH, &mut total);
-        total
+    fn by_service(&self, demands: &[ServiceDemand]) -> ServiceDemands {
+        let named = self.services.iter().zip(demands);
+        named
+            .filter(|(_, demand)| **demand != ServiceDemand::default())
+            .map(|(service, demand)| ((*service).clone(), *demand))
+            .collect()
     }
+}
 
-    fn add_demand(
-        &self,
-        route: &RouteName,
-        n_requests: f64,
-        depth: usize,
-        total: &mut HashMap<ServiceName, ServiceDemand>,
-    ) {
-        let Some(reports) = self.reports.get(route).filter(|_| 0 < depth) else { return };
+impl<'r> RouteNode<'r> {
+    /// Averages the reports of one route. Calls of routes that no daemon has reported are left out.
+    fn new(
+        name: &'r RouteName,
+        reports: &HashMap<InstanceName, RouteCost>,
+        indices: &HashMap<&RouteName, usize>,
+        services: &[&ServiceName],
+    ) -> RouteNode<'r> {
         let runs_per_s: f64 = reports.values().map(|it| it.runs_per_s).sum();
-        let mut calls: HashMap<&RouteName, f64> = HashMap::new();
-        let mut holds: HashMap<&ServiceName, HarmonicMean> = HashMap::new();
+        let mut own = vec![ServiceDemand::default(); services.len()];
+        let mut calls: HashMap<usize, f64> = HashMap::new();
+        let mut holds: HashMap<usize, HarmonicMean> = HashMap::new();
         for cost in reports.values() {
-            let share = n_requests * cost.runs_per_s / runs_per_s;
-            total.entry(cost.service.clone()).or_default().n_arrivals += share;
-            holds.entry(&cost.service).or_default().add(cost.hold_s, share);
+            let share = cost.runs_per_s / runs_per_s.max(f64::MIN_POSITIVE);
+            if let Ok(service) = services.binary_search(&&cost.service) {
+                own[service].n_arrivals += share;
+                holds.entry(service).or_default().add(cost.hold_s, share);
+            }
             for (callee, ratio) in &cost.calls {
-                *calls.entry(callee).or_default() += share * ratio;
+                if let Some(callee) = indices.get(callee) {
+                    *calls.entry(*callee).or_default() += share * ratio;
+                }
             }
         }
         for (service, mean) in holds {
-            total.entry(service.clone()).or_default().slot_time_s += mean.slot_time_s();
+            own[service].slot_time_s += mean.slot_time_s();
         }
-        for (callee, n_calls) in calls {
-            self.add_demand(callee, n_calls, depth - 1, total);
+        RouteNode { name, own, calls: calls.into_iter().collect() }
+    }
+
+    /// Returns the cost of the route's own run and of its calls, given the demand of one request of each route.
+    fn demand(&self, demands: &[Vec<ServiceDemand>]) -> Vec<ServiceDemand> {
+        let mut total = self.own.clone();
+        for (callee, n_calls) in &self.calls {
+            for (sum, demand) in total.iter_mut().zip(&demands[*callee]) {
+                sum.n_arrivals += n_calls * demand.n_arrivals;
+                sum.slot_time_s += n_calls * demand.slot_time_s;
+            }
         }
+        total
     }
 }
 
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -308,7 +308,8 @@
             return false;
         }
         let service = &call.request.service;
-        let nested = self.costs.nested_arrivals(&call.request.route, service).cloned();
+        let nested = self.costs.nested_arrivals(&call.request.route, service);
+        let nested = nested.map(|(service, n_arrivals)| (service.clone(), n_arrivals));
         let arrivals = std::iter::once((service.clone(), 1.0)).chain(nested).collect();
         self.retry_budgets.try_spend(step.now, &self.options.retry_policy, n_daemons, &arrivals)
     }
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -72,9 +72,11 @@
     fleet.crash(3);
 
     fleet.rejoin(3);
+    // The first tick computes the demands; the next reports are due later.
+    fleet.advance(Duration::from_millis(10));
 
     let demand = fleet.daemon(3).costs.demand_of(&"track".into());
-    assert!(demand.contains_key(&"tracker".into()), "{demand:?}");
+    assert!(demand.is_some_and(|it| it.contains_key(&"tracker".into())), "{demand:?}");
 }
 
 #[test]
