Count time out of contact at one daemon only in quotas

Cause: each bucket earned tokens by its own clock, whoever granted at that time. Two owners at once, and late grants, played no part.

- An owner's bucket does not earn the shares of daemons that are out of contact: their link is closed, they have dialed again, they have sent none of their advertisements, or this daemon itself handled nothing for 450 ms (event=paused).
- A fallback bucket earns only while the owner does not respond.
What it spent is requested from the owner afterwards and discarded; no frame changes.
- The bucket of a daemon that is not the owner is on standby, where it earns a twentieth of the rate up to what a new owner starts with.
- Tokens of requests that did not run return to the daemon that granted them.
- An owner without the account's rate in its settings no longer grants all that is asked; the entry then spends its share.

Unit tests of quota.rs pass the contact in place of two numbers.

--- a/crates/ivytrail-daemon/src/mesh/metrics.rs
+++ b/crates/ivytrail-daemon/src/mesh/metrics.rs
@@ -87,6 +87,45 @@
     source: &'static str,
 }
 
+/// Metrics of the reducer's work: the time that it takes, and the quota tokens that it grants.
+#[derive(Debug)]
+struct ReducerMetrics {
+    longest_step: Gauge<f64, AtomicU64>,
+    quota_tokens: Family<TokenLabels, Gauge>,
+}
+
+impl ReducerMetrics {
+    fn new(registry: &mut Registry) -> ReducerMetrics {
+        let longest_step = Gauge::<f64, AtomicU64>::default();
+        registry.register_with_unit(
+            "longest_step",
+            "Longest time that the reducer took for one event, since the start",
+            Unit::Seconds,
+            longest_step.clone(),
+        );
+        let quota_tokens = Family::<TokenLabels, Gauge>::default();
+        registry.register(
+            "quota_tokens",
+            "Quota tokens granted as an account's owner or from this daemon's share, since the start",
+            quota_tokens.clone(),
+        );
+        ReducerMetrics { longest_step, quota_tokens }
+    }
+
+    fn record_step(&self, duration: Duration) {
+        if self.longest_step.get() < duration.as_secs_f64() {
+            self.longest_step.set(duration.as_secs_f64());
+        }
+    }
+
+    fn update(&self, reducer: &MeshReducer) {
+        for (source, n_tokens) in reducer.n_quota_tokens() {
+            let gauge = self.quota_tokens.get_or_create(&TokenLabels { source });
+            gauge.set(i64::try_from(n_tokens).unwrap_or(i64::MAX));
+        }
+    }
+}
+
 /// Metric registry of the mesh daemon, with handles to its metrics.
 #[derive(Debug)]
 pub struct MeshMetrics {
@@ -104,8 +143,7 @@
     quarantined: Gauge,
     server_crashes: Gauge,
     capacity: CapacityMetrics,
-    longest_step: Gauge<f64, AtomicU64>,
-    quota_tokens: Family<TokenLabels, Gauge>,
+    reducer: ReducerMetrics,
     settings_watch_age: Gauge<f64, AtomicU64>,
     /// Time of the last response to a request for the configuration.
     table_responded_at: Cell<Instant>,
@@ -136,19 +174,7 @@
             Unit::Seconds,
             settings_watch_age.clone(),
         );
-        let longest_step = Gauge::<f64, AtomicU64>::default();
-        registry.register_with_unit(
-            "longest_step",
-            "Longest time that the reducer took for one event, since the start",
-            Unit::Seconds,
-            longest_step.clone(),
-        );
-        let quota_tokens = Family::<TokenLabels, Gauge>::default();
-        registry.register(
-            "quota_tokens",
-            "Quota tokens granted by this daemon as an account's owner or from its own share, since the start",
-            quota_tokens.clone(),
-        );
+        let reducer = ReducerMetrics::new(&mut registry);
         let capacity = CapacityMetrics::new(&mut registry);
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
@@ -168,8 +194,7 @@
                 "Crashes of the local backend server with requests in flight",
             ),
             capacity,
-            longest_step,
-            quota_tokens,
+            reducer,
             settings_watch_age,
             table_responded_at: Cell::new(Instant::now()),
             registry,
@@ -206,9 +231,7 @@
 
     /// Records the time that the reducer took for an event, and logs it if nothing else was served for long.
     pub fn record_step(&self, event: &str, duration: Duration) {
-        if self.longest_step.get() < duration.as_secs_f64() {
-            self.longest_step.set(duration.as_secs_f64());
-        }
+        self.reducer.record_step(duration);
         if SLOW_STEP <= duration {
             log::warn!("event=slow_step input={event} took_ms={}", duration.as_millis());
         }
@@ -236,10 +259,7 @@
         self.quarantined.set(i64::try_from(n_quarantined).unwrap_or(i64::MAX));
         self.server_crashes.set(i64::try_from(n_crashes).unwrap_or(i64::MAX));
         driver.inspect(|it| self.capacity.update(it));
-        for (source, n_tokens) in driver.inspect(MeshReducer::n_quota_tokens) {
-            let gauge = self.quota_tokens.get_or_create(&TokenLabels { source });
-            gauge.set(i64::try_from(n_tokens).unwrap_or(i64::MAX));
-        }
+        driver.inspect(|it| self.reducer.update(it));
         self.settings_watch_age.set(self.table_responded_at.get().elapsed().as_secs_f64());
         let mut text = String::new();
         // Writing to a string can't fail.
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -199,7 +199,7 @@
     /// Applies one event and appends the resulting effects to `out`.
     pub fn apply(&mut self, now: TimePoint, event: MeshEvent, out: &mut Vec<MeshEffect>) {
         let mut step = ReducerStep { now, out };
-        self.applied_at = now;
+        self.record_pause(&mut step);
         match event {
             MeshEvent::CallReceived(request) => self.handle_call(&mut step, *request),
             MeshEvent::CallerDisconnected { call } => {
@@ -246,6 +246,15 @@
         }
     }
 
+    /// Notices that the process was suspended or got no processor time.
+    fn record_pause(&mut self, step: &mut ReducerStep<'_>) {
+        let before = std::mem::replace(&mut self.applied_at, step.now);
+        let pause = step.now.since(before);
+        if before != TimePoint::ORIGIN && self.links.record_pause(step.now, pause) {
+            step.log(format!("event=paused pause_ms={}", pause.as_millis()));
+        }
+    }
+
     /// Returns whether the daemon can serve clients: it has settings and isn't shutting down.
     pub fn is_ready(&self) -> bool {
         self.settings.is_some() && !self.is_leaving()
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -17,6 +17,7 @@
     picker::AttemptOutcome,
     policy::{AccountPolicy, RoutePolicy},
     queue::QueueRank,
+    quota_flow::TokenSource,
 };
 use crate::{
     id::{CallId, InstanceName},
@@ -67,8 +68,8 @@
     /// Number of attempts that may have started to run.
     pub(super) n_runs: u32,
     pub(super) may_have_run: bool,
-    /// Whether the call holds a token of the account's quota.
-    pub(super) has_token: bool,
+    /// Where the call's token of the account's quota came from, if it holds one.
+    pub(super) token: Option<TokenSource>,
     /// A backend server's error response, returned if no retry succeeds.
     pub(super) fallback: Option<CallAnswer>,
     pub(super) retry_after: Option<Duration>,
@@ -297,7 +298,7 @@
         let Some(call) = self.entry.calls.get(&id) else { return false };
         let needed =
             self.picker.mean_run_time(&call.request.route).mul_f64(MIN_RUN_TIMES_FOR_RETRY);
-        let (n_daemons, _) = self.links.n_daemons(step.now);
+        let n_daemons = self.links.contact(step.now).n_daemons;
         let has_time = needed < call.deadline.since(step.now);
         let has_attempts_left = call.n_runs < call.route.max_attempts;
         let has_untried_server = self
--- a/crates/ivytrail/src/mesh/intake.rs
+++ b/crates/ivytrail/src/mesh/intake.rs
@@ -159,7 +159,7 @@
             tried: Vec::new(),
             n_runs: 0,
             may_have_run: false,
-            has_token: false,
+            token: None,
             fallback: None,
             retry_after: None,
         }
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -1,5 +1,6 @@
 //! Links to other daemons: their state, the detection of unresponsive peers, and the handling of received frames.
 
+mod contact;
 mod silence;
 
 use std::{collections::HashMap, time::Duration};
@@ -33,8 +34,6 @@
 const SETTINGS_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a link after which a peer is removed.
 const PEER_REMOVAL_DELAY: Duration = Duration::from_secs(120);
-/// Time without a link after which a peer's share of quotas and budgets is no longer reserved.
-const QUOTA_RESERVATION_TTL: Duration = Duration::from_secs(20);
 
 /// How an outbound link ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,6 +60,10 @@
     resumable_until: Option<TimePoint>,
     /// Time of the last response on the outbound link.
     last_response_at: TimePoint,
+    /// Time of the last frame from the peer on either link.
+    heard_at: TimePoint,
+    /// Time since which the peer has been out of contact, if it is.
+    absent_since: Option<TimePoint>,
     pinged_at: Option<TimePoint>,
     /// Attempts that were cancelled while the link was closed or did not respond, to be cancelled on the next link.
     pending_cancels: Vec<u64>,
@@ -99,6 +102,8 @@
 pub(super) struct PeerLinks {
     links: HashMap<InstanceName, PeerLink>,
     checked_at: TimePoint,
+    /// Time for which peers have been out of contact, summed over all peers; absences that last are not included.
+    past_absence: Duration,
 }
 
 impl PeerLinks {
@@ -119,6 +124,8 @@
             closed_at: step.now,
             resumable_until: None,
             last_response_at: step.now,
+            heard_at: step.now,
+            absent_since: Some(step.now),
             pinged_at: None,
             pending_cancels: Vec::new(),
             is_silent: false,
@@ -206,17 +213,6 @@
         self.open_peers().count()
     }
 
-    /// Returns the number of daemons in the fleet, including this one, and how many of them are unreachable.
-    pub(super) fn n_daemons(&self, now: TimePoint) -> (usize, usize) {
-        let n_open = self.n_open();
-        let n_closed = self
-            .links
-            .values()
-            .filter(|link| !link.is_open && now.since(link.closed_at) < QUOTA_RESERVATION_TTL)
-            .count();
-        (1 + n_open + n_closed, n_closed)
-    }
-
     /// Returns the interval at which this daemon sends its state while nothing changes.
     pub(super) fn advertisement_interval(&self) -> Duration {
         MIN_ADVERTISEMENT_INTERVAL.max(ADVERTISEMENT_INTERVAL_PER_PEER * self.links.len() as u32)
@@ -236,6 +232,8 @@
         link.member = Some(advertisement.member.clone());
         link.is_open = true;
         link.resumable_until = None;
+        self.links.end_absence(step.now, peer);
+        let Some(link) = self.links.get_mut(peer) else { return };
         let closed_for = step.now.since(link.closed_at);
         step.log(format!(
             "event=link_open peer={} closed_ms={} same_run={is_same_incarnation} protocol={}",
@@ -250,7 +248,7 @@
         // Cancels first: the response that opens the link also clears them.
         self.repeat_cancels(step, peer);
         self.record_response(step.now, peer);
-        self.drop_foreign_buckets();
+        self.release_foreign_buckets(step.now);
         self.picker.set_reachable(peer, true);
         if is_new_incarnation {
             self.handle_lost_attempts(step, peer);
@@ -266,11 +264,13 @@
         peer: &InstanceName,
         end: LinkEnd,
     ) {
-        let Some(link) = self.links.get_mut(peer) else { return };
-        if !link.is_open {
+        if !self.links.get(peer).is_some_and(|it| it.is_open) {
             return;
         }
+        self.cancel_debts_to(peer);
+        let Some(link) = self.links.get_mut(peer) else { return };
         link.is_open = false;
+        link.start_absence();
         link.closed_at = step.now;
         link.resumable_until = match end {
             LinkEnd::Closed => None,
@@ -297,6 +297,7 @@
         let address =
             PeerAddress { instance: instance.clone(), address: advertisement.address.clone() };
         self.links.add(step, address);
+        self.links.record_redial(step.now, &instance);
         if let Some(link) = self.links.get_mut(&instance) {
             link.inbound_closed_at = None;
         }
@@ -335,6 +336,7 @@
     }
 
     fn remove_peer(&mut self, step: &mut ReducerStep<'_>, peer: &InstanceName) {
+        self.links.end_absence(step.now, peer);
         self.links.links.remove(peer);
         self.picker.remove(peer);
         self.costs.record_report(peer, Vec::new());
@@ -356,6 +358,7 @@
         body: Bytes,
     ) {
         let peer = &from.instance;
+        self.links.record_frame(step.now, peer);
         // Other frames arrive on the inbound link and don't show that the outbound one works.
         if frame.is_response() {
             self.record_response(step.now, peer);
@@ -373,9 +376,10 @@
             PeerFrame::Ping => step.send_on_inbound(peer, PeerFrame::Pong, Bytes::new()),
             PeerFrame::Pong => {}
             PeerFrame::QuotaRequest { account, wanted } => {
-                let granted = self.grant_quota(step.now, &account, wanted);
-                let frame = PeerFrame::QuotaResponse { account, wanted, granted };
-                step.send_on_inbound(peer, frame, Bytes::new());
+                if let Some(granted) = self.grant_quota(step.now, &account, wanted) {
+                    let frame = PeerFrame::QuotaResponse { account, wanted, granted };
+                    step.send_on_inbound(peer, frame, Bytes::new());
+                }
             }
             PeerFrame::QuotaReturn { account, n_tokens } => {
                 self.take_back_tokens(&account, n_tokens);
@@ -412,6 +416,8 @@
             return;
         }
         self.links.checked_at = step.now;
+        self.links.find_absent_peers(step.now);
+        self.tick_quotas(step.now);
         self.close_silent_links(step);
         self.expire_suspended_attempts(step);
         self.abandon_runs_of_lost_entries(step);
--- /dev/null
+++ b/crates/ivytrail/src/mesh/links/contact.rs
@@ -0,0 +1,88 @@
+//! Contact with the other daemons, as far as quotas and budgets depend on it.
+//!
+//! A daemon that is out of contact with this one may have got quota tokens elsewhere. Contact has been lost if this
+//! daemon's link to the other is closed, if the other one has dialed again because this one did not respond, if nothing
+//! was heard from it for several of its advertisements, or if this daemon itself handled no event for so long that the
+//! others have turned to the next one.
+
+use std::time::Duration;
+
+use super::{PeerLink, PeerLinks, silence::LONGEST_SILENCE};
+use crate::{id::InstanceName, mesh::quota::FleetContact, time::TimePoint};
+
+/// Time without a link after which a peer's share of quotas and budgets is no longer reserved.
+const RESERVATION_TTL: Duration = Duration::from_secs(20);
+/// Number of advertisements that a peer in contact may be late by.
+const MISSED_ADVERTISEMENTS: u32 = 3;
+
+impl PeerLink {
+    /// Counts the peer as out of contact since it was last heard.
+    pub(super) fn start_absence(&mut self) {
+        self.absent_since.get_or_insert(self.heard_at);
+    }
+
+    /// Returns the time for which the peer has been out of contact, as far as its share is reserved.
+    fn absence(&self, now: TimePoint) -> Duration {
+        self.absent_since.map_or(Duration::ZERO, |since| now.since(since).min(RESERVATION_TTL))
+    }
+}
+
+impl PeerLinks {
+    /// Returns the contact with the other daemons. Peers without a link for [`RESERVATION_TTL`] no longer count.
+    pub(in crate::mesh) fn contact(&self, now: TimePoint) -> FleetContact {
+        let is_counted =
+            |link: &&PeerLink| link.is_open || now.since(link.closed_at) < RESERVATION_TTL;
+        let counted = self.links.values().filter(is_counted);
+        let (n_peers, n_absent) = counted.fold((0, 0), |(n_peers, n_absent), link| {
+            (n_peers + 1, n_absent + usize::from(link.absent_since.is_some()))
+        });
+        let absence: Duration = self.links.values().map(|it| it.absence(now)).sum();
+        let absence_s = (self.past_absence + absence).as_secs_f64();
+        FleetContact { n_daemons: 1 + n_peers, n_absent, absence_s }
+    }
+
+    pub(super) fn end_absence(&mut self, now: TimePoint, peer: &InstanceName) {
+        let Some(link) = self.links.get_mut(peer) else { return };
+        self.past_absence += link.absence(now);
+        link.absent_since = None;
+        link.heard_at = now;
+    }
+
+    /// Records a frame of a peer; it is in contact again if this daemon's link to it is open.
+    pub(super) fn record_frame(&mut self, now: TimePoint, peer: &InstanceName) {
+        match self.links.get_mut(peer) {
+            Some(link) if link.is_open && link.absent_since.is_some() => {
+                self.end_absence(now, peer);
+            }
+            Some(link) => link.heard_at = now,
+            None => {}
+        }
+    }
+
+    /// Records that a peer has dialed this daemon, and so had no link to it since it was last heard.
+    pub(super) fn record_redial(&mut self, now: TimePoint, peer: &InstanceName) {
+        let Some(link) = self.links.get_mut(peer).filter(|it| it.is_open) else { return };
+        link.start_absence();
+        self.end_absence(now, peer);
+    }
+
+    /// Counts peers as out of contact that have not been heard for several advertisements.
+    pub(super) fn find_absent_peers(&mut self, now: TimePoint) {
+        let timeout = self.advertisement_interval() * MISSED_ADVERTISEMENTS;
+        let links = self.links.values_mut();
+        links.filter(|it| timeout <= now.since(it.heard_at)).for_each(PeerLink::start_absence);
+    }
+
+    /// Records that this daemon has handled no event for `pause`. Returns whether that is so long that all peers count as
+    /// out of contact for that time.
+    pub(in crate::mesh) fn record_pause(&mut self, now: TimePoint, pause: Duration) -> bool {
+        if pause < LONGEST_SILENCE {
+            return false;
+        }
+        for link in self.links.values_mut().filter(|it| it.absent_since.is_none()) {
+            self.past_absence += pause;
+            link.heard_at = now;
+        }
+        true
+    }
+}
--- a/crates/ivytrail/src/mesh/links/silence.rs
+++ b/crates/ivytrail/src/mesh/links/silence.rs
@@ -18,6 +18,8 @@
 const SILENT_PEER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time without a response to a ping after which the link is closed and dialed again.
 const PING_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without a response after which peers may have closed their links to a daemon.
+pub(super) const LONGEST_SILENCE: Duration = SILENCE_BEFORE_PING.saturating_add(PING_TIMEOUT);
 
 impl MeshReducer {
     /// Records a response of a peer on the outbound link.
--- a/crates/ivytrail/src/mesh/quota.rs
+++ b/crates/ivytrail/src/mesh/quota.rs
@@ -3,9 +3,18 @@
 //! Each account has one quota owner: the live daemon with the greatest rendezvous weight for the account's name. The
 //! owner keeps the account's token bucket. An entry requests as many tokens as it has calls waiting, with at most one
 //! outstanding request per account. When a request is not granted in full, the entry denies calls by itself for a short
-//! time, so that an account far over its rate does not overload its owner. While an entry cannot reach the owner, it
-//! spends from a local fallback bucket that holds one daemon's share of the rate. The owner reserves that share for each
-//! daemon that it cannot reach, so that the sum stays within the rate.
+//! time, so that an account far over its rate does not overload its owner.
+//!
+//! Time in which an owner and an entry are out of contact must not be counted at both:
+//!
+//! - While an entry cannot reach the owner, it spends from a local fallback bucket that holds one daemon's share of the
+//!   rate and earns only while the owner does not respond. When the owner responds again on the same link, the entry
+//!   requests the tokens that it has spent and discards them.
+//! - After a longer time, the entry closes the link and requests tokens from the next owner. The former owner earns no
+//!   share of the rate for the time in which a daemon was out of contact, whether that daemon, the network or the owner
+//!   itself had stopped; see [`FleetContact`].
+//! - The bucket of a daemon that is not the owner is on standby: it earns little, and no more than a new owner starts
+//!   with.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -20,35 +29,132 @@
 
 /// Share of the burst that a new owner's bucket starts with, since the tokens granted by an earlier owner are unknown.
 const INITIAL_BURST_SHARE: f64 = 0.2;
+/// Tokens that a fallback bucket starts with.
+const INITIAL_FALLBACK_TOKENS: f64 = 1.0;
+/// Share of the rate at which a bucket on standby earns.
+const STANDBY_RATE_SHARE: f64 = 0.05;
+/// Time without a request after which the bucket of a daemon that doesn't count as the owner goes on standby.
+const STANDBY_DELAY: Duration = Duration::from_secs(1);
 /// Time for which an entry denies calls by itself after a request that was not granted in full.
 const DENIAL_TIME: Duration = Duration::from_millis(40);
 /// Time constant of the moving average of the requested tokens, in seconds.
 const REQUEST_RATE_WINDOW_S: f64 = 3.0;
 /// Time for which an entry keeps an unused token.
 const TOKEN_TTL: Duration = Duration::from_millis(500);
+/// Maximum wait of an entry for a response of an account's quota owner.
+pub(super) const QUOTA_RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Contact of a daemon with the other daemons of the fleet.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct FleetContact {
+    /// Number of daemons, including this one.
+    pub n_daemons: usize,
+    /// Number of daemons that are out of contact now.
+    pub n_absent: usize,
+    /// Time for which other daemons have been out of contact since the start of this one, in seconds, summed over them.
+    pub absence_s: f64,
+}
+
+impl FleetContact {
+    /// Returns the share of the daemons that are in contact now.
+    fn present_share(&self) -> f64 {
+        1.0 - self.n_absent as f64 / self.n_daemons.max(1) as f64
+    }
+}
+
+/// Rate and burst that a bucket has to keep to.
+#[derive(Clone, Copy, Debug)]
+struct BucketLimit {
+    rate_per_s: f64,
+    burst: f64,
+    /// Tokens that the bucket starts with, and may earn on standby.
+    initial_tokens: f64,
+}
+
+impl BucketLimit {
+    /// Returns the limit of the owner's bucket.
+    fn of_owner(account: &AccountPolicy) -> BucketLimit {
+        let AccountPolicy { rate_per_s, burst, .. } = *account;
+        BucketLimit { rate_per_s, burst, initial_tokens: burst * INITIAL_BURST_SHARE }
+    }
+
+    /// Returns the limit of a fallback bucket, which holds the share of one of `n_daemons`.
+    fn of_fallback(account: &AccountPolicy, n_daemons: usize) -> BucketLimit {
+        let share = 1.0 / n_daemons.max(1) as f64;
+        BucketLimit {
+            rate_per_s: account.rate_per_s * share,
+            burst: account.burst * share,
+            initial_tokens: INITIAL_FALLBACK_TOKENS,
+        }
+    }
+}
 
 /// Token bucket of one account.
 #[derive(Clone, Copy, Debug)]
 struct TokenBucket {
     tokens: f64,
     filled_at: TimePoint,
+    /// Value of [`FleetContact::absence_s`] when the bucket was filled.
+    absence_s: f64,
+    /// Whether another daemon grants the account's tokens.
+    is_on_standby: bool,
     /// Moving average of the tokens requested per second.
     requested_per_s: f64,
+    requested_at: TimePoint,
 }
 
 impl TokenBucket {
-    fn new(now: TimePoint, tokens: f64) -> TokenBucket {
-        TokenBucket { tokens, filled_at: now, requested_per_s: 0.0 }
+    fn new(now: TimePoint, limit: &BucketLimit) -> TokenBucket {
+        TokenBucket {
+            tokens: limit.initial_tokens,
+            filled_at: now,
+            absence_s: 0.0,
+            is_on_standby: true,
+            requested_per_s: 0.0,
+            requested_at: now,
+        }
     }
 
-    /// Takes up to `wanted` tokens and returns how many were available.
-    fn take(&mut self, now: TimePoint, rate_per_s: f64, burst: f64, wanted: u32) -> u32 {
+    /// Adds the tokens earned since the bucket was last filled. Of that time, other daemons have been out of contact for
+    /// `absence_s - self.absence_s`, summed over `n_daemons`, and may have spent tokens that this bucket did not grant.
+    fn fill(&mut self, now: TimePoint, limit: &BucketLimit, contact: &FleetContact) {
         let elapsed_s = now.since(self.filled_at).as_secs_f64();
-        let earned = elapsed_s * rate_per_s;
+        let absence_s = contact.absence_s - self.absence_s;
+        let earned_s = elapsed_s - absence_s / contact.n_daemons.max(1) as f64;
+        self.tokens = (self.tokens + earned_s * limit.rate_per_s).clamp(0.0, limit.burst.max(1.0));
+        self.mark_filled(now, contact);
+    }
+
+    fn mark_filled(&mut self, now: TimePoint, contact: &FleetContact) {
         self.filled_at = now;
+        self.absence_s = contact.absence_s;
+    }
+
+    /// Ends the standby, if the bucket is on standby.
+    fn activate(&mut self, now: TimePoint, limit: &BucketLimit, contact: &FleetContact) {
+        if std::mem::take(&mut self.is_on_standby) {
+            let elapsed_s = now.since(self.filled_at).as_secs_f64();
+            let earned = elapsed_s * limit.rate_per_s * STANDBY_RATE_SHARE;
+            self.tokens =
+                (self.tokens.min(limit.initial_tokens) + earned).min(limit.initial_tokens);
+            self.mark_filled(now, contact);
+        }
+    }
+
+    /// Puts the bucket on standby from `now` on.
+    fn release(&mut self, now: TimePoint) {
+        if !self.is_on_standby {
+            self.is_on_standby = true;
+            self.filled_at = now;
+        }
+    }
+
+    /// Takes up to `wanted` tokens and returns how many were available.
+    fn take(&mut self, now: TimePoint, wanted: u32) -> u32 {
+        let elapsed_s = now.since(self.requested_at).as_secs_f64();
+        self.requested_at = now;
         self.requested_per_s *= (-elapsed_s / REQUEST_RATE_WINDOW_S).exp();
         self.requested_per_s += f64::from(wanted) / REQUEST_RATE_WINDOW_S;
-        self.tokens = (self.tokens + earned).min(burst.max(1.0));
         let taken = wanted.min(self.tokens as u32);
         self.tokens -= f64::from(taken);
         taken
@@ -63,7 +169,7 @@
     }
 }
 
-/// Token buckets of one daemon: those of the accounts that it owns, and the fallback buckets of others.
+/// Token buckets of one daemon: those of the accounts that it grants tokens for, and the fallback buckets of others.
 #[derive(Clone, Debug, Default)]
 pub struct QuotaBuckets {
     owned: HashMap<AccountName, TokenBucket>,
@@ -73,23 +179,22 @@
 }
 
 impl QuotaBuckets {
-    /// Grants up to `wanted` tokens as the account's quota owner. Of `n_daemons`, `n_unreachable` cannot request tokens
-    /// and spend their own share of the rate.
+    /// Grants up to `wanted` tokens as the account's quota owner. Daemons out of contact spend their own share of the
+    /// rate meanwhile, and the bucket does not earn it.
     pub fn take_as_owner(
         &mut self,
         now: TimePoint,
         account: &AccountPolicy,
-        n_unreachable: usize,
-        n_daemons: usize,
+        contact: &FleetContact,
         wanted: u32,
     ) -> u32 {
-        let bucket = self
-            .owned
-            .entry(account.name.clone())
-            .or_insert_with(|| TokenBucket::new(now, account.burst * INITIAL_BURST_SHARE));
-        let reachable = 1.0 - n_unreachable as f64 / n_daemons.max(1) as f64;
-        let granted =
-            bucket.take(now, account.rate_per_s * reachable, account.burst * reachable, wanted);
+        let limit = BucketLimit::of_owner(account);
+        let bucket =
+            self.owned.entry(account.name.clone()).or_insert_with(|| TokenBucket::new(now, &limit));
+        bucket.activate(now, &limit, contact);
+        let present = BucketLimit { burst: limit.burst * contact.present_share(), ..limit };
+        bucket.fill(now, &present, contact);
+        let granted = bucket.take(now, wanted);
         self.n_granted_as_owner += u64::from(granted);
         granted
     }
@@ -104,16 +209,31 @@
         }
     }
 
-    /// Removes the buckets of accounts that this daemon no longer owns. If it becomes their owner again, it cannot know
-    /// how many tokens were spent in between.
-    pub fn retain_owned<F>(&mut self, is_owner: F)
+    /// Puts the buckets of accounts that this daemon doesn't own on standby. If it becomes their owner again, it cannot
+    /// know how many tokens were spent in between.
+    pub fn release_foreign<F>(&mut self, now: TimePoint, is_owner: F)
+    where
+        F: Fn(&AccountName) -> bool,
+    {
+        let foreign = self.owned.iter_mut().filter(|(account, _)| !is_owner(account));
+        foreign.for_each(|(_, bucket)| bucket.release(now));
+    }
+
+    /// Does the same for the buckets that no daemon has requested tokens from in the last [`STANDBY_DELAY`]. Other
+    /// daemons may take this one for an account's owner while it does not itself.
+    pub fn release_unused_foreign<F>(&mut self, now: TimePoint, is_owner: F)
     where
         F: Fn(&AccountName) -> bool,
     {
-        self.owned.retain(|account, _| is_owner(account));
+        let active = self.owned.iter_mut().filter(|(_, bucket)| !bucket.is_on_standby);
+        active
+            .filter(|(account, bucket)| {
+                STANDBY_DELAY <= now.since(bucket.filled_at) && !is_owner(account)
+            })
+            .for_each(|(_, bucket)| bucket.release(now));
     }
 
-    /// Grants up to `wanted` tokens from this daemon's share of the rate, while the quota owner is unreachable.
+    /// Grants up to `wanted` tokens from this daemon's share of the rate, while the quota owner does not respond.
     pub fn take_fallback(
         &mut self,
         now: TimePoint,
@@ -121,16 +241,28 @@
         n_daemons: usize,
         wanted: u32,
     ) -> u32 {
-        let share = 1.0 / n_daemons.max(1) as f64;
+        let limit = BucketLimit::of_fallback(account, n_daemons);
+        let contact = FleetContact { n_daemons, ..FleetContact::default() };
+        // The owner has not responded for this time.
+        let since = now.minus(QUOTA_RESPONSE_TIMEOUT);
         let bucket = self
             .fallbacks
             .entry(account.name.clone())
-            .or_insert_with(|| TokenBucket::new(now, 1.0));
-        let granted = bucket.take(now, account.rate_per_s * share, account.burst * share, wanted);
+            .or_insert_with(|| TokenBucket::new(since, &limit));
+        bucket.activate(since, &limit, &contact);
+        bucket.fill(now, &limit, &contact);
+        let granted = bucket.take(now, wanted);
         self.n_granted_as_fallback += u64::from(granted);
         granted
     }
 
+    /// Puts the fallback bucket of an account on standby, because its quota owner has responded.
+    pub fn release_fallback(&mut self, now: TimePoint, account: &AccountName) {
+        if let Some(bucket) = self.fallbacks.get_mut(account) {
+            bucket.release(now);
+        }
+    }
+
     /// Returns the number of tokens granted, by the name of the bucket that they came from.
     pub fn n_granted(&self) -> [(&'static str, u64); 2] {
         [("owner", self.n_granted_as_owner), ("fallback", self.n_granted_as_fallback)]
@@ -159,6 +291,8 @@
     waiting: VecDeque<CallId>,
     has_pending_request: bool,
     denied_until: TimePoint,
+    /// Tokens spent from the fallback bucket that the owner has not granted yet.
+    debt: u32,
 }
 
 /// Cached tokens and waiting calls of all accounts at one entry.
@@ -190,8 +324,9 @@
         TokenDecision::Pending { to_request }
     }
 
-    /// Applies the reply to a request for `wanted` tokens, of which `granted` were granted. Returns the calls that get a
-    /// token, the calls that are denied, and the number of tokens to request next.
+    /// Applies the reply to a request for `wanted` tokens, of which `granted` were granted. Tokens that were spent while the
+    /// owner did not respond are repaid first. Returns the calls that get a token, the calls that are denied, and the
+    /// number of tokens to request next.
     pub fn apply_grant(
         &mut self,
         now: TimePoint,
@@ -201,18 +336,45 @@
     ) -> (Vec<CallId>, Vec<CallId>, Option<u32>) {
         let Some(tokens) = self.accounts.get_mut(account) else { return Default::default() };
         tokens.has_pending_request = false;
-        let n_served = (granted as usize).min(tokens.waiting.len());
+        let repaid = tokens.debt.min(granted);
+        tokens.debt -= repaid;
+        let n_available = (granted - repaid) as usize;
+        let n_served = n_available.min(tokens.waiting.len());
         let served = tokens.waiting.drain(..n_served).collect();
         // The tokens of calls that were removed in the meantime are kept for later calls.
-        let n_unused = granted as usize - n_served;
+        let n_unused = n_available - n_served;
         tokens.unused.extend(std::iter::repeat_n(now.plus(TOKEN_TTL), n_unused));
         if granted < wanted {
             tokens.denied_until = now.plus(DENIAL_TIME);
             return (served, tokens.waiting.drain(..).collect(), None);
         }
         let n_waiting = u32::try_from(tokens.waiting.len()).unwrap_or(u32::MAX);
-        tokens.has_pending_request = 0 < n_waiting;
-        (served, Vec::new(), tokens.has_pending_request.then_some(n_waiting))
+        let n_needed = n_waiting.saturating_add(tokens.debt);
+        tokens.has_pending_request = 0 < n_needed;
+        (served, Vec::new(), tokens.has_pending_request.then_some(n_needed))
+    }
+
+    /// Records a token that was spent from the fallback bucket.
+    pub fn record_debt(&mut self, account: &AccountName) {
+        let tokens = self.accounts.entry(account.clone()).or_default();
+        tokens.debt = tokens.debt.saturating_add(1);
+    }
+
+    /// Records that a token from the fallback bucket was not used.
+    pub fn reduce_debt(&mut self, account: &AccountName) {
+        if let Some(tokens) = self.accounts.get_mut(account) {
+            tokens.debt = tokens.debt.saturating_sub(1);
+        }
+    }
+
+    /// Cancels the debts to a quota owner that is out of contact: it does not earn this daemon's share of the rate for
+    /// that time.
+    pub fn cancel_debts<F>(&mut self, is_owner: F)
+    where
+        F: Fn(&AccountName) -> bool,
+    {
+        let debtors = self.accounts.iter_mut().filter(|(_, tokens)| 0 < tokens.debt);
+        debtors.filter(|(account, _)| is_owner(account)).for_each(|(_, tokens)| tokens.debt = 0);
     }
 
     /// Removes a call that no longer waits for a token.
--- a/crates/ivytrail/src/mesh/quota/tests.rs
+++ b/crates/ivytrail/src/mesh/quota/tests.rs
@@ -4,6 +4,17 @@
     AccountPolicy { name: "meteo".into(), keys: Vec::new(), priority: None, rate_per_s, burst }
 }
 
+/// Returns the contact of a daemon with 11 others, of which `n_absent` have been out of contact since `since`.
+fn contact_at(now: TimePoint, n_absent: usize, since: TimePoint) -> FleetContact {
+    let absence_s = now.since(since).as_secs_f64() * n_absent as f64;
+    FleetContact { n_daemons: 12, n_absent, absence_s }
+}
+
+/// Returns the contact of a daemon with `n_daemons - 1` others, none of which was ever out of contact.
+fn undisturbed(n_daemons: usize) -> FleetContact {
+    FleetContact { n_daemons, ..FleetContact::default() }
+}
+
 #[test]
 fn an_owner_grants_no_more_than_the_rate_and_the_burst() {
     let account = account(100.0, 50.0);
@@ -12,7 +23,7 @@
     let n_granted = (0..10_000_u64)
         .filter(|n| {
             let now = TimePoint::from_millis(n / 2);
-            buckets.take_as_owner(now, &account, 0, 12, 1) == 1
+            buckets.take_as_owner(now, &account, &undisturbed(12), 1) == 1
         })
         .count() as f64;
 
@@ -30,7 +41,8 @@
     let mut n_granted = 0_usize;
     for millis in 0..5_000 {
         let now = TimePoint::from_millis(millis);
-        n_granted += owner.take_as_owner(now, &account, 4, 12, 1) as usize;
+        n_granted +=
+            owner.take_as_owner(now, &account, &contact_at(now, 4, TimePoint::ORIGIN), 1) as usize;
         for buckets in &mut unreachable {
             n_granted += buckets.take_fallback(now, &account, 12, 1) as usize;
         }
@@ -100,7 +112,7 @@
     let per_s = RATE_PER_S * load;
     let is_granted = |n: &u64| {
         let now = TimePoint::from_micros((*n as f64 * 1e6 / per_s) as u64);
-        let granted = buckets.take_as_owner(now, &account, 0, 12, 1);
+        let granted = buckets.take_as_owner(now, &account, &undisturbed(12), 1);
         buckets.put_back_as_owner(&account, granted);
         granted == 1
     };
@@ -115,7 +127,7 @@
     let mut buckets = QuotaBuckets::default();
     for n in 0..50 {
         let now = NOW.plus(Duration::from_millis(250 * n));
-        assert_eq!(buckets.take_as_owner(now, &account, 0, 95, 1), 1, "request {n}");
+        assert_eq!(buckets.take_as_owner(now, &account, &undisturbed(95), 1), 1, "request {n}");
 
         buckets.put_back_as_owner(&account, 1);
     }
@@ -125,11 +137,11 @@
 fn returned_tokens_never_exceed_the_burst() {
     let account = account(1.0, 10.0);
     let mut buckets = QuotaBuckets::default();
-    buckets.take_as_owner(NOW, &account, 0, 95, 1);
+    buckets.take_as_owner(NOW, &account, &undisturbed(95), 1);
 
     buckets.put_back_as_owner(&account, 500);
 
-    assert_eq!(buckets.take_as_owner(NOW, &account, 0, 95, 500), 10);
+    assert_eq!(buckets.take_as_owner(NOW, &account, &undisturbed(95), 500), 10);
 }
 
 /// One account sends several times its rate while a service is overloaded and its admitted calls are refused.
@@ -155,3 +167,83 @@
     assert_eq!((served, denied), (vec![], vec![]));
     assert_eq!(cache.acquire(NOW, &account, CallId(2)), TokenDecision::Granted);
 }
+
+/// Within its rate and burst, the account can't have more than what the owner granted before it lost contact, and its
+/// rate since then.
+#[test]
+fn an_owner_earns_only_its_own_share_while_it_has_no_contact() {
+    let account = account(120.0, 120.0);
+    let mut buckets = QuotaBuckets::default();
+    buckets.take_as_owner(NOW, &account, &undisturbed(12), 1_000);
+    let later = NOW.plus(Duration::from_secs(6));
+
+    let granted = buckets.take_as_owner(
+        later,
+        &account,
+        &FleetContact { absence_s: 66.0, ..undisturbed(12) },
+        1_000,
+    );
+
+    assert_eq!(granted, 60);
+}
+
+#[test]
+fn an_owner_that_has_lost_contact_keeps_the_tokens_that_it_had() {
+    let account = account(120.0, 120.0);
+    let mut buckets = QuotaBuckets::default();
+    buckets.take_as_owner(NOW, &account, &undisturbed(12), 0);
+    let full = NOW.plus(Duration::from_secs(10));
+    buckets.take_as_owner(full, &account, &undisturbed(12), 0);
+
+    let contact = FleetContact { absence_s: 11.0, ..undisturbed(12) };
+    let granted =
+        buckets.take_as_owner(full.plus(Duration::from_secs(1)), &account, &contact, 1_000);
+
+    assert_eq!(granted, 120);
+}
+
+/// Ownership may move back and forth many times within seconds.
+#[test]
+fn a_standby_bucket_that_is_used_again_and_again_grants_its_first_tokens_once() {
+    let account = account(100.0, 100.0);
+    let mut buckets = QuotaBuckets::default();
+
+    let granted: u32 = (0..50)
+        .map(|n| {
+            let now = NOW.plus(Duration::from_millis(100 * n));
+            let granted = buckets.take_as_owner(now, &account, &undisturbed(12), 100);
+            buckets.release_foreign(now, |_| false);
+            granted
+        })
+        .sum();
+
+    // A fifth of the burst, and a twentieth of the rate for five seconds.
+    assert!((20..=45).contains(&granted), "{granted} granted");
+}
+
+#[test]
+fn a_fallback_bucket_earns_only_while_the_owner_does_not_respond() {
+    let account = account(120.0, 120.0);
+    let mut buckets = QuotaBuckets::default();
+    buckets.take_fallback(NOW, &account, 12, 1);
+    buckets.release_fallback(NOW, &account.name);
+
+    let granted = buckets.take_fallback(NOW.plus(Duration::from_secs(60)), &account, 12, 100);
+
+    // The first token, and those of the time that the entry has waited for the owner.
+    assert_eq!(granted, 2);
+}
+
+#[test]
+fn tokens_from_the_fallback_bucket_are_requested_from_the_owner_and_discarded() {
+    let account = AccountName::from("meteo");
+    let mut cache = TokenCache::default();
+    (0..3).for_each(|_| cache.record_debt(&account));
+    cache.acquire(NOW, &account, CallId(1));
+
+    let (served, denied, to_request) = cache.apply_grant(NOW, &account, 1, 1);
+    assert_eq!((served, denied, to_request), (vec![], vec![], Some(3)));
+    let (served, denied, to_request) = cache.apply_grant(NOW, &account, 3, 3);
+
+    assert_eq!((served, denied, to_request), (vec![CallId(1)], vec![], None));
+}
--- a/crates/ivytrail/src/mesh/quota_flow.rs
+++ b/crates/ivytrail/src/mesh/quota_flow.rs
@@ -11,7 +11,7 @@
     frame::PeerFrame,
     log_limit::LogPriority,
     policy::AccountPolicy,
-    quota::TokenDecision,
+    quota::{QUOTA_RESPONSE_TIMEOUT, TokenDecision},
 };
 use crate::{
     id::{AccountName, CallId, InstanceName},
@@ -19,11 +19,18 @@
     time::TimePoint,
 };
 
-/// Maximum wait for a response of an account's quota owner.
-const QUOTA_RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum retry delay sent to the caller when the account has exceeded its rate.
 const MAX_DENIED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Where the quota token of a call came from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum TokenSource {
+    /// The account's quota owner granted it.
+    Owner(InstanceName),
+    /// It was taken from this daemon's share of the rate.
+    Fallback,
+}
+
 impl MeshReducer {
     /// Obtains a token for a call whose account has a rate limit, then passes the call to admission control. The quota
     /// is checked first, so that only requests within their account's rate count as demand there.
@@ -33,7 +40,10 @@
             return self.admit_call(step, id);
         };
         match self.token_cache.acquire(step.now, &account.name, id) {
-            TokenDecision::Granted => self.grant_token(step, id),
+            TokenDecision::Granted => {
+                let source = self.owner_source(&account.name);
+                self.grant_token(step, id, source);
+            }
             TokenDecision::Denied => self.deny_token(step, id, "entry"),
             TokenDecision::Pending { to_request } => {
                 let until = step.now.plus(QUOTA_RESPONSE_TIMEOUT);
@@ -52,11 +62,30 @@
         self.links.quota_owner(account, me).cloned()
     }
 
-    /// Drops the token buckets of accounts whose quota owner is another daemon, now that it is reachable.
-    pub(super) fn drop_foreign_buckets(&mut self) {
+    fn owner_source(&self, account: &AccountName) -> TokenSource {
+        let me = &self.options.member.instance;
+        TokenSource::Owner(self.quota_owner(account).unwrap_or_else(|| me.clone()))
+    }
+
+    /// Stops granting tokens of accounts whose quota owner is another daemon, now that it is reachable.
+    pub(super) fn release_foreign_buckets(&mut self, now: TimePoint) {
         let me = &self.options.member.instance;
         let links = &self.links;
-        self.quotas.retain_owned(|account| links.quota_owner(account, me) == Some(me));
+        self.quotas.release_foreign(now, |account| links.quota_owner(account, me) == Some(me));
+    }
+
+    pub(super) fn tick_quotas(&mut self, now: TimePoint) {
+        let me = &self.options.member.instance;
+        let links = &self.links;
+        let is_owner = |account: &AccountName| links.quota_owner(account, me) == Some(me);
+        self.quotas.release_unused_foreign(now, is_owner);
+    }
+
+    /// Cancels what this daemon owes to a quota owner whose link ends.
+    pub(super) fn cancel_debts_to(&mut self, peer: &InstanceName) {
+        let me = &self.options.member.instance;
+        let links = &self.links;
+        self.token_cache.cancel_debts(|account| links.quota_owner(account, me) == Some(peer));
     }
 
     fn request_quota(&mut self, step: &mut ReducerStep<'_>, account: &AccountPolicy, wanted: u32) {
@@ -73,18 +102,22 @@
     }
 
     fn grant_as_owner(&mut self, now: TimePoint, account: &AccountPolicy, wanted: u32) -> u32 {
-        let (n_daemons, n_unreachable) = self.links.n_daemons(now);
-        self.quotas.take_as_owner(now, account, n_unreachable, n_daemons, wanted)
+        let contact = self.links.contact(now);
+        self.quotas.take_as_owner(now, account, &contact, wanted)
     }
 
-    /// Handles a quota request as the account's quota owner and returns the number of tokens granted.
-    pub(super) fn grant_quota(&mut self, now: TimePoint, name: &AccountName, wanted: u32) -> u32 {
+    /// Handles a quota request as the account's quota owner. Returns the number of tokens granted, or `None` if the local
+    /// settings don't have the account or its rate. The requesting daemon, which has verified the API key, then spends
+    /// its own share.
+    pub(super) fn grant_quota(
+        &mut self,
+        now: TimePoint,
+        name: &AccountName,
+        wanted: u32,
+    ) -> Option<u32> {
         let account = self.settings.as_ref().and_then(|it| it.account(name)).cloned();
-        match account.filter(|it| 0.0 < it.rate_per_s) {
-            Some(account) => self.grant_as_owner(now, &account, wanted),
-            // The requesting daemon has verified the API key; the local settings may be older.
-            None => wanted,
-        }
+        let account = account.filter(|it| 0.0 < it.rate_per_s)?;
+        Some(self.grant_as_owner(now, &account, wanted))
     }
 
     /// Handles a response of an account's quota owner: distributes the tokens to waiting calls, refuses the calls that
@@ -96,10 +129,12 @@
         wanted: u32,
         granted: u32,
     ) {
+        self.quotas.release_fallback(step.now, account);
         let (granted_calls, denied_calls, next_request) =
             self.token_cache.apply_grant(step.now, account, wanted, granted);
+        let source = self.owner_source(account);
         for id in granted_calls {
-            self.grant_token(step, id);
+            self.grant_token(step, id, source.clone());
         }
         for id in denied_calls {
             self.deny_token(step, id, "home");
@@ -120,17 +155,20 @@
         if let Some(owner) = self.quota_owner(&account.name) {
             self.links.record_timeout(&owner);
         }
-        let (n_daemons, _) = self.links.n_daemons(step.now);
+        let n_daemons = self.links.contact(step.now).n_daemons;
         match self.quotas.take_fallback(step.now, &account, n_daemons, 1) {
             0 => self.deny_token(step, id, "fallback"),
-            _ => self.grant_token(step, id),
+            _ => {
+                self.token_cache.record_debt(&account.name);
+                self.grant_token(step, id, TokenSource::Fallback);
+            }
         }
     }
 
-    fn grant_token(&mut self, step: &mut ReducerStep<'_>, id: CallId) {
+    fn grant_token(&mut self, step: &mut ReducerStep<'_>, id: CallId, source: TokenSource) {
         if let Some(call) = self.entry.calls.get_mut(&id) {
             call.stage = CallStage::Deciding;
-            call.has_token = true;
+            call.token = Some(source);
             self.admit_call(step, id);
         }
     }
@@ -151,19 +189,25 @@
         self.refuse(step, id, RefusalReason::OverQuota, retry_after);
     }
 
-    /// Returns the token of a call that has not run to the account's quota owner. In a large fleet, the account's next
-    /// request probably reaches another daemon, so that a token kept here would be lost to it.
+    /// Returns the token of a call that has not run to the quota owner that granted it. In a large fleet, the account's
+    /// next request probably reaches another daemon, so that a token kept here would be lost to it. The token of a former
+    /// owner is dropped, since the present one never counted it.
     pub(super) fn return_token(&mut self, step: &mut ReducerStep<'_>, call: &EntryCall) {
-        let Some(account) = call.account.as_ref().filter(|_| call.has_token && !call.may_have_run)
+        let (Some(account), Some(source), false) = (&call.account, &call.token, call.may_have_run)
         else {
             return;
         };
-        match self.quota_owner(&account.name) {
-            Some(owner) if owner != self.options.member.instance => {
+        match source {
+            TokenSource::Fallback => self.token_cache.reduce_debt(&account.name),
+            TokenSource::Owner(owner)
+                if self.quota_owner(&account.name).as_ref() != Some(owner) => {}
+            TokenSource::Owner(owner) if *owner == self.options.member.instance => {
+                self.quotas.put_back_as_owner(account, 1);
+            }
+            TokenSource::Owner(owner) => {
                 let frame = PeerFrame::QuotaReturn { account: account.name.clone(), n_tokens: 1 };
-                step.send(&owner, frame, Bytes::new());
+                step.send(owner, frame, Bytes::new());
             }
-            _ => self.quotas.put_back_as_owner(account, 1),
         }
     }
 
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -109,6 +109,8 @@
     /// Daemons whose frames on outbound links are dropped.
     outbound_muted: HashSet<usize>,
     cuts: HashSet<(usize, usize)>,
+    /// Frames that frozen daemons have not received yet, by daemon.
+    frozen: HashMap<usize, Vec<FrameInTransit>>,
     /// Links on which all frames are lost, by the daemon that dialed and the one that accepted.
     silent_links: HashSet<(usize, usize)>,
     is_holding: bool,
@@ -195,6 +197,7 @@
             inbound_muted: HashSet::new(),
             outbound_muted: HashSet::new(),
             cuts: HashSet::new(),
+            frozen: HashMap::new(),
             silent_links: HashSet::new(),
             is_holding: false,
             held: Vec::new(),
@@ -277,7 +280,7 @@
     }
 
     fn apply_one(&mut self, daemon: usize, event: MeshEvent) {
-        if self.dead.contains(&daemon) {
+        if self.dead.contains(&daemon) || self.frozen.contains_key(&daemon) {
             return;
         }
         let mut effects = Vec::new();
@@ -363,6 +366,9 @@
 
     /// Delivers a frame and all frames that result from it.
     pub(super) fn deliver(&mut self, (from, to, (frame, body)): FrameInTransit) {
+        if let Some(waiting) = self.frozen.get_mut(&to) {
+            return waiting.push((from, to, (frame, body)));
+        }
         let peer = self.member(from);
         self.apply_one(to, MeshEvent::FrameReceived { peer, frame, body });
         while let Some(frame) = self.queue.pop_front() {
--- a/crates/ivytrail/src/mesh/tests/fleet/faults.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet/faults.rs
@@ -53,6 +53,46 @@
         self.evidence_faults = Some(faults);
     }
 
+    /// Freezes a daemon: it handles nothing until it wakes, and its links stay open.
+    pub(in super::super) fn freeze(&mut self, daemon: usize) {
+        let name = name_of(daemon);
+        self.redialed.retain(|(_, peer)| *peer != name);
+        self.frozen.insert(daemon, Vec::new());
+    }
+
+    /// Wakes a frozen daemon. It receives what was sent to it meanwhile, also on links that their dialers have given up;
+    /// its responses on these are lost, and they are replaced by new links.
+    pub(in super::super) fn wake(&mut self, daemon: usize) {
+        let Some(waiting) = self.frozen.remove(&daemon) else { return };
+        let dialers: Vec<usize> =
+            (0..self.daemons.len()).filter(|it| self.is_redialed(*it, daemon)).collect();
+        dialers.iter().for_each(|it| self.silence_link(*it, daemon));
+        waiting.into_iter().for_each(|it| self.deliver(it));
+        dialers.iter().for_each(|it| self.redial_silent_link(*it, daemon));
+    }
+
+    /// Loses all frames between a daemon and the others, without breaking their links.
+    pub(in super::super) fn isolate(&mut self, daemon: usize) {
+        let name = name_of(daemon);
+        self.redialed.retain(|(dialer, peer)| *peer != name && *dialer != daemon);
+        for other in (0..self.daemons.len()).filter(|it| *it != daemon) {
+            self.silence_link(daemon, other);
+            self.silence_link(other, daemon);
+        }
+    }
+
+    /// Ends the isolation of a daemon. Links that their dialers have given up are replaced by new ones.
+    pub(in super::super) fn reconnect(&mut self, daemon: usize) {
+        for other in (0..self.daemons.len()).filter(|it| *it != daemon) {
+            for (dialer, acceptor) in [(daemon, other), (other, daemon)] {
+                match self.is_redialed(dialer, acceptor) {
+                    true => self.redial_silent_link(dialer, acceptor),
+                    false => drop(self.silent_links.remove(&(dialer, acceptor))),
+                }
+            }
+        }
+    }
+
     /// Crashes a daemon: its links break, and its runs no longer report their end.
     pub(in super::super) fn crash(&mut self, daemon: usize) {
         self.dead.insert(daemon);
