Do not reuse a connection after a rejection without an id

Cause: servers echo the request's id, but not in rejections. A rejection without an id was taken for the answer to the request in flight on any connection, so that a late second copy of an earlier one proved "not run" for a booking that ran.

A connection is now not used again after a response that names no request. A rejection without an id is then the first one on its connection. A pause before reuse proves nothing, since a copy may be as late as it likes; taking a second rejection on a connection for unknown would turn most true rejections of a server in trouble into 502.

Test: a_late_copy_of_a_rejection_does_not_reject_the_next_request, which fails before.

--- a/crates/ivytrail-daemon/src/mesh/backend_pool.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool.rs
@@ -370,15 +370,18 @@
         }
         let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
         let notice = (!is_misdirected).then(|| notice_of(&parts.headers));
-        let end = self.read_end(attempt, connection, &parts, body).await;
+        // A rejection may lack the id. A late second copy of it would then look like the rejection of the next request on
+        // the connection, so there is none.
+        let reusable = echoed.is_some().then_some(connection);
+        let end = self.read_end(attempt, reusable, &parts, body).await;
         RunReport { end, notice }
     }
 
-    /// Reads the body of a response whose head belongs to the request.
+    /// Reads the body of a response whose head belongs to the request. Returns `connection` to the pool, if there is one.
     async fn read_end(
         &self,
         attempt: &AttemptRequest,
-        mut connection: BackendConnection,
+        connection: Option<BackendConnection>,
         parts: &Parts,
         body: Incoming,
     ) -> RunEnd {
@@ -395,7 +398,7 @@
             }
         };
         let is_kept_alive = parts.headers.get(CONNECTION).is_none_or(|it| it != "close");
-        if is_kept_alive {
+        if let Some(mut connection) = connection.filter(|_| is_kept_alive) {
             connection.keep_alive = keep_alive_timeout(&parts.headers);
             connection.idle_since = Instant::now();
             self.idle.borrow_mut().push_back(connection);
--- a/crates/ivytrail-daemon/src/mesh/backend_pool/tests.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool/tests.rs
@@ -1,3 +1,5 @@
+use std::rc::Rc;
+
 use ivytrail::{id::ContentDigest, mesh::queue::RootPriority};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -187,3 +189,122 @@
     let timeout = socket2::SockRef::from(&stream).tcp_user_timeout().expect("the option is set");
     assert_eq!(timeout, Some(UNACKNOWLEDGED_TIMEOUT));
 }
+
+/// Response of a server that rejects a request, without the request's id.
+const REJECTION: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nx-ivytrail-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// Starts a server that rejects the first request on each connection. It runs each later one, and before its answer writes
+/// the rejection once more. Returns the number of runs as well.
+async fn start_repeating_server() -> (SocketAddr, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let n_runs = Rc::new(Cell::new(0));
+    let counter = Rc::clone(&n_runs);
+    tokio::task::spawn_local(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("the pool connects");
+            let counter = Rc::clone(&counter);
+            tokio::task::spawn_local(async move {
+                let mut request = [0; 4_096];
+                let mut is_first = true;
+                while stream.read(&mut request).await.is_ok_and(|n_read| n_read != 0) {
+                    counter.set(counter.get() + usize::from(!std::mem::take(&mut is_first)));
+                    // The pool may have closed the connection.
+                    let _ = stream.write_all(REJECTION.as_bytes()).await;
+                }
+            });
+        }
+    });
+    (address, n_runs)
+}
+
+/// A second copy of a rejection may arrive late, after the next request was sent. It must not pass for a rejection of that
+/// request, which runs.
+#[tokio::test]
+async fn a_late_copy_of_a_rejection_does_not_reject_the_next_request() {
+    for is_idempotent in [false, true] {
+        let run = async {
+            let (address, n_runs) = start_repeating_server().await;
+            let pool = BackendPool::new(address);
+            let attempt = AttemptRequest { is_idempotent, ..attempt() };
+            let time_left = Duration::from_millis(800);
+            let first = pool.run(&attempt, "server-1", Bytes::new(), time_left).await;
+            let second = pool.run(&attempt, "server-1", Bytes::new(), time_left).await;
+            (first.end, second.end, n_runs.get())
+        };
+
+        let (first, second, n_runs) = LocalSet::new().run_until(run).await;
+
+        let rejected = RunEnd::Rejected { is_misdirected: false };
+        assert_eq!((first, second), (rejected.clone(), rejected));
+        assert_eq!(n_runs, 0, "runs reported as rejected; idempotent: {is_idempotent}");
+    }
+}
+
+/// Starts a server that sends `response` to each request and then closes the connection.
+async fn start_closing_server(response: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("the pool connects");
+        let mut request = [0; 4_096];
+        let n_read = stream.read(&mut request).await.expect("the pool sends a request");
+        assert_ne!(n_read, 0, "the pool closed the connection without a request");
+        stream.write_all(&response).await.expect("the pool reads the response");
+        stream.shutdown().await.expect("the connection is open");
+    });
+    address
+}
+
+/// Returns how a run ends whose server closes the connection after each number of bytes of a response.
+async fn ends_of_prefixes(response: &str) -> Vec<RunEnd> {
+    let run = async {
+        let mut ends = Vec::new();
+        for n_sent in 0..=response.len() {
+            let prefix = response.as_bytes()[..n_sent].to_vec();
+            let pool = BackendPool::new(start_closing_server(prefix).await);
+            let time_left = Duration::from_secs(5);
+            ends.push(pool.run(&attempt(), "server-1", Bytes::new(), time_left).await.end);
+        }
+        ends
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// A server may stop anywhere in its response and close the connection. No part of a response may pass for all of it.
+#[tokio::test]
+async fn a_response_that_ends_early_is_never_complete() {
+    let head =
+        "HTTP/1.1 200 OK\r\nx-ivytrail-request-id: r-1\r\nx-ivytrail-response-signature: s\r\n";
+    let responses = [
+        format!("{head}content-length: 4\r\n\r\nbody"),
+        format!("{head}transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+        format!("{head}content-length: 0\r\n\r\n"),
+    ];
+    for response in responses {
+        let mut ends = ends_of_prefixes(&response).await;
+        let complete = ends.pop();
+
+        assert!(matches!(complete, Some(RunEnd::Answered { status: 200, .. })), "{complete:?}");
+        for (n_sent, end) in ends.iter().enumerate() {
+            assert_eq!(*end, RunEnd::Broken, "{n_sent} bytes of {response:?}");
+        }
+    }
+}
+
+/// Without a length, only the end of the connection ends the body; its head must still be whole.
+#[tokio::test]
+async fn a_response_without_a_length_is_incomplete_while_its_head_is() {
+    for version in ["HTTP/1.1", "HTTP/1.0"] {
+        let head = format!(
+            "{version} 200 OK\r\nx-ivytrail-request-id: r-1\r\n\
+            x-ivytrail-response-signature: s\r\nconnection: close\r\n\r\n"
+        );
+
+        let ends = ends_of_prefixes(&head).await;
+
+        let n_broken = ends.iter().filter(|it| **it == RunEnd::Broken).count();
+        assert_eq!(n_broken, head.len(), "{ends:?}");
+    }
+}
