Ignore rows and announcements that no daemon or server has written

Looked for here: no process ends, but

- a row of the daemons' table that holds no address, such as a port out of range, was dialed and counted as a daemon that can't be reached, for which a share of each quota is kept; under the name of a running daemon it replaced the link to it (event=peer_added in a process test);
- a table of more than 500 rows whose keys begin with # was never read to its end, since keys went into the address of the next page as they are;
- an announcement that says its server started far in the future made all true ones look outdated.

Rows must now hold an IP address and a port; what can't be used is left out and logged (event=row_ignored). Parameters are encoded. The logger passes on lines of the platform crate.

The stand-in table now returns pages of 500 rows, as the platform does.

--- a/crates/ivytrail-daemon/src/log_setup.rs
+++ b/crates/ivytrail-daemon/src/log_setup.rs
@@ -36,6 +36,7 @@
         .set_time_format_rfc3339()
         .add_filter_allow_str("ivytraild")
         .add_filter_allow_str("ivytrail_daemon")
+        .add_filter_allow_str("ivytrail_platform")
         .set_thread_level(LevelFilter::Off)
         .set_target_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
--- a/crates/ivytrail-daemon/src/mesh/local_api.rs
+++ b/crates/ivytrail-daemon/src/mesh/local_api.rs
@@ -16,7 +16,10 @@
 };
 use tokio::net::TcpListener;
 
-use super::{acceptor::accept_next, driver::MeshDriver};
+use super::{
+    acceptor::accept_next,
+    driver::{MeshDriver, unix_millis},
+};
 
 /// Maximum size of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 10;
@@ -111,7 +114,7 @@
     body: &[u8],
 ) -> (StatusCode, &'static str, Bytes) {
     let json = "application/json";
-    match parse_announcement(path, body) {
+    match parse_announcement(path, body, unix_millis()) {
         Some(Ok(ServerAnnouncement::Heartbeat { advertisement, sequence })) => {
             driver.apply(MeshEvent::ServerAnnounced { advertisement, sequence });
             (StatusCode::OK, json, Bytes::from_static(b"{}"))
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -315,6 +315,18 @@
         request.send().await.context("the daemon sent no response")
     }
 
+    /// Sends a heartbeat of a backend server to the daemon of instance `idx`, and returns the status of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no response arrives.
+    pub async fn announce(&self, idx: usize, server_id: &str, body: String) -> Result<u16> {
+        let url = format!("http://{}/Instances.Heartbeat/{server_id}", self.addresses[idx].local);
+        let request = self.client.post(url).body(body);
+        let response = request.send().await.context("the daemon sent no response")?;
+        Ok(response.status().as_u16())
+    }
+
     /// Returns whether the daemon of instance `idx` reports itself ready.
     pub async fn is_ready(&self, idx: usize) -> bool {
         let url = format!("http://{}/readyz", self.addresses[idx].health);
--- a/tests/src/site/table.rs
+++ b/tests/src/site/table.rs
@@ -20,6 +20,9 @@
 /// Added latency per call in [`TableMode::Slow`].
 const SLOW_DELAY: Duration = Duration::from_millis(500);
 
+/// Maximum number of rows in a response.
+const MAX_ROWS_PER_PAGE: usize = 500;
+
 /// Header with the serial number of the table's history.
 const HISTORY_HEADER: &str = "store-era";
 
@@ -164,6 +167,12 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Writes a row whose value is stored as it is, not encoded.
+    pub fn put_raw_row(&self, table: &str, key: &str, value: &str) {
+        self.shared.state.lock().put(table, key, value.to_string());
+        self.shared.changed.notify_waiters();
+    }
+
     /// Writes a row, such as one left behind by an earlier daemon.
     pub fn put_row(&self, table: &str, key: &str, value: &str) {
         self.shared.state.lock().put(table, key, STANDARD.encode(value));
@@ -266,8 +275,10 @@
             "/rows-get" => {
                 let from = req.query::<String>("from").unwrap_or_default();
                 let state = self.0.state.lock();
-                let rows = state.rows_after(&table, &from, 0);
-                let body = json!({"rows": rows, "ver": state.version, "more_pages": false});
+                let mut rows = state.rows_after(&table, &from, 0);
+                let has_more = MAX_ROWS_PER_PAGE < rows.len();
+                rows.truncate(MAX_ROWS_PER_PAGE);
+                let body = json!({"rows": rows, "ver": state.version, "more_pages": has_more});
                 write_response(res, &state, &body);
             }
             "/rows-feed" => self.serve_feed(req, res, &table).await,
