Count no time out of contact where connections are only reset

A link that closes now counts from its close; one that went silent, from the last frame. Where a peer's link closes here after a longer silence than an idle peer has, the peer may have given it up before, and the silence counts.

Tokens of a response now return to the daemon that sent it, also where the owner has changed since.

Test: an_account_within_its_rate_is_served_while_connections_are_reset, which fails before.

--- a/crates/ivytrail/src/mesh/event.rs
+++ b/crates/ivytrail/src/mesh/event.rs
@@ -232,7 +232,7 @@
             MeshEvent::FrameReceived { .. } => "frame-received",
             MeshEvent::RunEnded { .. } => "run-ended",
             MeshEvent::ServerAnnounced { .. } => "server-announced",
-            MeshEvent::ServerLeaving { .. } => "server-leaving",
+            MeshEvent::ServerLeaving { .. } => "server-stopping",
             MeshEvent::ServerNoticed { .. } => "server-noticed",
             MeshEvent::ServerProbed { .. } => "server-probed",
             MeshEvent::HealthProbed(_) => "health-probed",
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -270,7 +270,10 @@
         self.cancel_debts_to(peer);
         let Some(link) = self.links.get_mut(peer) else { return };
         link.is_open = false;
-        link.start_absence();
+        link.start_absence(match end {
+            LinkEnd::Closed => step.now,
+            LinkEnd::Silent => link.heard_at,
+        });
         link.closed_at = step.now;
         link.resumable_until = match end {
             LinkEnd::Closed => None,
@@ -348,6 +351,7 @@
         if let Some(link) = self.links.get_mut(peer) {
             link.inbound_closed_at = Some(step.now);
         }
+        self.links.record_inbound_close(step.now, peer);
     }
 
     pub(super) fn handle_frame(
@@ -385,7 +389,7 @@
                 self.take_back_tokens(&account, n_tokens);
             }
             PeerFrame::QuotaResponse { account, wanted, granted } => {
-                self.handle_quota_response(step, &account, wanted, granted);
+                self.handle_quota_response(step, peer, &account, wanted, granted);
             }
             PeerFrame::SettingsRequest => {
                 if let Some(settings) = &self.settings {
--- a/crates/ivytrail/src/mesh/links/contact.rs
+++ b/crates/ivytrail/src/mesh/links/contact.rs
@@ -12,13 +12,15 @@
 
 /// Time without a link after which a peer's share of quotas and budgets is no longer reserved.
 const RESERVATION_TTL: Duration = Duration::from_secs(20);
-/// Number of advertisements that a peer in contact may be late by.
-const MISSED_ADVERTISEMENTS: u32 = 3;
+/// Time without a frame from a peer, in intervals between its advertisements, after which it counts as out of contact.
+const MAX_SILENT_INTERVALS: f64 = 3.0;
+/// Time without a frame from a peer, in the same intervals, that doesn't mean that its link had failed before it closed.
+const MAX_IDLE_INTERVALS: f64 = 1.5;
 
 impl PeerLink {
-    /// Counts the peer as out of contact since it was last heard.
-    pub(super) fn start_absence(&mut self) {
-        self.absent_since.get_or_insert(self.heard_at);
+    /// Counts the peer as out of contact since `since`, unless it already does.
+    pub(super) fn start_absence(&mut self, since: TimePoint) {
+        self.absent_since.get_or_insert(since);
     }
 
     /// Returns the time for which the peer has been out of contact, as far as its share is reserved.
@@ -59,18 +61,30 @@
         }
     }
 
-    /// Records that a peer has dialed this daemon, and so had no link to it since it was last heard.
+    /// Records that a peer's link to this daemon has closed. A peer that was silent for longer than an idle one may have
+    /// given up the link before, and the news of it is late.
+    pub(super) fn record_inbound_close(&mut self, now: TimePoint, peer: &InstanceName) {
+        let max_idle_time = self.advertisement_interval().mul_f64(MAX_IDLE_INTERVALS);
+        let Some(link) = self.links.get_mut(peer) else { return };
+        match link.heard_at {
+            heard_at if max_idle_time <= now.since(heard_at) => link.start_absence(heard_at),
+            _ => link.start_absence(now),
+        }
+    }
+
+    /// Records that a peer has dialed this daemon. If its former link has not closed here, the peer has given it up since
+    /// it was last heard.
     pub(super) fn record_redial(&mut self, now: TimePoint, peer: &InstanceName) {
         let Some(link) = self.links.get_mut(peer).filter(|it| it.is_open) else { return };
-        link.start_absence();
+        link.start_absence(link.heard_at);
         self.end_absence(now, peer);
     }
 
     /// Counts peers as out of contact that have not been heard for several advertisements.
     pub(super) fn find_absent_peers(&mut self, now: TimePoint) {
-        let timeout = self.advertisement_interval() * MISSED_ADVERTISEMENTS;
-        let links = self.links.values_mut();
-        links.filter(|it| timeout <= now.since(it.heard_at)).for_each(PeerLink::start_absence);
+        let timeout = self.advertisement_interval().mul_f64(MAX_SILENT_INTERVALS);
+        let silent = self.links.values_mut().filter(|it| timeout <= now.since(it.heard_at));
+        silent.for_each(|it| it.start_absence(it.heard_at));
     }
 
     /// Records that this daemon has handled no event for `pause`. Returns whether that is so long that all peers count as
--- a/crates/ivytrail/src/mesh/quota_flow.rs
+++ b/crates/ivytrail/src/mesh/quota_flow.rs
@@ -41,8 +41,9 @@
         };
         match self.token_cache.acquire(step.now, &account.name, id) {
             TokenDecision::Granted => {
-                let source = self.owner_source(&account.name);
-                self.grant_token(step, id, source);
+                let me = &self.options.member.instance;
+                let owner = self.quota_owner(&account.name).unwrap_or_else(|| me.clone());
+                self.grant_token(step, id, TokenSource::Owner(owner));
             }
             TokenDecision::Denied => self.deny_token(step, id, "entry"),
             TokenDecision::Pending { to_request } => {
@@ -62,11 +63,6 @@
         self.links.quota_owner(account, me).cloned()
     }
 
-    fn owner_source(&self, account: &AccountName) -> TokenSource {
-        let me = &self.options.member.instance;
-        TokenSource::Owner(self.quota_owner(account).unwrap_or_else(|| me.clone()))
-    }
-
     /// Stops granting tokens of accounts whose quota owner is another daemon, now that it is reachable.
     pub(super) fn release_foreign_buckets(&mut self, now: TimePoint) {
         let me = &self.options.member.instance;
@@ -74,6 +70,7 @@
         self.quotas.release_foreign(now, |account| links.quota_owner(account, me) == Some(me));
     }
 
+    /// Stops granting tokens that others no longer request, of accounts that this daemon doesn't own.
     pub(super) fn tick_quotas(&mut self, now: TimePoint) {
         let me = &self.options.member.instance;
         let links = &self.links;
@@ -96,7 +93,8 @@
             }
             _ => {
                 let granted = self.grant_as_owner(step.now, account, wanted);
-                self.handle_quota_response(step, &account.name, wanted, granted);
+                let me = self.options.member.instance.clone();
+                self.handle_quota_response(step, &me, &account.name, wanted, granted);
             }
         }
     }
@@ -120,11 +118,12 @@
         Some(self.grant_as_owner(now, &account, wanted))
     }
 
-    /// Handles a response of an account's quota owner: distributes the tokens to waiting calls, refuses the calls that
+    /// Handles a response of `owner`, which granted tokens as an account's quota owner: distributes the tokens to waiting calls, refuses the calls that
     /// were denied and requests more tokens if calls are still waiting.
     pub(super) fn handle_quota_response(
         &mut self,
         step: &mut ReducerStep<'_>,
+        owner: &InstanceName,
         account: &AccountName,
         wanted: u32,
         granted: u32,
@@ -132,9 +131,8 @@
         self.quotas.release_fallback(step.now, account);
         let (granted_calls, denied_calls, next_request) =
             self.token_cache.apply_grant(step.now, account, wanted, granted);
-        let source = self.owner_source(account);
         for id in granted_calls {
-            self.grant_token(step, id, source.clone());
+            self.grant_token(step, id, TokenSource::Owner(owner.clone()));
         }
         for id in denied_calls {
             self.deny_token(step, id, "home");
--- a/crates/ivytrail/src/mesh/tests/quota.rs
+++ b/crates/ivytrail/src/mesh/tests/quota.rs
@@ -276,3 +276,24 @@
     let n_not_run = session.n_not_run_since(from);
     assert!(n_not_run * 50 <= n_sent, "{n_not_run} of {n_sent} did not run");
 }
+
+/// Connections that are reset, and dialed again at once, cost no tokens, also where nothing was sent on them for a while:
+/// the entries had no other owner meanwhile.
+#[test]
+fn an_account_within_its_rate_is_served_while_connections_are_reset() {
+    let mut session = QuotaSession::start(0.95);
+    let others = std::mem::take(&mut session.entries);
+    session.entries.push(others[0]);
+    session.per_s *= others.len() as f64;
+    let from = session.fleet.now();
+
+    for _ in 0..16 {
+        for other in &others {
+            session.fleet.cut_links(session.owner, *other);
+            session.fleet.restore_links(session.owner, *other);
+        }
+        session.send_for(Duration::from_millis(450));
+    }
+
+    assert_eq!(session.n_not_run_since(from), 0);
+}
