Read the body of a rejection before its connection is dropped

What callers would have seen, on: a rejection without an id whose body arrives after its head counted as broken, so that a booking that had not run was answered with 502 in place of a retry elsewhere or 503.

Cause: dropped a connection that is not used again before the body was read.

The connection is now dropped after the body. The test a_late_copy_of_a_rejection_does_not_reject_the_next_request sends head and body apart, and fails before (broken in place of rejected). A comment in quota.rs says what its function does.

--- a/crates/ivytrail-daemon/src/mesh/backend_pool.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool.rs
@@ -370,18 +370,15 @@
         }
         let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
         let notice = (!is_misdirected).then(|| notice_of(&parts.headers));
-        // A rejection may lack the id. A late second copy of it would then look like the rejection of the next request on
-        // the connection, so there is none.
-        let reusable = echoed.is_some().then_some(connection);
-        let end = self.read_end(attempt, reusable, &parts, body).await;
+        let end = self.read_end(attempt, connection, &parts, body).await;
         RunReport { end, notice }
     }
 
-    /// Reads the body of a response whose head belongs to the request. Returns `connection` to the pool, if there is one.
+    /// Reads the body of a response whose head belongs to the request, and keeps the connection if it can be used again.
     async fn read_end(
         &self,
         attempt: &AttemptRequest,
-        connection: Option<BackendConnection>,
+        mut connection: BackendConnection,
         parts: &Parts,
         body: Incoming,
     ) -> RunEnd {
@@ -398,7 +395,10 @@
             }
         };
         let is_kept_alive = parts.headers.get(CONNECTION).is_none_or(|it| it != "close");
-        if let Some(mut connection) = connection.filter(|_| is_kept_alive) {
+        // A rejection may lack the id. A late second copy of it would then look like the rejection of the next request on
+        // the connection, so there is none.
+        let names_request = parts.headers.contains_key(REQUEST_ID);
+        if is_kept_alive && names_request {
             connection.keep_alive = keep_alive_timeout(&parts.headers);
             connection.idle_since = Instant::now();
             self.idle.borrow_mut().push_back(connection);
--- a/crates/ivytrail-daemon/src/mesh/backend_pool/tests.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool/tests.rs
@@ -190,9 +190,11 @@
     assert_eq!(timeout, Some(UNACKNOWLEDGED_TIMEOUT));
 }
 
-/// Response of a server that rejects a request, without the request's id.
-const REJECTION: &str =
-    "HTTP/1.1 503 Service Unavailable\r\nx-ivytrail-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+/// Head and body of the response of a server that rejects a request, without the request's id.
+const REJECTION: [&str; 2] = [
+    "HTTP/1.1 503 Service Unavailable\r\nx-ivytrail-not-executed: 1\r\ncontent-length: 4\r\n\r\n",
+    "full",
+];
 
 /// Starts a server that rejects the first request on each connection. It runs each later one, and before its answer writes
 /// the rejection once more. Returns the number of runs as well.
@@ -210,8 +212,11 @@
                 let mut is_first = true;
                 while stream.read(&mut request).await.is_ok_and(|n_read| n_read != 0) {
                     counter.set(counter.get() + usize::from(!std::mem::take(&mut is_first)));
-                    // The pool may have closed the connection.
-                    let _ = stream.write_all(REJECTION.as_bytes()).await;
+                    for part in REJECTION {
+                        // The pool may have closed the connection.
+                        let _ = stream.write_all(part.as_bytes()).await;
+                        tokio::time::sleep(Duration::from_millis(20)).await;
+                    }
                 }
             });
         }
--- a/crates/ivytrail/src/mesh/quota.rs
+++ b/crates/ivytrail/src/mesh/quota.rs
@@ -219,8 +219,8 @@
         foreign.for_each(|(_, bucket)| bucket.release(now));
     }
 
-    /// Does the same for the buckets that no daemon has requested tokens from in the last [`STANDBY_DELAY`]. Other
-    /// daemons may take this one for an account's owner while it does not itself.
+    /// Puts those of them on standby that no daemon has requested tokens from in the last [`STANDBY_DELAY`]. Other daemons
+    /// may take this one for an account's owner while it does not itself.
     pub fn release_unused_foreign<F>(&mut self, now: TimePoint, is_owner: F)
     where
         F: Fn(&AccountName) -> bool,
