Take a start of zero for an unknown run of a leaving server

Cause, by a test: a daemon that restarts may find its server by the health page, which names no start. The leave was then recorded for a run that started at 0, and a late heartbeat with the true start counted as a later run, ready again.

Test: a_late_announcement_does_not_bring_a_leaving_server_back_at_a_restarted_ daemon, which fails before (Ready in place of Draining).

--- a/crates/ivytrail/src/mesh/leaving_servers.rs
+++ b/crates/ivytrail/src/mesh/leaving_servers.rs
@@ -45,8 +45,11 @@
 }
 
 impl LeavingServers {
-    /// Records that a run of a server is shutting down: the run that started at `started_at_ms`, or an unknown one.
+    /// Records that a run of a server is shutting down: the run that started at `started_at_ms`, or an unknown one. Zero is
+    /// the start of a run that only a health probe has found, and counts as unknown: its announcements, which name its
+    /// start, may be late and must not pass for those of a later run.
     pub(super) fn record(&mut self, now: TimePoint, id: &SmolStr, started_at_ms: Option<u64>) {
+        let started_at_ms = started_at_ms.filter(|it| *it != 0);
         let is_known = self.shutdowns.get(id).is_some_and(|it| started_at_ms <= it.started_at_ms);
         if is_known {
             return;
--- a/crates/ivytrail/src/mesh/tests/servers.rs
+++ b/crates/ivytrail/src/mesh/tests/servers.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use super::fleet::{TestFleet, answered, call_of, server_advertisement};
+use super::fleet::{TestFleet, VERSION, answered, call_of, server_advertisement};
 use crate::mesh::{
     event::MeshEvent,
-    frame::{PeerFrame, RequestLimit, ServerNotice, ServerPhase},
+    frame::{PeerFrame, RequestLimit, ServerAdvertisement, ServerNotice, ServerPhase},
 };
 
 /// The daemon that acknowledged the shutdown of its server restarts and discovers the server by its health check, which
@@ -266,3 +266,24 @@
     let phase = fleet.daemon(1).server().map(|it| it.phase);
     assert_eq!(phase, Some(ServerPhase::Draining));
 }
+
+/// A daemon that restarts finds its server by a health probe, which doesn't name the run's start. A late announcement of
+/// the run must not make the server ready again after it has reported its shutdown.
+#[test]
+fn a_late_announcement_does_not_bring_a_leaving_server_back_at_a_restarted_daemon() {
+    let mut fleet = TestFleet::start();
+    fleet.crash(0);
+    fleet.restart(0);
+    let event = fleet.settings_event(VERSION);
+    fleet.apply(0, event);
+    let announced = server_advertisement(0, "tracker");
+    let found = ServerAdvertisement { started_at_ms: 0, ..announced.clone() };
+    let id = found.id.clone();
+    fleet.apply(0, MeshEvent::ServerAnnounced { advertisement: found, sequence: 0 });
+
+    fleet.apply(0, MeshEvent::ServerLeaving { id });
+    fleet.advance(Duration::from_secs(2));
+    fleet.apply(0, MeshEvent::ServerAnnounced { advertisement: announced, sequence: 21 });
+
+    assert_eq!(fleet.daemon(0).server().map(|it| it.phase), Some(ServerPhase::Draining));
+}
