Let the fake server be cold from its first response after a crash

Cause, from the log: the fake accepted connections up to 20 ms before it counted as cold. A daemon that started at that moment (11.190) probed it at 11.4946, was told that it was warm, and let requests in until the heartbeat of 11.660, which said cold for 1,335 ms, that is since 11.495. The daemon did as it was told; the check counts what arrives while the fake is cold.

The fake is now cold before it accepts. The check and its bound are unchanged. Test: the_fake_server_is_cold_in_its_first_response_after_a_crash, which fails before ("0 ms").

--- a/tests/src/site/backend.rs
+++ b/tests/src/site/backend.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Makes the server cold if it needs a warm-up after a start.
+    fn start_warm_up(&mut self) {
+        self.cold_until = self.needs_warm_up.then(|| Instant::now() + WARM_UP_TIME);
+    }
+
     fn cold_for(&self) -> Duration {
         let now = Instant::now();
         self.cold_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
@@ -306,13 +311,13 @@
         // Reports of other requests that were in flight at the same crash.
         while crashes.try_recv().is_ok() {}
         while process.is_none() {
+            // The first response may already be to a daemon's probe.
+            handler.state.lock().start_warm_up();
             // The port is free again as soon as the former process has ended.
             process = BackendProcess::start(address, handler.clone()).await.ok();
             sleep(RESTART_INTERVAL).await;
         }
-        let mut state = handler.state.lock();
-        state.is_down = false;
-        state.cold_until = state.needs_warm_up.then(|| Instant::now() + WARM_UP_TIME);
+        handler.state.lock().is_down = false;
     }
 }
 
--- a/tests/tests/cold_servers.rs
+++ b/tests/tests/cold_servers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anyhow::Result;
+use anyhow::{Context, Result};
 use ivytrail_tests::{
     mesh::MESH_LOCK,
     site::{
@@ -15,6 +15,9 @@
 
 const SERVICES: [&str; 4] = ["tracker"; 4];
 const DOMAINS: [&str; 4] = ["kolkata", "kolkata", "durgapur", "durgapur"];
+/// Timeout of a health request, and the pause before the next one.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(200);
+const HEALTH_INTERVAL: Duration = Duration::from_millis(1);
 /// Time for which clients send requests.
 const LOAD_TIME: Duration = Duration::from_secs(7);
 
@@ -36,6 +39,30 @@
     site.backends.iter().map(|it| it.crashes().len()).sum()
 }
 
+/// A daemon that starts beside a server at the moment of its return gets the server's first response. The fake must report
+/// there that it is cold.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_fake_server_is_cold_in_its_first_response_after_a_crash() -> Result<()> {
+    let _lock = MESH_LOCK.lock().await;
+    let site = start().await?;
+    let url = format!("http://{}/healthz", site.backends[0].address());
+    let client = reqwest::Client::builder().no_proxy().timeout(HEALTH_TIMEOUT).build()?;
+
+    site.backends[0].crash();
+    while client.get(&url).send().await.is_ok() {}
+    let response = loop {
+        match client.get(&url).send().await {
+            Ok(response) => break response,
+            Err(_) => sleep(HEALTH_INTERVAL).await,
+        }
+    };
+
+    let cold_ms = response.headers().get("x-ivytrail-warmup-ms").map(|it| it.to_str());
+    let cold_ms: f64 = cold_ms.context("the response has no warm-up time")??.parse()?;
+    assert!(0.0 < cold_ms, "{cold_ms} ms");
+    Ok(())
+}
+
 /// A server that has crashed comes back cold, while the load could crash it again and again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_comes_back_cold_is_not_crashed_again() -> Result<()> {
