Explain three names that a newcomer would ask about

Comments only: what the longest silence of a daemon is, the two constants of health requests in a test, and what by_service returns.

--- a/crates/ivytrail/src/mesh/cost.rs
+++ b/crates/ivytrail/src/mesh/cost.rs
@@ -266,6 +266,7 @@
         names.zip(demands.iter().map(|demands| self.by_service(demands))).collect()
     }
 
+    /// Returns the demands of a route by the names of the services, without those that are zero.
     fn by_service(&self, demands: &[ServiceDemand]) -> ServiceDemands {
         let named = self.services.iter().zip(demands);
         named
--- a/crates/ivytrail/src/mesh/links/silence.rs
+++ b/crates/ivytrail/src/mesh/links/silence.rs
@@ -18,7 +18,7 @@
 const SILENT_PEER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time without a response to a ping after which the link is closed and dialed again.
 const PING_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time without a response after which peers may have closed their links to a daemon.
+/// Time for which a daemon may fail to respond before the first of its peers closes the link to it.
 pub(super) const LONGEST_SILENCE: Duration = SILENCE_BEFORE_PING.saturating_add(PING_TIMEOUT);
 
 impl MeshReducer {
--- a/tests/tests/cold_servers.rs
+++ b/tests/tests/cold_servers.rs
@@ -15,8 +15,9 @@
 
 const SERVICES: [&str; 4] = ["tracker"; 4];
 const DOMAINS: [&str; 4] = ["kolkata", "kolkata", "durgapur", "durgapur"];
-/// Timeout of a health request, and the pause before the next one.
+/// Timeout of a health request.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(200);
+/// Pause between two health requests.
 const HEALTH_INTERVAL: Duration = Duration::from_millis(1);
 /// Time for which clients send requests.
 const LOAD_TIME: Duration = Duration::from_secs(7);
