Count the calls that are denied a quota token, by what denied them

Cause: whether accounts within their rate are denied by the quota owner, by the entry after the owner's last response, or by the entry's own share while the owner does not respond could be read from log lines only, and these are rationed.

Change: metric ivytrail_quota_denials{decided_by}, MeshReducer::n_quota_denials. Test: denied_calls_are_counted_by_what_denied_them.

--- a/crates/ivytrail-daemon/src/mesh/metrics.rs
+++ b/crates/ivytrail-daemon/src/mesh/metrics.rs
@@ -87,11 +87,18 @@
     source: &'static str,
 }
 
-/// Metrics of the reducer's work: the time that it takes, and the quota tokens that it grants.
+/// Labels of the count of calls that were denied a quota token.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct DenialLabels {
+    decided_by: &'static str,
+}
+
+/// Metrics of the reducer's work: the time that it takes, and the quota tokens that it grants and denies.
 #[derive(Debug)]
 struct ReducerMetrics {
     longest_step: Gauge<f64, AtomicU64>,
     quota_tokens: Family<TokenLabels, Gauge>,
+    quota_denials: Family<DenialLabels, Gauge>,
 }
 
 impl ReducerMetrics {
@@ -109,7 +116,13 @@
             "Quota tokens granted as an account's owner or from this daemon's share, since the start",
             quota_tokens.clone(),
         );
-        ReducerMetrics { longest_step, quota_tokens }
+        let quota_denials = Family::<DenialLabels, Gauge>::default();
+        registry.register(
+            "quota_denials",
+            "Calls that were denied a quota token, by what denied them, since the start",
+            quota_denials.clone(),
+        );
+        ReducerMetrics { longest_step, quota_tokens, quota_denials }
     }
 
     fn record_step(&self, duration: Duration) {
@@ -123,6 +136,10 @@
             let gauge = self.quota_tokens.get_or_create(&TokenLabels { source });
             gauge.set(i64::try_from(n_tokens).unwrap_or(i64::MAX));
         }
+        for (decided_by, n_calls) in reducer.n_quota_denials() {
+            let gauge = self.quota_denials.get_or_create(&DenialLabels { decided_by });
+            gauge.set(i64::try_from(n_calls).unwrap_or(i64::MAX));
+        }
     }
 }
 
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -66,6 +66,7 @@
     picker::ServerPicker,
     policy::FleetSettings,
     quota::{QuotaBuckets, TokenCache},
+    quota_flow::DenialCounts,
     retry_budget::{RetryBudgets, RetryPolicy},
     weighted_split::WeightedSplit,
 };
@@ -117,6 +118,7 @@
     evacuations: FleetEvacuations,
     quotas: QuotaBuckets,
     token_cache: TokenCache,
+    quota_denials: DenialCounts,
     retry_budgets: RetryBudgets,
     splits: HashMap<RouteName, WeightedSplit>,
     costs: CostModel,
@@ -177,6 +179,7 @@
             evacuations: FleetEvacuations::default(),
             quotas: QuotaBuckets::default(),
             token_cache: TokenCache::default(),
+            quota_denials: DenialCounts::default(),
             retry_budgets: RetryBudgets::default(),
             splits: HashMap::new(),
             costs: CostModel::default(),
@@ -310,6 +313,12 @@
         self.quotas.n_granted()
     }
 
+    /// Returns the number of calls that this daemon has denied a quota token, by the name of what denied them: `home`, the
+    /// account's quota owner; `entry`, its last response; `fallback`, this daemon while the owner did not respond.
+    pub fn n_quota_denials(&self) -> [(&'static str, u64); 3] {
+        self.quota_denials.by_source()
+    }
+
     /// Returns the number of calls that have no response yet.
     pub fn n_calls(&self) -> usize {
         self.entry.len()
--- a/crates/ivytrail/src/mesh/quota_flow.rs
+++ b/crates/ivytrail/src/mesh/quota_flow.rs
@@ -3,6 +3,7 @@
 use std::{cmp::Reverse, time::Duration};
 
 use bytes::Bytes;
+use derive_more::Display;
 
 use super::{
     MeshReducer, ReducerStep,
@@ -31,6 +32,44 @@
     Fallback,
 }
 
+/// What denied a call its quota token.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(super) enum DenialSource {
+    /// The account's quota owner.
+    #[display("home")]
+    Owner,
+    /// The entry, because of the quota owner's last response.
+    #[display("entry")]
+    Entry,
+    /// The entry, which has no token for the account while the quota owner does not respond.
+    #[display("fallback")]
+    Fallback,
+}
+
+/// Numbers of calls that were denied a quota token, by what denied them.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct DenialCounts {
+    by_owner: u64,
+    by_entry: u64,
+    by_fallback: u64,
+}
+
+impl DenialCounts {
+    fn record(&mut self, source: DenialSource) {
+        let count = match source {
+            DenialSource::Owner => &mut self.by_owner,
+            DenialSource::Entry => &mut self.by_entry,
+            DenialSource::Fallback => &mut self.by_fallback,
+        };
+        *count += 1;
+    }
+
+    /// Returns each count with the name that log lines give its source.
+    pub(super) fn by_source(&self) -> [(&'static str, u64); 3] {
+        [("home", self.by_owner), ("entry", self.by_entry), ("fallback", self.by_fallback)]
+    }
+}
+
 impl MeshReducer {
     /// Obtains a token for a call whose account has a rate limit, then passes the call to admission control. The quota
     /// is checked first, so that only requests within their account's rate count as demand there.
@@ -45,7 +84,7 @@
                 let owner = self.quota_owner(&account.name).unwrap_or_else(|| me.clone());
                 self.grant_token(step, id, TokenSource::Owner(owner));
             }
-            TokenDecision::Denied => self.deny_token(step, id, "entry"),
+            TokenDecision::Denied => self.deny_token(step, id, DenialSource::Entry),
             TokenDecision::Pending { to_request } => {
                 let until = step.now.plus(QUOTA_RESPONSE_TIMEOUT);
                 call.stage = CallStage::AwaitingQuota { until };
@@ -118,8 +157,8 @@
         Some(self.grant_as_owner(now, &account, wanted))
     }
 
-    /// Handles a response of `owner`, which granted tokens as an account's quota owner: distributes the tokens to waiting calls, refuses the calls that
-    /// were denied and requests more tokens if calls are still waiting.
+    /// Handles a response of `owner`, which granted tokens as an account's quota owner: distributes the tokens to waiting
+    /// calls, refuses the calls that were denied and requests more tokens if calls are still waiting.
     pub(super) fn handle_quota_response(
         &mut self,
         step: &mut ReducerStep<'_>,
@@ -135,7 +174,7 @@
             self.grant_token(step, id, TokenSource::Owner(owner.clone()));
         }
         for id in denied_calls {
-            self.deny_token(step, id, "home");
+            self.deny_token(step, id, DenialSource::Owner);
         }
         let policy = self.settings.as_ref().and_then(|it| it.account(account)).cloned();
         if let (Some(wanted), Some(policy)) = (next_request, policy) {
@@ -155,7 +194,7 @@
         }
         let n_daemons = self.links.contact(step.now).n_daemons;
         match self.quotas.take_fallback(step.now, &account, n_daemons, 1) {
-            0 => self.deny_token(step, id, "fallback"),
+            0 => self.deny_token(step, id, DenialSource::Fallback),
             _ => {
                 self.token_cache.record_debt(&account.name);
                 self.grant_token(step, id, TokenSource::Fallback);
@@ -171,12 +210,13 @@
         }
     }
 
-    fn deny_token(&mut self, step: &mut ReducerStep<'_>, id: CallId, decided_by: &str) {
+    fn deny_token(&mut self, step: &mut ReducerStep<'_>, id: CallId, source: DenialSource) {
         let Some(call) = self.entry.calls.get_mut(&id) else { return };
         call.stage = CallStage::Deciding;
+        self.quota_denials.record(source);
         if self.log_limit.allows(step.now, LogPriority::Notable) {
             step.log(format!(
-                "event=quota_denied request={} account={} decided_by={decided_by}",
+                "event=quota_denied request={} account={} decided_by={source}",
                 call.request.request_id,
                 call.account.as_ref().map_or("", |it| it.name.as_str()),
             ));
--- a/crates/ivytrail/src/mesh/tests/quota.rs
+++ b/crates/ivytrail/src/mesh/tests/quota.rs
@@ -110,6 +110,24 @@
     assert!((1..=30).contains(&n_served), "{n_served} of a burst of 100");
 }
 
+#[test]
+fn denied_calls_are_counted_by_what_denied_them() {
+    let mut fleet = TestFleet::start();
+    fleet.set_quota(1.0, 10.0);
+    let owner = fleet.quota_owner_of_client();
+    let entry = (owner + 1) % 4;
+
+    // The owner's first tokens are two. It denies the third call, and the entry those of the next 40 ms.
+    (0..5).for_each(|id| drop(fleet.call_and_answer(entry, call_of(id, "track"))));
+    fleet.advance(Duration::from_millis(100));
+    fleet.freeze(owner);
+    (5..9).for_each(|id| fleet.call(entry, call_of(id, "track")));
+    fleet.advance(Duration::from_millis(110));
+
+    let denials = fleet.daemon(entry).n_quota_denials();
+    assert_eq!(denials, [("home", 1), ("entry", 2), ("fallback", 3)]);
+}
+
 /// Rate and burst of the account in the sessions below.
 const RATE_PER_S: f64 = 180.0;
 const BURST: f64 = 180.0;
