Check announcements against what a server can say

Callers saw (process test, one server of the service): an announcement of another writer for a service that nobody has declared, with a later start, took the server's place. Each request for the true service was answered 503, and the server's own heartbeats were ignored as older.

Cause: what could be parsed was believed.

--- a/crates/ivytrail-daemon/src/mesh/backend_pool/probe.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool/probe.rs
@@ -12,7 +12,7 @@
         frame::{ServerAdvertisement, ServerNotice, ServerPhase},
     },
 };
-use ivytrail_platform::headers::{SERVER_ID, SERVER_LOAD};
+use ivytrail_platform::headers::{SERVER_ID, SERVER_LOAD, parse_slots};
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::time::timeout;
 
@@ -70,7 +70,7 @@
     let id = server_id_of(&response)?;
     let notice = notice_of(response.headers());
     let load = response.headers().get(SERVER_LOAD)?.to_str().ok()?;
-    let slots = load.split(',').nth(2)?.trim().parse().ok()?;
+    let slots = parse_slots(load)?;
     let advertisement = ServerAdvertisement {
         id,
         started_at_ms: 0,
--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -13,7 +13,7 @@
     run_outcome::CrashSign,
     warm_up::WarmUpObservation,
 };
-use crate::time::TimePoint;
+use crate::{id::ServiceName, time::TimePoint};
 
 /// Time after the last response with a limit from which on a response without one lifts it. Single responses of a server
 /// in trouble may lack the header.
@@ -28,6 +28,9 @@
         announced: ServerAdvertisement,
         sequence: u64,
     ) {
+        if !self.is_known_service(&announced.service) {
+            return self.ignore_announcement(step, &announced, sequence, "service");
+        }
         if let Some(current) = &self.guard.server {
             let is_same_run =
                 current.id == announced.id && current.started_at_ms == announced.started_at_ms;
@@ -93,6 +96,13 @@
         self.publish_advertisement(step);
     }
 
+    /// Returns whether a server beside this daemon may belong to a service: the daemon's own one, or one that the settings
+    /// declare.
+    fn is_known_service(&self, service: &ServiceName) -> bool {
+        *service == self.options.service
+            || self.settings.as_ref().is_some_and(|it| it.service(service).is_some())
+    }
+
     fn ignore_announcement(
         &self,
         step: &mut ReducerStep<'_>,
--- a/crates/ivytrail/src/mesh/tests/servers.rs
+++ b/crates/ivytrail/src/mesh/tests/servers.rs
@@ -287,3 +287,17 @@
 
     assert_eq!(fleet.daemon(0).server().map(|it| it.phase), Some(ServerPhase::Draining));
 }
+
+/// An announcement of a service that nobody has declared was not written by a server, whatever its start and sequence.
+#[test]
+fn an_announcement_of_an_unknown_service_does_not_replace_the_server() {
+    let mut fleet = TestFleet::start();
+    let mut foreign = server_advertisement(1, "unheard-of");
+    foreign.id = "foreign".into();
+    foreign.started_at_ms += 1_000;
+
+    fleet.apply(1, MeshEvent::ServerAnnounced { advertisement: foreign, sequence: 1 });
+
+    let server = fleet.daemon(1).server().expect("the server is known");
+    assert_eq!((server.id.as_str(), server.phase), ("server-1", ServerPhase::Ready));
+}
--- a/tests/tests/foreign_rows.rs
+++ b/tests/tests/foreign_rows.rs
@@ -1,6 +1,6 @@
 //! Rows and announcements of other writers: what can't be used is left out, and everything else holds.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::Result;
 use base64::{Engine, engine::general_purpose::STANDARD};
@@ -142,3 +142,36 @@
     assert!(site.is_ready(0).await);
     Ok(())
 }
+
+/// Another writer announces a server that does not run beside the daemon, and that seems to have started later.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcements_of_another_writer_name_no_server() -> Result<()> {
+    let _lock = MESH_LOCK.lock().await;
+    let site = TestSite::start_with(&["booking", "tracker"], false).await?;
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH)?;
+    let started_at_ms = u64::try_from(since_epoch.as_millis())? + 1_000;
+    let heartbeat = |service: &str, address: &str, slots: u32, sequence: u64| {
+        json!({
+            "service": service, "address": address, "zone": "z", "version": "v1", "slots": slots,
+            "phase": "ready", "warmup_left": 0, "sequence": sequence, "born": started_at_ms,
+        })
+        .to_string()
+    };
+    let bodies = [
+        heartbeat("unheard-of", "127.0.0.1:8080", 8, 1),
+        heartbeat("booking", "127.0.0.1:99999", 8, 1),
+        heartbeat("booking", "127.0.0.1", 8, 1),
+        heartbeat("booking", "127.0.0.1:8080", u32::MAX, 1),
+        heartbeat("booking", "127.0.0.1:8080", 8, u64::MAX),
+    ];
+
+    let mut statuses = Vec::new();
+    for (idx, body) in bodies.into_iter().enumerate() {
+        statuses.push(site.announce(0, "foreign", body).await?);
+        let id = format!("book-{idx}");
+        assert_eq!(status_at(&site, 1, &format!("/book/{idx}"), &id).await, 200, "body {idx}");
+    }
+
+    assert_eq!(statuses, [200, 400, 400, 400, 400]);
+    Ok(())
+}
