--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -28,21 +28,8 @@
         announced: ServerAdvertisement,
         sequence: u64,
     ) {
-        if !self.is_known_service(&announced.service) {
-            return self.ignore_announcement(step, &announced, sequence, "service");
-        }
-        if let Some(current) = &self.guard.server {
-            let is_same_run =
-                current.id == announced.id && current.started_at_ms == announced.started_at_ms;
-            let is_old = announced.started_at_ms < current.started_at_ms
-                || (is_same_run && (sequence <= self.guard.sequence));
-            // A server that is shutting down does not become ready again within the same run.
-            let is_ready_again = is_same_run
-                && current.phase == ServerPhase::Draining
-                && announced.phase == ServerPhase::Ready;
-            if is_old || is_ready_again {
-                return self.ignore_announcement(step, &announced, sequence, "old");
-            }
+        if let Some(cause) = self.conflict_with_known(&announced, sequence) {
+            return self.ignore_announcement(step, &announced, sequence, cause);
         }
         let mut announced = announced;
         match self.leaving_servers.conflicting_shutdown(step.now, &announced) {
@@ -96,6 +83,28 @@
         self.publish_advertisement(step);
     }
 
+    /// Returns why an announcement changes nothing, if it doesn't: no server beside this daemon can have sent it, or it is
+    /// older than what is known.
+    fn conflict_with_known(
+        &self,
+        announced: &ServerAdvertisement,
+        sequence: u64,
+    ) -> Option<&'static str> {
+        if !self.is_known_service(&announced.service) {
+            return Some("service");
+        }
+        let current = self.guard.server.as_ref()?;
+        let is_same_run =
+            current.id == announced.id && current.started_at_ms == announced.started_at_ms;
+        let is_old = announced.started_at_ms < current.started_at_ms
+            || (is_same_run && (sequence <= self.guard.sequence));
+        // A server that is shutting down does not become ready again within the same run.
+        let is_ready_again = is_same_run
+            && current.phase == ServerPhase::Draining
+            && announced.phase == ServerPhase::Ready;
+        (is_old || is_ready_again).then_some("old")
+    }
+
     /// Returns whether a server beside this daemon may belong to a service: the daemon's own one, or one that the settings
     /// declare.
     fn is_known_service(&self, service: &ServiceName) -> bool {
