Move the tokens of an entry to a module of their own

No change of behaviour: TokenCache and its four tests move from mesh/quota.rs to mesh/token_cache.rs, before the entry's side of quotas grows.

--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -42,6 +42,7 @@
 mod server_announcements;
 pub mod settings_file;
 pub mod table_watch;
+pub mod token_cache;
 mod warm_up;
 pub mod weighted_split;
 
@@ -65,9 +66,10 @@
     log_limit::LogLimit,
     picker::ServerPicker,
     policy::FleetSettings,
-    quota::{QuotaBuckets, TokenCache},
+    quota::QuotaBuckets,
     quota_flow::DenialCounts,
     retry_budget::{RetryBudgets, RetryPolicy},
+    token_cache::TokenCache,
     weighted_split::WeightedSplit,
 };
 use crate::{
--- a/crates/ivytrail/src/mesh/quota_flow.rs
+++ b/crates/ivytrail/src/mesh/quota_flow.rs
@@ -12,7 +12,8 @@
     frame::PeerFrame,
     log_limit::LogPriority,
     policy::AccountPolicy,
-    quota::{QUOTA_RESPONSE_TIMEOUT, TokenDecision},
+    quota::QUOTA_RESPONSE_TIMEOUT,
+    token_cache::TokenDecision,
 };
 use crate::{
     id::{AccountName, CallId, InstanceName},
