--- a/review/stand-2/mod.rs
+++ b/review/stand-2/mod.rs
@@ -12,7 +12,7 @@
     fs::{self, File},
     io::Write,
     net::{IpAddr, SocketAddr, TcpListener, TcpStream},
-    os::fd::FromRawFd,
+    os::{fd::FromRawFd, unix::process::CommandExt},
     path::PathBuf,
     process::{Child, Command, ExitCode, Stdio},
     sync::{Arc, Mutex},
@@ -25,12 +25,15 @@
 pub const KEY: &str = "6wsjnbanfqasnmgkcuyj";
 pub const HOST: &str = "hire.example";
 const SIGTERM: i32 = 15;
+const SIGKILL: usize = 9;
+const PR_SET_PDEATHSIG: i32 = 1;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn connect(socket: i32, address: *const SocketAddress, length: u32) -> i32;
+    fn prctl(option: i32, argument: usize) -> i32;
 }
 
 /// `struct sockaddr_in`.
@@ -185,15 +188,23 @@
         fs::write(&settings, machine.settings(table.address)).expect("settings file");
         let log = folder.path.join(format!("{}.log", machine.name));
         let log = File::options().create(true).append(true).open(log).expect("log file");
-        let child = Command::new("target/release/ivytraild")
+        let mut command = Command::new("target/release/ivytraild");
+        command
             .arg("--mesh")
             .arg(&settings)
             .env("IVYTRAIL_NODE_FILE", &settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("log file"))
-            .stderr(log)
-            .spawn();
-        let child = match child {
+            .stderr(log);
+        // The daemon ends with the script, also where the script itself is killed.
+        // SAFETY: the closure makes one system call and allocates nothing.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+                0 => Ok(()),
+                _ => Err(std::io::Error::last_os_error()),
+            });
+        }
+        let child = match command.spawn() {
             Ok(child) => child,
             Err(cause) => {
                 println!("target/release/ivytraild does not start: {cause}");
