--- a/review/stand-2/mod.rs
+++ b/review/stand-2/mod.rs
@@ -129,9 +129,16 @@
     pub peers: SocketAddr,
     pub metrics: SocketAddr,
     pub server: SocketAddr,
+    /// The bound `grace`, in seconds.
+    pub grace_s: u32,
 }
 
 impl Machine {
+    /// Returns the machine with another bound `grace`.
+    pub fn with_grace(self, grace_s: u32) -> Machine {
+        Machine { grace_s, ..self }
+    }
+
     pub fn new(name: &str, service: &str, ip: &str) -> Machine {
         let ip: IpAddr = ip.parse().expect("a loopback address");
         assert!(ip.is_loopback(), "all addresses are loopback addresses");
@@ -145,6 +152,7 @@
             peers: free_address(ip),
             metrics: free_address(ip),
             server: free_address(ip),
+            grace_s: 6,
         }
     }
 
@@ -162,13 +170,14 @@
 
     /// Returns the settings file that the platform renders from `platform/settings.json.template`.
     fn settings(&self, table: SocketAddr) -> String {
-        let Machine { name, service, zone, callers, control, ready, peers, metrics, server } = self;
+        let Machine { name, service, zone, callers, control, ready, peers, metrics, server, grace_s } =
+            self;
         format!(
             "{{\"name\":\"{name}\",\"failure_domain\":\"{zone}\",\"service\":\"{service}\",\
              \"caller_address\":\"{callers}\",\"local_address\":\"{control}\",\
              \"health_address\":\"{ready}\",\"peer_address\":\"{peers}\",\
              \"metrics_address\":\"{metrics}\",\"server_address\":\"{server}\",\
-             \"table_address\":\"{table}\",\"shutdown_grace_s\":6,\"table_recovery_ms\":3000,\
+             \"table_address\":\"{table}\",\"shutdown_grace_s\":{grace_s},\"table_recovery_ms\":3000,\
              \"max_descriptors\":4100,\"repeats\":{{\"ratio\":0.2,\"window_s\":10,\"slack\":48}}}}"
         )
     }
@@ -297,7 +306,7 @@
 }
 
 /// Returns a configuration. `routes` holds, for each route, its name, kind and service; the route `NAME` has the prefix
-/// `/NAME/`.
+/// `/NAME/`. A kind that ends with `public` is that of a route without a key.
 pub fn configuration(version: u64, routes: &[(&str, &str, &str)], timeout_ms: u64) -> String {
     let mut services: Vec<&str> = routes.iter().map(|(_, _, service)| *service).collect();
     services.sort_unstable();
@@ -305,10 +314,14 @@
     let routes: Vec<String> = routes
         .iter()
         .map(|(name, kind, service)| {
+            let (kind, is_public) = match kind.strip_suffix(" public") {
+                Some(kind) => (kind, true),
+                None => (*kind, false),
+            };
             format!(
                 "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
                  \"timeout\":{timeout_ms},\"target_latency\":1500,\"priority\":0,\"service\":\"{service}\",\
-                 \"max_attempts\":2,\"public\":false}}"
+                 \"max_attempts\":2,\"public\":{is_public}}}"
             )
         })
         .collect();
