Give the stand-ins ports that nothing else takes

One run of case 9 of 22 ended with 2: a daemon was not ready within 10 s, beside others that were. The log went with the temporary folder; two addresses of a machine with the same port would explain it, and were possible. Ports are now given out once, below the range of outgoing connections, and the log of a daemon that is not ready goes into the record.

--- a/review/stand-2/mod.rs
+++ b/review/stand-2/mod.rs
@@ -15,7 +15,10 @@
     os::{fd::FromRawFd, unix::process::CommandExt},
     path::PathBuf,
     process::{Child, Command, ExitCode, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU16, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -111,10 +114,21 @@
     }
 }
 
-/// Returns a free address on a loopback address.
+/// First port that is given out, and the number of ports. They lie below the range of outgoing connections.
+const FIRST_PORT: u16 = 12_000;
+const N_PORTS: u16 = 18_000;
+
+/// Returns a free address on a loopback address. No port is given out twice.
 pub fn free_address(ip: IpAddr) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("a free port")
+    static N_GIVEN: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() % u32::from(N_PORTS)) as u16;
+    loop {
+        let offset = start.wrapping_add(N_GIVEN.fetch_add(1, Ordering::SeqCst)) % N_PORTS;
+        let address = SocketAddr::new(ip, FIRST_PORT + offset);
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Addresses of one machine.
@@ -187,6 +201,7 @@
 pub struct Daemon {
     child: Child,
     pub machine: Machine,
+    log: PathBuf,
     record: Record,
 }
 
@@ -195,8 +210,8 @@
     pub fn start(machine: &Machine, table: &Table, folder: &Folder, record: &Record) -> Daemon {
         let settings = folder.path.join(format!("{}.json", machine.name));
         fs::write(&settings, machine.settings(table.address)).expect("settings file");
-        let log = folder.path.join(format!("{}.log", machine.name));
-        let log = File::options().create(true).append(true).open(log).expect("log file");
+        let log_path = folder.path.join(format!("{}.log", machine.name));
+        let log = File::options().create(true).append(true).open(&log_path).expect("log file");
         let mut command = Command::new("target/release/ivytraild");
         command
             .arg("--mesh")
@@ -221,7 +236,7 @@
             }
         };
         record.write(&format!("daemon started machine={} pid={}", machine.name, child.id()));
-        Daemon { child, machine: machine.clone(), record: record.clone() }
+        Daemon { child, machine: machine.clone(), log: log_path, record: record.clone() }
     }
 
     pub fn pid(&self) -> u32 {
@@ -273,6 +288,10 @@
             self.is_ready()
         });
         self.record.write(&format!("daemon ready={is_ready} machine={}", self.machine.name));
+        if !is_ready {
+            let log = fs::read_to_string(&self.log).unwrap_or_default();
+            log.lines().rev().take(5).for_each(|line| self.record.write(&format!("log {line}")));
+        }
         is_ready
     }
 }
