Refuse late requests without a key at a stopping daemon

Cause: the limit for late requests was only asked for requests with an account. "Has no account" stood for "is a nested call", but clients may use public routes without a key. The same confusion let a daemon whose only open requests were such ones count as idle.

Change: a call is nested only if the request that makes it is known to run beside the daemon. All others must fit with their whole time limit once 2.8 s have passed. The class, work that the process can't finish before its planned exit, has two more paths: nested calls, and attempts of other daemons at a stopping guard. Both are refused where three times the mean run time of the route doesn't fit: a refused attempt goes to another guard, and a refused nested call fails a request that was accepted, so that its time limit alone would refuse too much.

Why it works: what is accepted ends by its time limit, and that is before the exit.

--- a/crates/ivytrail-daemon/src/mesh.rs
+++ b/crates/ivytrail-daemon/src/mesh.rs
@@ -42,6 +42,8 @@
 const CLOSE_MARGIN: Duration = Duration::from_millis(3_000);
 /// Time before the end of the shutdown grace period at which the daemon exits even if work is still open.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Maximum number of calls without a response that are logged at the exit.
+const MAX_LOGGED_CALLS: usize = 50;
 /// Time allowed for written responses to reach the clients before the process exits.
 const FLUSH_DELAY: Duration = Duration::from_millis(50);
 
@@ -128,7 +130,9 @@
             && progress.advance(driver, file.settings.shutdown_grace)
         {
             tokio::time::sleep(FLUSH_DELAY).await;
-            log::info!("event=stop calls_open={}", driver.inspect(MeshReducer::n_calls));
+            let open_calls = driver.inspect(MeshReducer::open_call_lines);
+            open_calls.iter().take(MAX_LOGGED_CALLS).for_each(|it| log::warn!("{it}"));
+            log::info!("event=stop calls_open={}", open_calls.len());
             return Ok(());
         }
     }
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -41,6 +41,7 @@
 mod run_start;
 mod server_announcements;
 pub mod settings_file;
+mod shutdown;
 pub mod table_watch;
 pub mod token_cache;
 mod warm_up;
@@ -69,6 +70,7 @@
     quota::QuotaBuckets,
     quota_flow::DenialCounts,
     retry_budget::{RetryBudgets, RetryPolicy},
+    shutdown::ShutdownPlan,
     token_cache::TokenCache,
     weighted_split::WeightedSplit,
 };
@@ -136,14 +138,6 @@
     rng: SmallRng,
 }
 
-/// Times of a requested shutdown.
-#[derive(Clone, Copy, Debug)]
-struct ShutdownPlan {
-    requested_at: TimePoint,
-    /// Time at which the process exits even if requests are still open.
-    exit_at: TimePoint,
-}
-
 /// Context of one reducer step: the current time and the list that collects effects.
 struct ReducerStep<'o> {
     now: TimePoint,
@@ -270,9 +264,10 @@
         self.entry.is_empty() && self.guard.is_idle()
     }
 
-    /// Returns whether no client request is waiting for a response; nested calls don't count.
+    /// Returns whether no client request is waiting for a response; calls of requests that run at the local backend server
+    /// don't count.
     pub fn is_entry_idle(&self) -> bool {
-        self.entry.calls.values().all(EntryCall::is_nested)
+        self.entry.calls.values().all(|it| it.parent.is_some())
     }
 
     /// Returns whether the daemon has begun to shut down.
@@ -321,6 +316,13 @@
         self.quota_denials.by_source()
     }
 
+    /// Returns a log line for each call that has no response yet, in the order of their arrival.
+    pub fn open_call_lines(&self) -> Vec<String> {
+        let mut calls: Vec<&EntryCall> = self.entry.calls.values().collect();
+        calls.sort_unstable_by_key(|it| it.received_at);
+        calls.into_iter().map(|it| it.open_line(self.applied_at)).collect()
+    }
+
     /// Returns the number of calls that have no response yet.
     pub fn n_calls(&self) -> usize {
         self.entry.len()
@@ -389,8 +391,7 @@
         if self.shutdown.is_some() {
             return;
         }
-        let (requested_at, exit_at) = (step.now, step.now.plus(exit_within));
-        self.shutdown = Some(ShutdownPlan { requested_at, exit_at });
+        self.shutdown = Some(ShutdownPlan::new(step.now, exit_within));
         step.log(format!("event=leaving exit_within_ms={}", exit_within.as_millis()));
     }
 
--- a/crates/ivytrail/src/mesh/cost.rs
+++ b/crates/ivytrail/src/mesh/cost.rs
@@ -87,6 +87,12 @@
         estimate.record_run(hold_s, calls);
     }
 
+    /// Returns the mean time for which a run of `route` holds a slot, or `None` if no run has completed.
+    pub fn mean_hold_time(&self, route: &RouteName) -> Option<Duration> {
+        let estimate = self.estimates.get(route)?;
+        Duration::try_from_secs_f64(estimate.cost.hold_s).ok()
+    }
+
     /// Returns whether a route has a first cost that should be reported now. After a start of the whole fleet, no daemon
     /// can refuse what it can't serve before it knows the costs.
     pub fn has_first_cost(&self) -> bool {
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -50,6 +50,17 @@
     Deciding,
 }
 
+impl CallStage {
+    /// Returns the stage's name in logs.
+    fn name(&self) -> &'static str {
+        match self {
+            CallStage::AwaitingQuota { .. } => "awaiting-quota",
+            CallStage::Sent { .. } => "sent",
+            CallStage::Deciding => "deciding",
+        }
+    }
+}
+
 /// A call that has no response yet.
 #[derive(Debug)]
 pub(super) struct EntryCall {
@@ -79,6 +90,20 @@
     pub(super) fn is_nested(&self) -> bool {
         QueueRank(self.request.rank).is_nested()
     }
+
+    /// Returns the log line of the call while it has no response.
+    pub(super) fn open_line(&self, now: TimePoint) -> String {
+        format!(
+            "event=call_open request={} route={} account={} parent={} stage={} received_ms_ago={} time_left_ms={}",
+            self.request.request_id,
+            self.request.route,
+            self.request.account.as_ref().map_or("-", |it| it.as_str()),
+            if self.parent.is_some() { "known" } else { "-" },
+            self.stage.name(),
+            now.since(self.received_at).as_millis(),
+            self.deadline.since(now).as_millis(),
+        )
+    }
 }
 
 /// Number of attempt serials reserved per incarnation. Incarnations are start times in milliseconds, so this exceeds
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -251,6 +251,7 @@
             Some(server) if server.phase == ServerPhase::Draining => Some(RefusalReason::Draining),
             Some(_) if self.guard.is_evacuated => Some(RefusalReason::Draining),
             Some(_) if now < self.guard.paused_until => Some(RefusalReason::NoUpstream),
+            Some(_) if !self.can_finish(now, request) => Some(RefusalReason::Draining),
             Some(_) => match self.quarantine.permission(now, &request.fingerprint) {
                 RunPermission::Unrestricted => None,
                 RunPermission::TrialOnly if self.is_trial_server(request) => None,
@@ -261,6 +262,13 @@
         }
     }
 
+    /// Returns whether an attempt is expected to end before the process exits. Another guard may run one that is not.
+    fn can_finish(&self, now: TimePoint, request: &AttemptRequest) -> bool {
+        let Some(plan) = self.shutdown else { return true };
+        let mean_run_time = self.guard.cost_estimator.mean_hold_time(&request.route);
+        plan.expects_to_finish(now, mean_run_time, Duration::from_micros(request.time_left_us))
+    }
+
     /// Returns whether a request that may run as a trial only may run at the local backend server.
     fn is_trial_server(&self, request: &AttemptRequest) -> bool {
         let server = self.picker.trial_server(&request.service, &request.fingerprint);
--- a/crates/ivytrail/src/mesh/intake.rs
+++ b/crates/ivytrail/src/mesh/intake.rs
@@ -13,17 +13,13 @@
     weighted_split::WeightedSplit,
 };
 use crate::{
-    id::{AccountName, CallId, ContentDigest, ServiceName},
+    id::{AccountName, CallId, ContentDigest, RouteName, ServiceName},
     message::{CallOutcome, RefusalReason},
     time::TimePoint,
 };
 
 /// Retry delay sent to callers while the daemon has no settings.
 const NO_SETTINGS_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Time after a requested shutdown in which all client requests are accepted.
-const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_800);
-/// Time between the time limit of a client request and the exit of the process that is left for its response.
-const FINISH_MARGIN: Duration = Duration::from_millis(100);
 /// Fraction of a nested call that counts towards the retry budget at the call's own entry; the rest counts at the entry
 /// of its root request.
 const NESTED_CALL_ENTRY_SHARE: f64 = 0.5;
@@ -42,9 +38,7 @@
             }
         };
         let time_limit = request.time_limit.unwrap_or(route.timeout).min(route.timeout);
-        if let Some(delay) =
-            self.late_request_delay(step.now, time_limit).filter(|_| account.is_some())
-        {
+        if let Some(delay) = self.late_call_delay(step.now, &request, &route.name, time_limit) {
             return self.refuse_request(step, &request, RefusalReason::Draining, Some(delay));
         }
         let fingerprint = fingerprint_of(&request, account.as_ref().map(|it| &it.name));
@@ -74,13 +68,25 @@
         self.check_quota(step, id);
     }
 
-    /// Returns the retry delay for a client request that the process may not be able to finish before it exits, or `None`
-    /// if it may accept the request. Most clients have moved to other daemons by then.
-    fn late_request_delay(&self, now: TimePoint, time_limit: Duration) -> Option<Duration> {
+    /// Returns the retry delay for a call that the process may not be able to finish before it exits, or `None` if it may
+    /// accept the call.
+    ///
+    /// A call is nested only if the request that makes it is known to run at the local backend server: a client's request
+    /// on a public route has no API key either. Most clients have moved to other daemons by then, whereas refusing a
+    /// nested call fails a request that was accepted before.
+    fn late_call_delay(
+        &self,
+        now: TimePoint,
+        request: &CallRequest,
+        route: &RouteName,
+        time_limit: Duration,
+    ) -> Option<Duration> {
         let plan = self.shutdown?;
-        let time_left = plan.exit_at.since(now);
-        let is_late = STOP_ACCEPT_TIME <= now.since(plan.requested_at);
-        (is_late && time_left < time_limit + FINISH_MARGIN).then_some(time_left)
+        let is_accepted = match self.guard.parent_run(&request.request_id) {
+            None => plan.accepts_request(now, time_limit),
+            Some(_) => plan.expects_to_finish(now, self.picker.known_run_time(route), time_limit),
+        };
+        (!is_accepted).then(|| plan.time_left(now))
     }
 
     /// Returns the route of a request and the account of its API key; requests on public routes have no account.
--- a/crates/ivytrail/src/mesh/picker.rs
+++ b/crates/ivytrail/src/mesh/picker.rs
@@ -260,9 +260,14 @@
         }
     }
 
-    /// Returns the mean run time of a route over all servers.
+    /// Returns the mean run time of a route over all servers, or an assumed one if no run has completed.
     pub fn mean_run_time(&self, route: &RouteName) -> Duration {
-        self.run_times.get(route).map_or(INITIAL_RUN_TIME, |it| Duration::from_secs_f64(*it))
+        self.known_run_time(route).unwrap_or(INITIAL_RUN_TIME)
+    }
+
+    /// Returns the mean run time of a route over all servers, or `None` if no run has completed.
+    pub fn known_run_time(&self, route: &RouteName) -> Option<Duration> {
+        self.run_times.get(route).map(|it| Duration::from_secs_f64(*it))
     }
 
     /// Returns the instance of the available server of `service` with the shortest expected response time, leaving out
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -5,11 +5,13 @@
 mod crashing_requests;
 mod evacuations;
 mod fleet;
+mod planned_stops;
 mod quota;
 mod random;
 mod server_sessions;
 mod servers;
 mod silent_links;
+mod stop_sessions;
 
 use std::time::Duration;
 
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -14,7 +14,8 @@
 use rand::rngs::SmallRng;
 
 pub(super) use self::fixtures::{
-    RELEASE_TARGET, answered, answered_with, call_of, refused, server_advertisement,
+    RELEASE_TARGET, answered, answered_with, call_of, nested_call_of, public_call_of, refused,
+    server_advertisement,
 };
 use self::fixtures::{settings_of, settings_with_warm_up};
 use crate::{
--- a/crates/ivytrail/src/mesh/tests/fleet/fixtures.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet/fixtures.rs
@@ -43,6 +43,16 @@
     }
 }
 
+/// Returns a request without an API key, for a public route.
+pub(in super::super) fn public_call_of(id: u64, route: &str) -> CallRequest {
+    CallRequest { key: None, ..call_of(id, route) }
+}
+
+/// Returns a nested call that a running request makes on a public route.
+pub(in super::super) fn nested_call_of(id: u64, parent_id: &str, route: &str) -> CallRequest {
+    CallRequest { request_id: format!("{parent_id}.{id}").into(), ..public_call_of(id, route) }
+}
+
 pub(in super::super) fn answered(status: u16) -> RunEnd {
     RunEnd::Answered { status, headers: Vec::new(), body: Bytes::from_static(b"answer") }
 }
@@ -101,12 +111,15 @@
         rate_per_s,
         burst,
     };
+    let public = |route: RoutePolicy| RoutePolicy { is_public: true, ..route };
     FleetDeclaration {
         version,
         routes: vec![
             route("track", "tracker", true, READ_TARGET),
             route("book", "booking", false, READ_TARGET),
             route("release", "booking", false, RELEASE_TARGET),
+            public(route("ledger", "booking", true, READ_TARGET)),
+            public(route("reserve", "booking", false, READ_TARGET)),
         ],
         accounts: vec![account],
         ..FleetDeclaration::default()
--- /dev/null
+++ b/crates/ivytrail/src/mesh/tests/planned_stops.rs
@@ -0,0 +1,170 @@
+//! Planned stops of daemons: which requests they accept until they exit.
+
+use std::{collections::HashSet, time::Duration};
+
+use super::fleet::{
+    TestFleet, TestRun, answered, call_of, nested_call_of, public_call_of, refused,
+};
+use crate::{
+    mesh::event::{CallRequest, MeshEvent},
+    message::{CallOutcome, RefusalReason},
+};
+
+/// Daemon that is stopped; its own server is of the service `tracker`.
+const STOPPING: usize = 0;
+/// Time from the request to stop to the exit.
+const EXIT_WITHIN: Duration = Duration::from_secs(6);
+/// Mean run time of the slow requests of a test.
+const SLOW_RUN_TIME: Duration = Duration::from_millis(600);
+
+/// Returns a fleet one of whose daemons exits after `time_left` at the latest.
+fn stopping_fleet(time_left: Duration) -> TestFleet {
+    let mut fleet = TestFleet::start();
+    stop(&mut fleet, STOPPING, time_left);
+    fleet
+}
+
+/// Requests a daemon to stop, and lets the time pass until `time_left` before its exit.
+fn stop(fleet: &mut TestFleet, daemon: usize, time_left: Duration) {
+    fleet.apply(daemon, MeshEvent::StopRequested { exit_within: EXIT_WITHIN });
+    fleet.advance(EXIT_WITHIN - time_left);
+}
+
+fn with_time_limit(request: CallRequest, time_limit: Duration) -> CallRequest {
+    CallRequest { time_limit: Some(time_limit), ..request }
+}
+
+fn assert_refused_as_draining(fleet: &TestFleet, id: u64, time_left: Duration) {
+    let (outcome, reason, retry_after) = refused(fleet.answer_of(id));
+    assert_eq!((outcome, reason), (CallOutcome::NotRun, RefusalReason::Draining), "r{id}");
+    assert_eq!(retry_after, Some(time_left), "r{id}");
+}
+
+/// Completes runs of a route at all servers of its service, from requests at the stopping daemon.
+fn complete_runs(fleet: &mut TestFleet, route: &str, run_time: Duration) {
+    let n_before = fleet.n_runs_started();
+    for n in n_before..n_before + 12 {
+        fleet.call(STOPPING, call_of(30_000 + n as u64, route));
+    }
+    let servers: HashSet<usize> = fleet.started()[n_before..].iter().map(|it| it.daemon).collect();
+    assert_eq!(servers.len(), 2, "not all servers of {route} got a run");
+    fleet.advance(run_time);
+    while let Some(run) = fleet.runs().pop() {
+        fleet.end_run(&run, answered(200));
+    }
+}
+
+/// Starts a run at the stopping daemon's server, from requests at another daemon.
+fn start_parent(fleet: &mut TestFleet) -> TestRun {
+    let parent = (100..200).find_map(|id| {
+        fleet.call(2, call_of(id, "track"));
+        fleet.runs().into_iter().find(|it| it.daemon == STOPPING)
+    });
+    parent.expect("the stopping daemon's server gets a run")
+}
+
+/// Guards against LOST: requests without an API key were taken for nested calls, accepted until the exit and cut off.
+#[test]
+fn a_stopping_daemon_refuses_public_requests_that_it_may_not_finish() {
+    let time_left = Duration::from_secs(1);
+    let mut fleet = stopping_fleet(time_left);
+
+    for (id, route) in [(1, "ledger"), (2, "reserve")] {
+        fleet.call(STOPPING, public_call_of(id, route));
+    }
+
+    assert_eq!(fleet.n_runs_started(), 0);
+    assert_refused_as_draining(&fleet, 1, time_left);
+    assert_refused_as_draining(&fleet, 2, time_left);
+}
+
+/// Most requests of a route may be short. A long one among them must not be cut off.
+#[test]
+fn a_stopping_daemon_refuses_late_requests_also_on_a_route_of_short_ones() {
+    let time_left = Duration::from_secs(1);
+    let mut fleet = TestFleet::start();
+    complete_runs(&mut fleet, "reserve", Duration::from_millis(10));
+    stop(&mut fleet, STOPPING, time_left);
+    let n_before = fleet.n_runs_started();
+
+    fleet.call(STOPPING, public_call_of(1, "reserve"));
+
+    assert_eq!(fleet.n_runs_started(), n_before);
+    assert_refused_as_draining(&fleet, 1, time_left);
+}
+
+#[test]
+fn a_stopping_daemon_accepts_public_requests_that_fit_and_early_ones() {
+    let mut fleet = stopping_fleet(EXIT_WITHIN - Duration::from_millis(2_700));
+
+    fleet.call(STOPPING, public_call_of(1, "reserve"));
+    fleet.advance(Duration::from_millis(2_300));
+    let short = with_time_limit(public_call_of(2, "reserve"), Duration::from_millis(800));
+    fleet.call(STOPPING, short);
+
+    assert_eq!(fleet.n_runs_started(), 2);
+    assert!(!fleet.daemon(STOPPING).is_entry_idle());
+}
+
+/// Refusing a nested call fails the request that makes it, which was accepted before.
+#[test]
+fn a_stopping_daemon_accepts_nested_calls_that_it_is_expected_to_finish() {
+    let mut fleet = TestFleet::start();
+    complete_runs(&mut fleet, "ledger", Duration::from_millis(20));
+    complete_runs(&mut fleet, "track", Duration::from_millis(20));
+    stop(&mut fleet, STOPPING, Duration::from_millis(1_500));
+    let parent = start_parent(&mut fleet);
+    fleet.advance(Duration::from_millis(700));
+
+    fleet.call(STOPPING, nested_call_of(2, &parent.request.request_id, "ledger"));
+    let nested = fleet.runs().into_iter().find(|it| it.request.route.as_str() == "ledger");
+    fleet.end_run(&nested.expect("the nested call runs"), answered(200));
+
+    assert_eq!(fleet.status_of(2), Some(200));
+}
+
+/// A nested call that the exit would cut off is refused while its parent can still report the failure.
+#[test]
+fn a_stopping_daemon_refuses_nested_calls_that_it_is_not_expected_to_finish() {
+    let mut fleet = TestFleet::start();
+    complete_runs(&mut fleet, "ledger", SLOW_RUN_TIME);
+    stop(&mut fleet, STOPPING, Duration::from_secs(3));
+    let parent = start_parent(&mut fleet);
+    fleet.advance(Duration::from_millis(1_500));
+
+    fleet.call(STOPPING, nested_call_of(2, &parent.request.request_id, "ledger"));
+
+    assert_refused_as_draining(&fleet, 2, Duration::from_millis(1_500));
+}
+
+/// An attempt that a stopping guard can't finish ends without a response, and a request that may not be repeated with it.
+#[test]
+fn a_stopping_guard_leaves_attempts_that_it_is_not_expected_to_finish_to_another() {
+    let mut fleet = TestFleet::start();
+    complete_runs(&mut fleet, "book", SLOW_RUN_TIME);
+    stop(&mut fleet, 1, Duration::from_millis(1_700));
+    let n_before = fleet.n_runs_started();
+
+    for id in 1..=8 {
+        fleet.call(0, call_of(id, "book"));
+    }
+
+    let started = &fleet.started()[n_before..];
+    assert_eq!(started.len(), 8);
+    assert!(started.iter().all(|it| it.daemon == 3), "{started:?}");
+}
+
+/// The slots of a stopping daemon's server stay in use for work that ends in time.
+#[test]
+fn a_stopping_guard_runs_attempts_that_it_is_expected_to_finish() {
+    let mut fleet = TestFleet::start();
+    complete_runs(&mut fleet, "book", Duration::from_millis(100));
+    stop(&mut fleet, 1, Duration::from_millis(1_700));
+    let n_before = fleet.n_runs_started();
+
+    for id in 1..=12 {
+        fleet.call(0, call_of(id, "book"));
+    }
+
+    assert!(fleet.started()[n_before..].iter().any(|it| it.daemon == 1));
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod session;
 pub mod site;
 pub mod soak;
+pub mod stop_soak;
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -2,6 +2,7 @@
 //! servers that speak the platform's protocol.
 
 pub mod backend;
+pub mod kept_connection;
 pub mod load;
 pub mod table;
 
@@ -34,6 +35,8 @@
 const PRODUCTION_DAEMON: &str = "production/build/debug/ivytraild";
 /// Environment variable with which the process tests run the production build: `production`.
 const BUILD_VARIABLE: &str = "IVYTRAIL_TEST_BUILD";
+/// Timeout of the route `survey`, whose requests may take long and need no API key, in milliseconds.
+pub const SURVEY_TIMEOUT_MS: u64 = 8_000;
 /// Service of each instance of the small site.
 const SMALL_SITE_SERVICES: [&str; 3] = ["booking", "booking", "tracker"];
 /// Services that the configuration declares.
@@ -83,6 +86,8 @@
     pub needs_warm_up: bool,
     /// Build of the daemons at the start.
     pub build: DaemonBuild,
+    /// Shutdown grace period of the daemons.
+    pub shutdown_grace: Duration,
 }
 
 impl SiteOptions {
@@ -94,6 +99,7 @@
             has_proxies: false,
             needs_warm_up: false,
             build: DaemonBuild::from_environment(),
+            shutdown_grace: Duration::from_secs(6),
         }
     }
 }
@@ -258,7 +264,7 @@
             "metrics_address": addresses.metrics,
             "server_address": server_address,
             "table_address": table_address,
-            "shutdown_grace_s": 6,
+            "shutdown_grace_s": self.options.shutdown_grace.as_secs(),
             "repeats": {"ratio": 0.2, "window_s": 10, "slack": 48},
         });
         let path = self.dir.path().join(format!("instance-{idx}.json"));
@@ -424,9 +430,12 @@
     };
     let mut ledger = route("ledger", "safe", "tracker");
     ledger["public"] = true.into();
+    let mut survey = route("survey", "unsafe", "booking");
+    survey["public"] = true.into();
+    survey["timeout"] = SURVEY_TIMEOUT_MS.into();
     serde_json::json!({
         "version": version,
-        "routes": [route("book", "unsafe", "booking"), route("track", "safe", "tracker"), ledger],
+        "routes": [route("book", "unsafe", "booking"), route("track", "safe", "tracker"), ledger, survey],
         "services": SERVICES.map(|name| serde_json::json!({"name": name, "health_path": "/healthz"})),
         "limits": {
             "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
--- a/tests/src/site/backend.rs
+++ b/tests/src/site/backend.rs
@@ -19,6 +19,8 @@
     time::{Instant, sleep},
 };
 
+use super::SURVEY_TIMEOUT_MS;
+
 /// Interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Timeout of a nested call.
@@ -374,15 +376,14 @@
     where
         H: Fn(&str) -> String,
     {
+        let is_public = path.starts_with("/ledger/") || path.starts_with("/survey/");
+        let timeout_ms = if path.starts_with("/survey/") { SURVEY_TIMEOUT_MS } else { 2_000 };
         let checks = [
             (header("x-ivytrail-credential").is_empty(), "the API key was forwarded"),
-            (
-                path.starts_with("/ledger/") || header("x-ivytrail-tenant") == "meteo",
-                "the client account is missing",
-            ),
+            (is_public || header("x-ivytrail-tenant") == "meteo", "the client account is missing"),
             (!header("x-ivytrail-caller-service").is_empty(), "the caller's service is missing"),
             (
-                header("x-ivytrail-deadline-ms").parse::<u64>().is_ok_and(|it| it <= 2_000),
+                header("x-ivytrail-deadline-ms").parse::<u64>().is_ok_and(|it| it <= timeout_ms),
                 "the deadline is missing or exceeds the route's timeout",
             ),
         ];
