Let the exit of a stopping daemon wait for what it accepted

What callers saw, in tests: a request whose body was still being sent when the daemon had no other work was cut off 2.5 s after SIGTERM, with 7 s of the grace period left; and a request that was accepted early in a grace period of 10 s was cut off 3.5 s after SIGTERM, because the settings file set 4 s meanwhile.

Cause: open work was counted from the call on, which begins when the body is complete; and the time of the exit was computed again from the settings in force, while requests are accepted by the time that was computed at SIGTERM.

Change: requests that are being received count as open work; the grace period at SIGTERM holds; and after the last responses were flushed the daemon exits only if there is still no open work.

--- a/crates/ivytrail-daemon/src/mesh.rs
+++ b/crates/ivytrail-daemon/src/mesh.rs
@@ -107,13 +107,12 @@
         tokio::select! {
             _ = ticks.tick() => {}
             _ = signals.terminate.recv() => {
-                shutdown.get_or_insert_with(ShutdownProgress::start);
                 log::info!("event=stop_requested signal=SIGTERM");
-                driver.apply(MeshEvent::StopRequested { exit_within: exit_within(&file.settings) });
+                start_shutdown(driver, &mut shutdown, file.settings.shutdown_grace);
             }
             _ = signals.interrupt.recv() => {
-                shutdown.get_or_insert_with(ShutdownProgress::start);
-                driver.apply(MeshEvent::StopRequested { exit_within: exit_within(&file.settings) });
+                log::info!("event=stop_requested signal=SIGINT");
+                start_shutdown(driver, &mut shutdown, file.settings.shutdown_grace);
             }
             _ = signals.hang_up.recv() => {
                 log::info!("event=reload_requested signal=SIGHUP");
@@ -127,9 +126,13 @@
             driver.prune();
         }
         if let Some(progress) = &mut shutdown
-            && progress.advance(driver, file.settings.shutdown_grace)
+            && progress.advance(driver)
         {
             tokio::time::sleep(FLUSH_DELAY).await;
+            // A request that was accepted meanwhile is finished before the exit.
+            if !progress.advance(driver) {
+                continue;
+            }
             let open_calls = driver.inspect(MeshReducer::open_call_lines);
             open_calls.iter().take(MAX_LOGGED_CALLS).for_each(|it| log::warn!("{it}"));
             log::info!("event=stop calls_open={}", open_calls.len());
@@ -138,9 +141,14 @@
     }
 }
 
-/// Returns the time after a request to shut down at which the daemon exits even if requests are still open.
-fn exit_within(settings: &MeshSettings) -> Duration {
-    settings.shutdown_grace.saturating_sub(EXIT_MARGIN)
+/// Starts a graceful shutdown, unless an earlier signal has started one.
+fn start_shutdown(
+    driver: &Rc<MeshDriver>,
+    shutdown: &mut Option<ShutdownProgress>,
+    grace: Duration,
+) {
+    let progress = shutdown.get_or_insert_with(|| ShutdownProgress::start(grace));
+    driver.apply(MeshEvent::StopRequested { exit_within: progress.exit_within() });
 }
 
 struct SignalSet {
@@ -162,28 +170,36 @@
 /// Progress of a graceful shutdown.
 struct ShutdownProgress {
     started_at: Instant,
+    /// Grace period at the start. It bounds which requests are accepted, so that a later change has no effect.
+    grace: Duration,
     last_busy_at: Instant,
     /// Whether client connections are being closed and other daemons have been notified to send no more work.
     is_closing: bool,
 }
 
 impl ShutdownProgress {
-    fn start() -> ShutdownProgress {
+    fn start(grace: Duration) -> ShutdownProgress {
         ShutdownProgress {
             started_at: Instant::now(),
+            grace,
             last_busy_at: Instant::now(),
             is_closing: false,
         }
     }
 
+    /// Returns the time after the start at which the daemon exits even if requests are still open.
+    fn exit_within(&self) -> Duration {
+        self.grace.saturating_sub(EXIT_MARGIN)
+    }
+
     /// Advances the shutdown and returns whether the daemon may exit.
     ///
     /// The daemon first continues to serve: as an entry until its clients have moved to other daemons, and as a guard
     /// so that the slots of its backend server stay in use. It then closes client connections as they become idle,
-    /// accepts no more work from other daemons, and exits once no work is open.
-    fn advance(&mut self, driver: &Rc<MeshDriver>, grace: Duration) -> bool {
+    /// accepts no more work from other daemons, and exits once no work is open and no request is being read.
+    fn advance(&mut self, driver: &Rc<MeshDriver>) -> bool {
         let is_idle = match self.is_closing {
-            true => driver.inspect(MeshReducer::is_idle),
+            true => !driver.is_reading_request() && driver.inspect(MeshReducer::is_idle),
             false => driver.inspect(MeshReducer::is_entry_idle),
         };
         if !is_idle {
@@ -193,7 +209,8 @@
         let is_quiet = IDLE_BEFORE_EXIT <= self.last_busy_at.elapsed();
         if !self.is_closing {
             let is_drained = is_quiet && MIN_DRAIN_TIME <= elapsed;
-            if is_drained || grace.saturating_sub(CLOSE_MARGIN).max(MIN_DRAIN_TIME) <= elapsed {
+            let close_after = self.grace.saturating_sub(CLOSE_MARGIN).max(MIN_DRAIN_TIME);
+            if is_drained || close_after <= elapsed {
                 self.is_closing = true;
                 self.last_busy_at = Instant::now();
                 log::info!("event=closing_clients elapsed_ms={}", elapsed.as_millis());
@@ -202,7 +219,7 @@
             }
             return false;
         }
-        is_quiet || grace.saturating_sub(EXIT_MARGIN) <= elapsed
+        is_quiet || self.exit_within() <= elapsed
     }
 }
 
--- a/crates/ivytrail-daemon/src/mesh/driver.rs
+++ b/crates/ivytrail-daemon/src/mesh/driver.rs
@@ -66,10 +66,28 @@
     closing: watch::Sender<bool>,
     /// Open connections of clients.
     pub clients: ConnectionCount,
+    /// Number of client requests whose head was received and whose body is being read.
+    n_requests_read: Cell<usize>,
     next_call_id: Cell<u64>,
     next_link_serial: Cell<u64>,
 }
 
+/// Includes a request in a count until dropped.
+struct CountedRequest<'c>(&'c Cell<usize>);
+
+impl<'c> CountedRequest<'c> {
+    fn new(count: &'c Cell<usize>) -> CountedRequest<'c> {
+        count.set(count.get() + 1);
+        CountedRequest(count)
+    }
+}
+
+impl Drop for CountedRequest<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl MeshDriver {
     /// Creates the driver of a starting daemon.
     ///
@@ -94,6 +112,7 @@
             suspect_change_receiver: RefCell::new(Some(suspect_change_receiver)),
             closing: watch::Sender::new(false),
             clients: ConnectionCount::new(settings.max_descriptors),
+            n_requests_read: Cell::new(0),
             next_call_id: Cell::new(1),
             next_link_serial: Cell::new(1),
         }))
@@ -118,6 +137,20 @@
         }
     }
 
+    /// Reads a request with `read`, and counts it as being read until then.
+    pub async fn read_request<R>(&self, read: R) -> R::Output
+    where
+        R: Future,
+    {
+        let _count = CountedRequest::new(&self.n_requests_read);
+        read.await
+    }
+
+    /// Returns whether a client request is being read.
+    pub fn is_reading_request(&self) -> bool {
+        self.n_requests_read.get() != 0
+    }
+
     /// Registers a call and returns its identifier and the channel that receives its answer.
     pub fn add_call(&self) -> (CallId, oneshot::Receiver<CallAnswer>) {
         let call = CallId(self.next_call_id.get());
--- a/crates/ivytrail-daemon/src/mesh/ingress.rs
+++ b/crates/ivytrail-daemon/src/mesh/ingress.rs
@@ -175,7 +175,7 @@
     let started = Instant::now();
     let max_body = driver.inspect(current_limits).max_body_bytes;
     let (parts, body) = request.into_parts();
-    let body = match Limited::new(body, max_body).collect().await {
+    let body = match driver.read_request(Limited::new(body, max_body).collect()).await {
         Ok(body) => body.to_bytes(),
         Err(cause) if cause.is::<LengthLimitError>() => {
             log::info!("event=call_refused reason=body-too-large limit={max_body}");
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -247,6 +247,22 @@
     ///
     /// Returns an error when the build is missing, its settings can't be written or the process can't be started.
     pub fn start_build(&self, idx: usize, build: DaemonBuild) -> Result<ChildProcess> {
+        let path = self.write_settings(idx, self.options.shutdown_grace)?;
+        let arguments = ["--mesh".to_string(), path.display().to_string()];
+        ChildProcess::start(
+            &format!("daemon-{idx}"),
+            &build.program()?,
+            &arguments,
+            self.dir.path(),
+        )
+    }
+
+    /// Writes the settings file of the daemon of instance `idx`, and returns its path.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file can't be written.
+    pub fn write_settings(&self, idx: usize, shutdown_grace: Duration) -> Result<PathBuf> {
         let addresses = &self.addresses[idx];
         let proxies = self.proxies.get(idx);
         let server_address = proxies.map_or(self.backends[idx].address(), |it| it.server.address());
@@ -264,18 +280,12 @@
             "metrics_address": addresses.metrics,
             "server_address": server_address,
             "table_address": table_address,
-            "shutdown_grace_s": self.options.shutdown_grace.as_secs(),
+            "shutdown_grace_s": shutdown_grace.as_secs(),
             "repeats": {"ratio": 0.2, "window_s": 10, "slack": 48},
         });
         let path = self.dir.path().join(format!("instance-{idx}.json"));
         std::fs::write(&path, settings.to_string())?;
-        let arguments = ["--mesh".to_string(), path.display().to_string()];
-        ChildProcess::start(
-            &format!("daemon-{idx}"),
-            &build.program()?,
-            &arguments,
-            self.dir.path(),
-        )
+        Ok(path)
     }
 
     /// Waits until instance `idx` answers a request for each service of the site with status 200.
--- a/tests/tests/planned_stops.rs
+++ b/tests/tests/planned_stops.rs
@@ -3,6 +3,7 @@
 use std::{io, time::Duration};
 
 use anyhow::Result;
+use ivytrail_fakes::process::ChildSignal;
 use ivytrail_tests::{
     mesh::MESH_LOCK,
     site::{
@@ -11,7 +12,7 @@
     },
     stop_soak::{StopOptions, run_stop_soak},
 };
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Services of the site; the daemon of instance 0 is stopped.
 const SERVICES: [&str; 2] = ["tracker", "booking"];
@@ -100,6 +101,55 @@
     Ok(())
 }
 
+/// A daemon without open calls exits before the end of its grace period. It must not do so while it reads a request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_waits_for_a_request_that_is_still_being_sent() -> Result<()> {
+    const BODY_BYTES: usize = 20_000;
+    let _lock = MESH_LOCK.lock().await;
+    let site = start_site().await?;
+    let mut connection = KeptConnection::open(site.addresses[0].caller).await?;
+    let request = KeptRequest {
+        path: "/book/upload/5",
+        id: "upload",
+        key: Some(API_KEY),
+        deadline_ms: 5_000,
+        body_bytes: BODY_BYTES,
+    };
+
+    site.terminate(0)?;
+    sleep(Duration::from_millis(1_500)).await;
+    connection.write_head(&request).await?;
+    connection.write_body(BODY_BYTES / 2).await?;
+    sleep(Duration::from_millis(2_500)).await;
+    connection.write_body(BODY_BYTES / 2).await?;
+    let response = connection.read_response().await;
+
+    assert_eq!(response.as_ref().map(|it| it.status).ok(), Some(200), "{response:?}");
+    assert_eq!(site.n_runs_of("upload"), 1);
+    Ok(())
+}
+
+/// A daemon accepts requests by the time of its exit. A shorter grace period that is set later must not bring the exit
+/// forward.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_changed_grace_period_does_not_affect_a_stop_in_progress() -> Result<()> {
+    let _lock = MESH_LOCK.lock().await;
+    let site = start_site().await?;
+    let connection = KeptConnection::open(site.addresses[0].caller).await?;
+
+    let stopped_at = Instant::now();
+    site.terminate(0)?;
+    site.write_settings(0, Duration::from_secs(4))?;
+    sleep(Duration::from_millis(100)).await;
+    site.daemons[0].signal(ChildSignal::HangUp)?;
+    let at = stopped_at + Duration::from_millis(1_000);
+    let (_, response) = send_long(connection, at, "accepted".to_string()).await;
+
+    let status = response.as_ref().map(|it| it.status).ok();
+    assert_eq!(status, Some(200), "{response:?}\n{}", site.logs());
+    Ok(())
+}
+
 /// Guards against LOST in a short seeded soak; `scripts/stops` runs more and longer ones.
 #[tokio::test(flavor = "multi_thread")]
 async fn overlapping_stops_cut_off_no_request() -> Result<()> {
