Break runs whose response has no final status

What callers saw, in tests: a response of the backend server with status 101, or with one from 600 to 999, reached the client as the server's, with its signature (MIXED).

Cause: the HTTP library refuses statuses below 100, skips interim responses, and hands on 101 and all numbers up to 999. Nothing checked the range after that, neither for the server's responses nor for replies of other daemons, whose status may be any number.

Evidence: on the code before, with each number from 000 to 999, 101 and the 400 numbers from 600 on pass for responses.

Change: a response whose status isn't from 200 to 599 breaks the run, whose outcome is unknown; an entry treats such a reply of another daemon in the same way.

Measured: only_final_statuses_make_a_response and a_reply_without_a_final_status_is_no_response fail before and pass after the change.

--- a/crates/ivytrail-daemon/src/mesh/backend_pool.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool.rs
@@ -26,7 +26,7 @@
         event::RunEnd,
         frame::{AttemptRequest, HeaderList, ServerNotice},
     },
-    message::is_hop_by_hop_header,
+    message::{is_final_status, is_hop_by_hop_header},
 };
 use ivytrail_platform::headers::{
     ACCOUNT, CALLER_SERVICE, DEADLINE, EXPECTED_SERVER, NOT_EXECUTED, REQUEST_ID, SIGNATURE,
@@ -368,6 +368,11 @@
             );
             return RunEnd::Broken.into();
         }
+        if !is_final_status(parts.status.as_u16()) {
+            let (id, status) = (&attempt.request_id, parts.status.as_u16());
+            log::info!("event=answer_status_invalid request={id} status={status}");
+            return RunEnd::Broken.into();
+        }
         let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
         let notice = (!is_misdirected).then(|| notice_of(&parts.headers));
         let end = self.read_end(attempt, connection, &parts, body).await;
--- a/crates/ivytrail-daemon/src/mesh/backend_pool/tests.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool/tests.rs
@@ -298,6 +298,37 @@
     }
 }
 
+/// Guards against MIXED: statuses that are none, or belong to no final response, reached clients as the server's response.
+#[tokio::test]
+async fn only_final_statuses_make_a_response() {
+    let run = async {
+        let mut ends = Vec::new();
+        for status in 0..=999_u16 {
+            let response = format!(
+                "HTTP/1.1 {status:03} Text\r\nx-ivytrail-request-id: r-1\r\n\
+                x-ivytrail-response-signature: s\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+            );
+            let pool = BackendPool::new(start_closing_server(response.into_bytes()).await);
+            let time_left = Duration::from_secs(5);
+            ends.push(pool.run(&attempt(), "server-1", Bytes::new(), time_left).await.end);
+        }
+        ends
+    };
+
+    let ends = LocalSet::new().run_until(run).await;
+
+    for (status, end) in ends.iter().enumerate() {
+        match status {
+            421 => assert_eq!(*end, RunEnd::Rejected { is_misdirected: true }),
+            200..=599 => {
+                let is_passed_on = matches!(end, RunEnd::Answered { status: passed, .. } if usize::from(*passed) == status);
+                assert!(is_passed_on, "{status}: {end:?}");
+            }
+            _ => assert_eq!(*end, RunEnd::Broken, "{status}"),
+        }
+    }
+}
+
 /// Without a length, only the end of the connection ends the body; its head must still be whole.
 #[tokio::test]
 async fn a_response_without_a_length_is_incomplete_while_its_head_is() {
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -256,6 +256,7 @@
     ) {
         let Some(id) = self.entry.attempts.remove(&serial) else { return };
         let Some(call) = self.entry.calls.get_mut(&id) else { return };
+        let result = result.with_final_status();
         let route = call.request.route.clone();
         call.stage = CallStage::Deciding;
         let attempt_outcome = outcome_of(&result);
--- a/crates/ivytrail/src/mesh/frame.rs
+++ b/crates/ivytrail/src/mesh/frame.rs
@@ -23,7 +23,7 @@
         admission::RouteDemand, cost::RouteCost, demand_exchange::DomainDemand,
         evacuation::EvacuationView, queue::RootPriority,
     },
-    message::{CallOutcome, RefusalReason},
+    message::{CallOutcome, RefusalReason, is_final_status},
     quarantine::EvidenceRecord,
 };
 
@@ -218,6 +218,22 @@
         AttemptResult::Refused { outcome, reason, retry_after, is_sent: false }
     }
 
+    /// Returns the result, or that of a broken response if its status is not that of a final response. Guards of earlier
+    /// builds report any status.
+    pub fn with_final_status(self) -> AttemptResult {
+        match self {
+            AttemptResult::Answered { status, .. } if !is_final_status(status) => {
+                AttemptResult::Refused {
+                    outcome: CallOutcome::Unknown,
+                    reason: RefusalReason::BrokenAnswer,
+                    retry_after: None,
+                    is_sent: true,
+                }
+            }
+            result => result,
+        }
+    }
+
     /// Returns the result for an attempt that may have run and whose reply is no longer stored.
     pub fn expired() -> AttemptResult {
         AttemptResult::Refused {
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -479,7 +479,27 @@
     fleet.rejoin(0);
     fleet.call(0, call_of(2, "book"));
 
-    fleet.reply_to(0, &run);
+    fleet.reply_to(0, &run, 200);
 
     assert_eq!(fleet.answer_of(2), None);
 }
+
+/// Guards against MIXED: a guard of another build may report a status that is none. The client must not get it as the
+/// server's.
+#[test]
+fn a_reply_without_a_final_status_is_no_response() {
+    for (id, status) in (1..).zip([0, 100, 101, 199, 600, 999]) {
+        let mut fleet = TestFleet::start();
+        fleet.call(0, call_of(id, "book"));
+        let run = fleet.only_run();
+
+        fleet.reply_to(0, &run, status);
+
+        let (outcome, reason, _) = refused(fleet.answer_of(id));
+        assert_eq!(
+            (outcome, reason),
+            (CallOutcome::Unknown, RefusalReason::BrokenAnswer),
+            "{status}"
+        );
+    }
+}
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -436,9 +436,9 @@
     }
 
     /// Delivers a reply for the run's attempt to the current incarnation of the entry.
-    pub(super) fn reply_to(&mut self, entry: usize, run: &TestRun) {
+    pub(super) fn reply_to(&mut self, entry: usize, run: &TestRun, status: u16) {
         let result = AttemptResult::Answered {
-            status: 200,
+            status,
             headers: Vec::new(),
             run_us: 1_000,
             is_call_failed: false,
--- a/crates/ivytrail/src/message.rs
+++ b/crates/ivytrail/src/message.rs
@@ -22,6 +22,12 @@
     settings::{PriorityClass, Revision, feed::FeedMessage},
 };
 
+/// Returns whether an HTTP status is that of a final response: interim responses (1xx) precede one, and statuses outside
+/// 100 to 599 are invalid (RFC 9110, section 15).
+pub fn is_final_status(status: u16) -> bool {
+    (200..=599).contains(&status)
+}
+
 /// Returns whether the HTTP header `name`, in lower case, applies to a single connection and must not be forwarded.
 ///
 /// These are the connection-specific headers of RFC 9110, section 7.6.1, and headers that each hop sets for itself,
