Name shutdown tests and clients by the usual terms, and split two modules

Change: comments and names only; the test client is a persistent connection. The tests of shutdowns are in mesh/tests/planned_stops.rs, the idle limit of reused connections in backend_pool/idle_limit.rs. No behaviour is changed.

--- a/crates/ivytrail-daemon/src/mesh/backend_pool.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool.rs
@@ -1,5 +1,6 @@
 //! Executes requests at the local backend server over persistent connections.
 
+mod idle_limit;
 pub mod probe;
 mod read_allowance;
 mod response_budget;
@@ -41,6 +42,7 @@
 };
 
 use self::{
+    idle_limit::{IdleLimit, MAX_IDLE_TIME},
     read_allowance::{MeteredStream, ReadAllowance},
     response_budget::ResponseBudget,
 };
@@ -51,19 +53,9 @@
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(8);
 /// Fraction of the server's advertised idle timeout during which a connection is reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.8;
-/// Maximum idle time of a connection that is reused. A connection may go silent without being closed, and a request on it
-/// gets no response; the shorter a connection has been idle, the less likely that is.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
 /// `TCP_USER_TIMEOUT`: time for which sent data may remain unacknowledged before the connection is closed. The server is
 /// on the same instance, so that only a dead connection leaves data unacknowledged for long.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum idle time of a connection that is reused for a non-idempotent request. The server may be about to close a
-/// connection that has been idle for longer, and a non-idempotent request lost with it can't be sent again.
-const NON_IDEMPOTENT_IDLE_LIMIT: Duration = Duration::from_millis(250);
-/// New idle limit after a failure, as a fraction of the failed connection's idle time.
-const IDLE_LIMIT_DECREASE: f64 = 0.8;
-/// Growth factor of the idle limit per second.
-const IDLE_LIMIT_GROWTH: f64 = 1.1;
 /// Time without a response after which a reused connection may be dead, and with it the connections that have been
 /// idle for as long.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -71,6 +63,7 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 /// Maximum size of a response's head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// How a run ended, and what the backend server reported about itself in its response.
 #[derive(Debug)]
 pub struct RunReport {
@@ -153,35 +146,6 @@
     }
 }
 
-/// Maximum idle time after which a connection may be reused.
-///
-/// A server may close idle connections sooner than it advertises. The limit is lowered when a request fails on a
-/// reused connection, and grows again over time.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct IdleLimit(Duration);
-
-impl IdleLimit {
-    /// Lowers the limit after a request failed on a connection that had been idle for `idle_for`.
-    fn record_failure(&mut self, idle_for: Duration) {
-        self.0 = self.0.min(idle_for.mul_f64(IDLE_LIMIT_DECREASE)).max(NON_IDEMPOTENT_IDLE_LIMIT);
-    }
-
-    /// Raises the limit by one second's growth.
-    fn grow(&mut self) {
-        self.0 = self.0.mul_f64(IDLE_LIMIT_GROWTH).min(MAX_IDLE_TIME);
-    }
-
-    fn allows(self, idle_for: Duration, is_idempotent: bool) -> bool {
-        idle_for < if is_idempotent { self.0 } else { NON_IDEMPOTENT_IDLE_LIMIT }
-    }
-}
-
-impl Default for IdleLimit {
-    fn default() -> IdleLimit {
-        IdleLimit(MAX_IDLE_TIME)
-    }
-}
-
 /// Pool of idle connections to the local backend server.
 #[derive(Debug)]
 pub struct BackendPool {
--- a/crates/ivytrail-daemon/src/mesh/backend_pool/tests.rs
+++ b/crates/ivytrail-daemon/src/mesh/backend_pool/tests.rs
@@ -7,7 +7,7 @@
     task::{JoinHandle, LocalSet},
 };
 
-use super::*;
+use super::{idle_limit::NON_IDEMPOTENT_IDLE_LIMIT, *};
 
 fn attempt() -> AttemptRequest {
     AttemptRequest {
@@ -105,7 +105,7 @@
     assert!(n_written < 80 << 20, "{n_written} bytes");
 }
 
-/// Guards against the end of the process for lack of memory: bytes that arrive in pieces of one cost many times their size.
+/// Regression test: each chunk of one byte occupied many times its size.
 #[tokio::test]
 async fn one_byte_chunks_without_end_break_the_run() {
     let (end, n_written) = run_at_endless_server(
@@ -118,7 +118,7 @@
     assert!(n_written < 16 << 20, "{n_written} bytes");
 }
 
-/// Guards against a server that occupies the processor, at the cost of other requests, until the deadline.
+/// Regression test: interim responses were read until the deadline.
 #[tokio::test]
 async fn interim_responses_without_end_break_the_run() {
     let (end, n_written) =
@@ -334,7 +334,7 @@
     }
 }
 
-/// Guards against MIXED: statuses that are none, or belong to no final response, reached clients as the server's response.
+/// Regression test: invalid statuses and that of an interim response reached clients as the server's response.
 #[tokio::test]
 async fn only_final_statuses_make_a_response() {
     let run = async {
--- a/crates/ivytrail-daemon/src/mesh/body_reader/tests.rs
+++ b/crates/ivytrail-daemon/src/mesh/body_reader/tests.rs
@@ -1,9 +1,9 @@
 use super::*;
 
-/// Size of the read buffer whose slices the chunks are, in bytes.
+/// Size of a connection's read buffer, in bytes.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
-/// Returns chunks of one byte, all of which share one read buffer.
+/// Returns chunks of one byte. Each refers to the same read buffer and keeps it in memory.
 fn one_byte_chunks() -> Vec<Bytes> {
     let buffer = Bytes::from(vec![b'x'; READ_BUFFER_BYTES]);
     (0..READ_BUFFER_BYTES).map(|idx| buffer.slice(idx..=idx)).collect()
@@ -30,7 +30,7 @@
     assert_eq!(buffer.into_bytes().as_ptr(), chunk.as_ptr());
 }
 
-/// Guards against the end of the process for lack of memory: a body in small chunks kept all of its read buffers.
+/// Regression test: a body in small chunks kept all of its read buffers in memory.
 #[test]
 fn small_chunks_keep_no_read_buffer_in_memory() {
     let chunks = one_byte_chunks();
--- a/crates/ivytrail-daemon/src/mesh/local_api.rs
+++ b/crates/ivytrail-daemon/src/mesh/local_api.rs
@@ -22,7 +22,7 @@
     driver::{MeshDriver, unix_millis},
 };
 
-/// Maximum size of a request body, in bytes.
+/// Maximum size of the body of an announcement, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 10;
 
 /// Handles a request by its path and body; returns status, content type and body of the response.
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -387,6 +387,7 @@
         }
     }
 
+    /// Starts the graceful shutdown, which ends after `exit_within` at the latest; a later request changes nothing.
     fn start_leaving(&mut self, step: &mut ReducerStep<'_>, exit_within: Duration) {
         if self.shutdown.is_some() {
             return;
@@ -395,6 +396,7 @@
         step.log(format!("event=leaving exit_within_ms={}", exit_within.as_millis()));
     }
 
+    /// Notifies the other daemons that the guard accepts no more attempts.
     fn close_guard(&mut self, step: &mut ReducerStep<'_>) {
         self.start_leaving(step, Duration::ZERO);
         if !self.is_guard_closed {
--- a/crates/ivytrail/src/mesh/cost.rs
+++ b/crates/ivytrail/src/mesh/cost.rs
@@ -87,7 +87,8 @@
         estimate.record_run(hold_s, calls);
     }
 
-    /// Returns the mean time for which a run of `route` holds a slot, or `None` if no run has completed.
+    /// Returns the mean time for which a run of `route` holds a slot of the local backend server, or `None` before the
+    /// first run has completed.
     pub fn mean_hold_time(&self, route: &RouteName) -> Option<Duration> {
         let estimate = self.estimates.get(route)?;
         Duration::try_from_secs_f64(estimate.cost.hold_s).ok()
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -245,6 +245,7 @@
         step.send(&peer, PeerFrame::Attempt(Box::new(request)), body);
     }
 
+    /// Ends the call whose attempt a guard has replied to, or sends it to another guard.
     pub(super) fn handle_reply(
         &mut self,
         step: &mut ReducerStep<'_>,
--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -340,65 +340,6 @@
     assert_eq!(fleet.answer_of(1), None);
 }
 
-#[test]
-fn a_leaving_daemon_gets_no_new_attempts_and_finishes_its_own_calls() {
-    let mut fleet = TestFleet::start();
-    fleet.call(1, call_of(1, "book"));
-    let run = fleet.only_run();
-
-    fleet.apply(1, MeshEvent::StopRequested { exit_within: Duration::from_secs(6) });
-    fleet.apply(1, MeshEvent::GuardClosed);
-    for id in 10..20 {
-        fleet.call(0, call_of(id, "book"));
-    }
-    let elsewhere =
-        fleet.runs().iter().filter(|it| it.daemon == 1 && it.request.request_id != "r1").count();
-    fleet.end_run(&run, answered(200));
-
-    assert!(!fleet.daemon(1).is_ready());
-    assert_eq!(elsewhere, 0);
-    assert_eq!(fleet.status_of(1), Some(200));
-}
-
-/// During a rolling restart, the slots of each leaving daemon's backend server must stay in use until shortly before the
-/// daemon exits.
-#[test]
-fn a_leaving_daemon_takes_attempts_until_its_guard_closes() {
-    let mut fleet = TestFleet::start();
-
-    fleet.apply(1, MeshEvent::StopRequested { exit_within: Duration::from_secs(6) });
-    for id in 10..30 {
-        fleet.call(0, call_of(id, "book"));
-    }
-
-    assert!(!fleet.daemon(1).is_ready());
-    assert!(fleet.runs().iter().any(|it| it.daemon == 1), "the leaving daemon got no attempts");
-}
-
-/// The clients of a stopping daemon have nowhere else to go, because most of its failure domain stops. A request that could
-/// be cut off at the exit must be refused as not run; all others are served.
-#[test]
-fn a_stopping_daemon_refuses_requests_that_it_may_not_finish() {
-    let mut fleet = TestFleet::start();
-    fleet.apply(0, MeshEvent::StopRequested { exit_within: Duration::from_secs(6) });
-
-    fleet.advance(Duration::from_millis(3_000));
-    fleet.call(0, call_of(1, "book"));
-    let run = fleet.only_run();
-    fleet.end_run(&run, answered(200));
-    fleet.advance(Duration::from_millis(2_000));
-    fleet.call(0, call_of(2, "book"));
-    let mut short = call_of(3, "book");
-    short.time_limit = Some(Duration::from_millis(500));
-    fleet.call(0, short);
-
-    assert_eq!(fleet.status_of(1), Some(200));
-    let (outcome, reason, retry_after) = refused(fleet.answer_of(2));
-    assert_eq!((outcome, reason), (CallOutcome::NotRun, RefusalReason::Draining));
-    assert!(retry_after.is_some());
-    assert_eq!(fleet.only_run().request.request_id, "r3");
-}
-
 #[test]
 fn a_silent_link_is_pinged_and_then_redialed() {
     let mut fleet = TestFleet::start();
@@ -484,8 +425,7 @@
     assert_eq!(fleet.answer_of(2), None);
 }
 
-/// Guards against MIXED: a guard of another build may report a status that is none. The client must not get it as the
-/// server's.
+/// Regression test: an entry passed on any status that a guard of another build reported, also invalid ones.
 #[test]
 fn a_reply_without_a_final_status_is_no_response() {
     for (id, status) in (1..).zip([0, 100, 101, 199, 600, 999]) {
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -435,7 +435,7 @@
         self.deliver((from, to, (frame, Bytes::new())));
     }
 
-    /// Delivers a reply for the run's attempt to the current incarnation of the entry.
+    /// Delivers a reply with an HTTP status for the run's attempt to the current incarnation of the entry.
     pub(super) fn reply_to(&mut self, entry: usize, run: &TestRun, status: u16) {
         let result = AttemptResult::Answered {
             status,
--- a/crates/ivytrail/src/mesh/tests/fleet/fixtures.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet/fixtures.rs
@@ -111,15 +111,15 @@
         rate_per_s,
         burst,
     };
-    let public = |route: RoutePolicy| RoutePolicy { is_public: true, ..route };
+    let without_key = |route: RoutePolicy| RoutePolicy { is_public: true, ..route };
     FleetDeclaration {
         version,
         routes: vec![
             route("track", "tracker", true, READ_TARGET),
             route("book", "booking", false, READ_TARGET),
             route("release", "booking", false, RELEASE_TARGET),
-            public(route("ledger", "booking", true, READ_TARGET)),
-            public(route("reserve", "booking", false, READ_TARGET)),
+            without_key(route("ledger", "booking", true, READ_TARGET)),
+            without_key(route("reserve", "booking", false, READ_TARGET)),
         ],
         accounts: vec![account],
         ..FleetDeclaration::default()
--- a/crates/ivytrail/src/mesh/tests/planned_stops.rs
+++ b/crates/ivytrail/src/mesh/tests/planned_stops.rs
@@ -1,4 +1,4 @@
-//! Planned stops of daemons: which requests they accept until they exit.
+//! Graceful shutdown of daemons: which client requests, nested calls and attempts they accept until they exit.
 
 use std::{collections::HashSet, time::Duration};
 
@@ -10,21 +10,21 @@
     message::{CallOutcome, RefusalReason},
 };
 
-/// Daemon that is stopped; its own server is of the service `tracker`.
+/// Daemon that shuts down; its backend server belongs to the service `tracker`.
 const STOPPING: usize = 0;
-/// Time from the request to stop to the exit.
+/// Time from the shutdown request to the exit.
 const EXIT_WITHIN: Duration = Duration::from_secs(6);
-/// Mean run time of the slow requests of a test.
+/// Mean run time of a slow route. Three times as long does not fit into the time that the tests leave.
 const SLOW_RUN_TIME: Duration = Duration::from_millis(600);
 
-/// Returns a fleet one of whose daemons exits after `time_left` at the latest.
+/// Returns a fleet whose daemon [`STOPPING`] exits within `time_left`.
 fn stopping_fleet(time_left: Duration) -> TestFleet {
     let mut fleet = TestFleet::start();
     stop(&mut fleet, STOPPING, time_left);
     fleet
 }
 
-/// Requests a daemon to stop, and lets the time pass until `time_left` before its exit.
+/// Starts the shutdown of a daemon and advances the time to `time_left` before its exit.
 fn stop(fleet: &mut TestFleet, daemon: usize, time_left: Duration) {
     fleet.apply(daemon, MeshEvent::StopRequested { exit_within: EXIT_WITHIN });
     fleet.advance(EXIT_WITHIN - time_left);
@@ -63,7 +63,7 @@
     parent.expect("the stopping daemon's server gets a run")
 }
 
-/// Guards against LOST: requests without an API key were taken for nested calls, accepted until the exit and cut off.
+/// Regression test: requests without an API key were treated as nested calls, and interrupted by the exit.
 #[test]
 fn a_stopping_daemon_refuses_public_requests_that_it_may_not_finish() {
     let time_left = Duration::from_secs(1);
@@ -78,7 +78,7 @@
     assert_refused_as_draining(&fleet, 2, time_left);
 }
 
-/// Most requests of a route may be short. A long one among them must not be cut off.
+/// The run times of one route may differ widely, so that a short mean does not allow to accept a late request.
 #[test]
 fn a_stopping_daemon_refuses_late_requests_also_on_a_route_of_short_ones() {
     let time_left = Duration::from_secs(1);
@@ -123,7 +123,7 @@
     assert_eq!(fleet.status_of(2), Some(200));
 }
 
-/// A nested call that the exit would cut off is refused while its parent can still report the failure.
+/// A nested call that the exit would interrupt is refused early, so that its parent can still report the failure.
 #[test]
 fn a_stopping_daemon_refuses_nested_calls_that_it_is_not_expected_to_finish() {
     let mut fleet = TestFleet::start();
@@ -137,7 +137,7 @@
     assert_refused_as_draining(&fleet, 2, Duration::from_millis(1_500));
 }
 
-/// An attempt that a stopping guard can't finish ends without a response, and a request that may not be repeated with it.
+/// The exit of a guard interrupts the runs at its backend server, and non-idempotent requests are not retried.
 #[test]
 fn a_stopping_guard_leaves_attempts_that_it_is_not_expected_to_finish_to_another() {
     let mut fleet = TestFleet::start();
@@ -168,3 +168,62 @@
 
     assert!(fleet.started()[n_before..].iter().any(|it| it.daemon == 1));
 }
+
+#[test]
+fn a_leaving_daemon_gets_no_new_attempts_and_finishes_its_own_calls() {
+    let mut fleet = TestFleet::start();
+    fleet.call(1, call_of(1, "book"));
+    let run = fleet.only_run();
+
+    fleet.apply(1, MeshEvent::StopRequested { exit_within: Duration::from_secs(6) });
+    fleet.apply(1, MeshEvent::GuardClosed);
+    for id in 10..20 {
+        fleet.call(0, call_of(id, "book"));
+    }
+    let elsewhere =
+        fleet.runs().iter().filter(|it| it.daemon == 1 && it.request.request_id != "r1").count();
+    fleet.end_run(&run, answered(200));
+
+    assert!(!fleet.daemon(1).is_ready());
+    assert_eq!(elsewhere, 0);
+    assert_eq!(fleet.status_of(1), Some(200));
+}
+
+/// During a rolling restart, the slots of each leaving daemon's backend server must stay in use until shortly before the
+/// daemon exits.
+#[test]
+fn a_leaving_daemon_takes_attempts_until_its_guard_closes() {
+    let mut fleet = TestFleet::start();
+
+    fleet.apply(1, MeshEvent::StopRequested { exit_within: Duration::from_secs(6) });
+    for id in 10..30 {
+        fleet.call(0, call_of(id, "book"));
+    }
+
+    assert!(!fleet.daemon(1).is_ready());
+    assert!(fleet.runs().iter().any(|it| it.daemon == 1), "the leaving daemon got no attempts");
+}
+
+/// The clients of a stopping daemon have nowhere else to go, because most of its failure domain stops. A request that could
+/// be cut off at the exit must be refused as not run; all others are served.
+#[test]
+fn a_stopping_daemon_refuses_requests_that_it_may_not_finish() {
+    let mut fleet = TestFleet::start();
+    fleet.apply(0, MeshEvent::StopRequested { exit_within: Duration::from_secs(6) });
+
+    fleet.advance(Duration::from_millis(3_000));
+    fleet.call(0, call_of(1, "book"));
+    let run = fleet.only_run();
+    fleet.end_run(&run, answered(200));
+    fleet.advance(Duration::from_millis(2_000));
+    fleet.call(0, call_of(2, "book"));
+    let mut short = call_of(3, "book");
+    short.time_limit = Some(Duration::from_millis(500));
+    fleet.call(0, short);
+
+    assert_eq!(fleet.status_of(1), Some(200));
+    let (outcome, reason, retry_after) = refused(fleet.answer_of(2));
+    assert_eq!((outcome, reason), (CallOutcome::NotRun, RefusalReason::Draining));
+    assert!(retry_after.is_some());
+    assert_eq!(fleet.only_run().request.request_id, "r3");
+}
--- a/crates/ivytrail/src/mesh/tests/stop_sessions.rs
+++ b/crates/ivytrail/src/mesh/tests/stop_sessions.rs
@@ -1,5 +1,6 @@
-//! Seeded sessions of planned stops that come in series and overlap, while clients send on until a daemon exits. They check
-//! that no late request is cut off, and that no request runs that was refused as not run.
+//! Seeded sessions in which daemons shut down one after the other, at times several at once, while clients keep sending
+//! requests. They check that no exit interrupts a client request that was sent late, and that no request runs that was
+//! refused as not run.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -20,19 +21,20 @@
 const SERVICES: [&str; 6] = ["tracker", "booking", "tracker", "booking", "tracker", "booking"];
 const STEP: Duration = Duration::from_millis(10);
 const N_STEPS: usize = 3_000;
-/// Most daemons that are stopped at a time.
+/// Maximum number of daemons that shut down at the same time.
 const MAX_STOPPING: usize = 3;
-/// Time from a request to stop to the exit, and from the closing of the guard to the exit.
+/// Times from a shutdown request to the exit, for two grace periods.
 const EXIT_WITHIN: [Duration; 2] = [Duration::from_millis(5_500), Duration::from_millis(9_500)];
+/// Time from the closing of the guard to the exit.
 const CLOSE_MARGIN: Duration = Duration::from_millis(2_500);
 /// Time from an exit to the next start.
 const DOWNTIME: Duration = Duration::from_millis(300);
-/// Time after a request to stop from which on a request that was accepted must be answered.
+/// Time after a shutdown request from which on every accepted client request must be answered.
 const LATE_AFTER: Duration = Duration::from_secs(3);
-/// Longest run; the routes' timeout is 2 s.
+/// Longest run, in milliseconds; the routes' timeout is 2 s.
 const MAX_RUN_MS: u64 = 1_950;
 
-/// A daemon that was requested to stop.
+/// A daemon that is shutting down.
 #[derive(Clone, Copy, Debug)]
 struct StoppingDaemon {
     daemon: usize,
@@ -49,7 +51,7 @@
     sent_at: TimePoint,
 }
 
-/// One session and what it has observed.
+/// State of one session, and what it has observed.
 struct StopSession {
     fleet: TestFleet,
     rng: SmallRng,
@@ -113,7 +115,7 @@
         self.n_stops += 1;
     }
 
-    /// Sends a client's request with or without an API key, or a nested call of a request that runs beside the daemon.
+    /// Sends a client's request with or without an API key, or a nested call of a run at the local backend server.
     fn send_request(&mut self) {
         let entry = self.rng.random_range(0..SERVICES.len());
         if self.fleet.is_dead(entry) {
@@ -194,7 +196,7 @@
     fn exit_daemon(&mut self, stop: StoppingDaemon) {
         let cut = self.waiting.extract_if(|_, it| it.entry == stop.daemon);
         let late = cut.filter(|(_, it)| LATE_AFTER <= it.sent_at.since(stop.requested_at));
-        self.violations.extend(late.map(|(_, it)| format!("{it:?} was cut off by {stop:?}")));
+        self.violations.extend(late.map(|(_, it)| format!("{it:?} was interrupted by {stop:?}")));
         self.fleet.crash(stop.daemon);
         self.restarts.push((self.fleet.now().plus(DOWNTIME), stop.daemon));
     }
@@ -208,7 +210,7 @@
     }
 }
 
-/// Guards against LOST: a planned stop cut off requests that were sent long after the request to stop.
+/// Regression test: the exit interrupted requests that had been accepted late in a graceful shutdown.
 #[test]
 fn planned_stops_cut_off_no_late_request() {
     let n_sessions = std::env::var("IVYTRAIL_STOP_SESSIONS")
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -2,8 +2,8 @@
 //! servers that speak the platform's protocol.
 
 pub mod backend;
-pub mod kept_connection;
 pub mod load;
+pub mod persistent_connection;
 pub mod table;
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
--- a/tests/src/site/kept_connection.rs
+++ b/tests/src/site/persistent_connection.rs
@@ -1,4 +1,4 @@
-//! A client connection that stays open between requests.
+//! HTTP/1.1 client that reports exactly how each of its connections ends; HTTP libraries reconnect by themselves.
 
 use std::{io, net::SocketAddr};
 
@@ -10,9 +10,9 @@
 /// Largest part of a response that is read at a time, in bytes.
 const READ_BYTES: usize = 16 << 10;
 
-/// A request on a kept connection.
+/// A request on a persistent connection.
 #[derive(Clone, Debug)]
-pub struct KeptRequest<'r> {
+pub struct SimpleRequest<'r> {
     /// Path of the request.
     pub path: &'r str,
     /// Identifier of the request.
@@ -27,32 +27,32 @@
 
 /// A response that was read completely.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KeptResponse {
+pub struct SimpleResponse {
     /// Status of the response.
     pub status: u16,
-    /// Whether the connection ends after it.
+    /// Whether the daemon closes the connection after it.
     pub is_closing: bool,
     /// Body of the response.
     pub body: Vec<u8>,
 }
 
-/// A client connection that is used for one request after the other.
+/// An HTTP/1.1 connection for several requests, one after the other.
 #[derive(Debug)]
-pub struct KeptConnection {
+pub struct PersistentConnection {
     stream: TcpStream,
     buffer: Vec<u8>,
 }
 
-impl KeptConnection {
+impl PersistentConnection {
     /// Opens a connection.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection is refused.
-    pub async fn open(address: SocketAddr) -> io::Result<KeptConnection> {
+    pub async fn open(address: SocketAddr) -> io::Result<PersistentConnection> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        Ok(KeptConnection { stream, buffer: Vec::new() })
+        Ok(PersistentConnection { stream, buffer: Vec::new() })
     }
 
     /// Writes the head of a request.
@@ -60,8 +60,8 @@
     /// # Errors
     ///
     /// Returns an error if the connection has ended.
-    pub async fn write_head(&mut self, request: &KeptRequest<'_>) -> io::Result<()> {
-        let KeptRequest { path, id, key, deadline_ms, body_bytes } = request;
+    pub async fn write_head(&mut self, request: &SimpleRequest<'_>) -> io::Result<()> {
+        let SimpleRequest { path, id, key, deadline_ms, body_bytes } = request;
         let credential = key.map_or(String::new(), |it| format!("x-ivytrail-credential: {it}\r\n"));
         let head = format!(
             "POST {path} HTTP/1.1\r\nhost: site.example\r\nx-ivytrail-request-id: {id}\r\n\
@@ -84,7 +84,7 @@
     /// # Errors
     ///
     /// Returns an error if the connection ends within the response, or before it.
-    pub async fn read_response(&mut self) -> io::Result<KeptResponse> {
+    pub async fn read_response(&mut self) -> io::Result<SimpleResponse> {
         let head_end = loop {
             let end = self.buffer.windows(4).position(|it| it == b"\r\n\r\n");
             match end {
@@ -106,7 +106,7 @@
         let body = self.buffer[head_end..head_end + length].to_vec();
         self.buffer.drain(..head_end + length);
         let status = status.ok_or_else(|| io::Error::other(format!("no status: {head}")))?;
-        Ok(KeptResponse { status, is_closing, body })
+        Ok(SimpleResponse { status, is_closing, body })
     }
 
     async fn read_more(&mut self) -> io::Result<()> {
--- a/tests/src/stop_soak.rs
+++ b/tests/src/stop_soak.rs
@@ -15,7 +15,7 @@
 use crate::site::{
     API_KEY, SURVEY_TIMEOUT_MS, SiteOptions, TestSite,
     backend::NESTED_CALL_SEGMENT,
-    kept_connection::{KeptConnection, KeptRequest},
+    persistent_connection::{PersistentConnection, SimpleRequest},
 };
 
 /// Services that the instances have in turn.
@@ -147,7 +147,7 @@
         sleep(Duration::from_millis(rng.random_range(5..60))).await;
         let mut open = match connection.take() {
             Some(open) => open,
-            None => match KeptConnection::open(address).await {
+            None => match PersistentConnection::open(address).await {
                 Ok(open) => open,
                 Err(_) => continue,
             },
@@ -165,7 +165,7 @@
             share if share < 0.75 => (format!("/book/{id}/{work_ms}"), Some(API_KEY)),
             _ => (format!("/track/{id}/{work_ms}"), Some(API_KEY)),
         };
-        let request = KeptRequest {
+        let request = SimpleRequest {
             path: &path,
             id: &id,
             key,
--- a/tests/tests/planned_stops.rs
+++ b/tests/tests/planned_stops.rs
@@ -8,7 +8,7 @@
     mesh::MESH_LOCK,
     site::{
         API_KEY, SURVEY_TIMEOUT_MS, SiteOptions, TestSite,
-        kept_connection::{KeptConnection, KeptRequest, KeptResponse},
+        persistent_connection::{PersistentConnection, SimpleRequest, SimpleResponse},
     },
     stop_soak::{StopOptions, run_stop_soak},
 };
@@ -27,16 +27,16 @@
     TestSite::start_from(options).await
 }
 
-fn survey<'r>(path: &'r str, id: &'r str) -> KeptRequest<'r> {
-    KeptRequest { path, id, key: None, deadline_ms: SURVEY_TIMEOUT_MS + 7_000, body_bytes: 0 }
+fn survey<'r>(path: &'r str, id: &'r str) -> SimpleRequest<'r> {
+    SimpleRequest { path, id, key: None, deadline_ms: SURVEY_TIMEOUT_MS + 7_000, body_bytes: 0 }
 }
 
 /// Sends a long request without an API key at a time, on a connection that was open before, and returns its response.
 async fn send_long(
-    mut connection: KeptConnection,
+    mut connection: PersistentConnection,
     at: Instant,
     id: String,
-) -> (String, io::Result<KeptResponse>) {
+) -> (String, io::Result<SimpleResponse>) {
     sleep_until(at).await;
     let path = format!("/survey/{id}/{LONG_WORK_MS}");
     let response = match connection.write_head(&survey(&path, &id)).await {
@@ -53,29 +53,28 @@
             break;
         }
         let id = format!("busy-{n}");
-        let request = KeptRequest {
+        let request = SimpleRequest {
             path: "/book/busy/1500",
             id: &id,
             key: Some(API_KEY),
             deadline_ms: 2_000,
             body_bytes: 0,
         };
-        let mut connection = KeptConnection::open(site.addresses[0].caller).await?;
+        let mut connection = PersistentConnection::open(site.addresses[0].caller).await?;
         connection.write_head(&request).await?;
         assert_eq!(connection.read_response().await?.status, 200, "{id}");
     }
     Ok(())
 }
 
-/// Guards against LOST (review case 7): long requests without an API key were passed on late in the grace period, and their
-/// connections ended without an answer.
+/// Regression test: long requests without an API key were accepted late in the grace period and interrupted by the exit.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_cuts_off_no_late_request_without_a_key() -> Result<()> {
     let _lock = MESH_LOCK.lock().await;
     let site = start_site().await?;
     let mut connections = Vec::new();
     for late_ms in LATE_MS {
-        let mut connection = KeptConnection::open(site.addresses[0].caller).await?;
+        let mut connection = PersistentConnection::open(site.addresses[0].caller).await?;
         let id = format!("first-{late_ms}");
         connection.write_head(&survey("/survey/first/1", &id)).await?;
         assert_eq!(connection.read_response().await?.status, 200);
@@ -107,8 +106,8 @@
     const BODY_BYTES: usize = 20_000;
     let _lock = MESH_LOCK.lock().await;
     let site = start_site().await?;
-    let mut connection = KeptConnection::open(site.addresses[0].caller).await?;
-    let request = KeptRequest {
+    let mut connection = PersistentConnection::open(site.addresses[0].caller).await?;
+    let request = SimpleRequest {
         path: "/book/upload/5",
         id: "upload",
         key: Some(API_KEY),
@@ -135,7 +134,7 @@
 async fn a_changed_grace_period_does_not_affect_a_stop_in_progress() -> Result<()> {
     let _lock = MESH_LOCK.lock().await;
     let site = start_site().await?;
-    let connection = KeptConnection::open(site.addresses[0].caller).await?;
+    let connection = PersistentConnection::open(site.addresses[0].caller).await?;
 
     let stopped_at = Instant::now();
     site.terminate(0)?;
@@ -150,7 +149,7 @@
     Ok(())
 }
 
-/// Guards against LOST in a short seeded soak; `scripts/stops` runs more and longer ones.
+/// Short seeded soak against requests that an exit interrupts; `scripts/stops` runs more and longer ones.
 #[tokio::test(flavor = "multi_thread")]
 async fn overlapping_stops_cut_off_no_request() -> Result<()> {
     let _lock = MESH_LOCK.lock().await;
