--- /dev/null
+++ b/review/stand-in-3/cases.rs
@@ -0,0 +1,82 @@
+//! The cases of the scripts.
+
+mod large_bodies;
+mod late_heartbeat;
+mod moved_daemon;
+mod other_service;
+mod small_clients;
+mod stopped_entry;
+
+use std::io;
+
+use self::late_heartbeat::DaemonFault;
+use crate::site::Record;
+
+/// Whether the rule of a case was broken, and what was seen.
+#[derive(Debug)]
+pub struct Verdict {
+    pub is_broken: bool,
+    pub text: String,
+}
+
+impl Verdict {
+    pub fn new(is_broken: bool, text: String) -> Verdict {
+        let word = if is_broken { "broken" } else { "held" };
+        Verdict { is_broken, text: format!("{word}: {text}") }
+    }
+}
+
+/// Plays a case.
+pub fn play(case: &str, has_trouble: bool, record: &Record) -> io::Result<Verdict> {
+    match case {
+        "large-bodies" => large_bodies::play(has_trouble, record),
+        "late-heartbeat" => {
+            let fault = match has_trouble {
+                true => DaemonFault::AllKilledAfter,
+                false => DaemonFault::None,
+            };
+            late_heartbeat::play(fault, record)
+        }
+        "restarted-guard" => {
+            let fault = match has_trouble {
+                true => DaemonFault::RestartBefore,
+                false => DaemonFault::None,
+            };
+            late_heartbeat::play(fault, record)
+        }
+        "other-service" => other_service::play(has_trouble, record),
+        "stopped-entry" => stopped_entry::play(has_trouble, record),
+        "moved-daemon" => moved_daemon::play(has_trouble, record),
+        _ => Err(io::Error::other(format!("there is no case {case}"))),
+    }
+}
+
+/// Returns a configuration with three routes for each service, `/SERVICE-read/` (safe), `/SERVICE-write/` (unsafe) and
+/// `/SERVICE-call/` (safe, for the calls of upstreams), and one tenant without a limit.
+pub fn config(version: u64, services: &[&str], timeout_ms: u64) -> String {
+    let route = |service: &str, way: &str, kind: &str| {
+        let is_public = way == "call";
+        format!(
+            "{{\"name\":\"r-{service}-{way}\",\"host\":\"site.example\",\"prefix\":\"/{service}-{way}/\",\"kind\":\"{kind}\",\"timeout\":{timeout_ms},\"target_latency\":1500,\"priority\":1,\"service\":\"{service}\",\"max_attempts\":2,\"public\":{is_public}}}"
+        )
+    };
+    let routes: Vec<String> = services
+        .iter()
+        .flat_map(|it| ["read", "write", "call"].map(|way| (it, way)))
+        .map(|(it, way)| route(it, way, if way == "write" { "unsafe" } else { "safe" }))
+        .collect();
+    let declared: Vec<String> = services
+        .iter()
+        .map(|it| {
+            format!(
+                "{{\"name\":\"{it}\",\"health_path\":\"/healthz\",\"max_connections\":1228,\"protocol\":\"h1\",\"tls\":false}}"
+            )
+        })
+        .collect();
+    format!(
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":1048576,\"header_timeout\":3000,\"idle_timeout\":15000}},\"tenants\":[{{\"name\":\"pulo780\",\"api_keys\":[\"{}\"],\"priority\":1,\"rate_per_s\":0,\"burst\":0}}]}}",
+        routes.join(","),
+        declared.join(","),
+        crate::site::KEY
+    )
+}
