--- a/review/stand-in-3/cases.rs
+++ b/review/stand-in-3/cases.rs
@@ -1,15 +1,13 @@
 //! The cases of the scripts.
 
-mod large_bodies;
+mod late_calls;
 mod late_heartbeat;
-mod moved_daemon;
 mod other_service;
+mod slow_readers;
 mod small_clients;
-mod stopped_entry;
 
 use std::io;
 
-use self::late_heartbeat::DaemonFault;
 use crate::site::Record;
 
 /// Whether the rule of a case was broken, and what was seen.
@@ -29,24 +27,10 @@
 /// Plays a case.
 pub fn play(case: &str, has_trouble: bool, record: &Record) -> io::Result<Verdict> {
     match case {
-        "large-bodies" => large_bodies::play(has_trouble, record),
-        "late-heartbeat" => {
-            let fault = match has_trouble {
-                true => DaemonFault::AllKilledAfter,
-                false => DaemonFault::None,
-            };
-            late_heartbeat::play(fault, record)
-        }
-        "restarted-guard" => {
-            let fault = match has_trouble {
-                true => DaemonFault::RestartBefore,
-                false => DaemonFault::None,
-            };
-            late_heartbeat::play(fault, record)
-        }
+        "late-calls" => late_calls::play(has_trouble, record),
+        "late-heartbeat" => late_heartbeat::play(has_trouble, record),
+        "slow-readers" => slow_readers::play(has_trouble, record),
         "other-service" => other_service::play(has_trouble, record),
-        "stopped-entry" => stopped_entry::play(has_trouble, record),
-        "moved-daemon" => moved_daemon::play(has_trouble, record),
         _ => Err(io::Error::other(format!("there is no case {case}"))),
     }
 }
--- a/review/stand-in-3/cases/other_service.rs
+++ b/review/stand-in-3/cases/other_service.rs
@@ -58,8 +58,15 @@
     calls.extend((0..N_WAITING).map(|idx| call(format!("q-{idx}"), WAITING_MS)));
     thread::sleep(REUSE_AFTER);
     if has_trouble {
-        let other =
-            Upstream::start("i-other", "tracker", OTHER_SLOTS, silent.address, &site.runs, record)?;
+        let other = Upstream::start(
+            "i-other",
+            "tracker",
+            OTHER_SLOTS,
+            silent.address,
+            None,
+            &site.runs,
+            record,
+        )?;
         site.machines[1].upstream = other.clone();
         site.write_settings(1)?;
         site.signal(1, "HUP")?;
--- a/review/stand-in-3/client.rs
+++ b/review/stand-in-3/client.rs
@@ -109,11 +109,6 @@
         self.0.write_all(body)
     }
 
-    /// Reads the head of a response, or returns `None` if the connection ends before.
-    pub fn receive_head(&mut self) -> Option<Message> {
-        read_head(&mut self.0)
-    }
-
     /// Reads a whole response, or returns `None` if the connection ends before.
     pub fn receive(&mut self) -> Option<Message> {
         let mut response = read_head(&mut self.0)?;
--- a/review/stand-in-3/site.rs
+++ b/review/stand-in-3/site.rs
@@ -24,6 +24,8 @@
 pub const KEY: &str = "6wsjnbanfqasnmgkcuyj";
 /// Host of all routes.
 pub const HOST: &str = "site.example";
+/// Time that a daemon has after SIGTERM, in seconds, unless a case says otherwise.
+const GRACE_S: u64 = 6;
 /// Memory of a machine, in bytes.
 pub const MAX_MEMORY: u64 = 260 << 20;
 /// Ports from which those of the daemons are taken.
@@ -108,6 +110,7 @@
     pub machines: Vec<Machine>,
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub record: Record,
+    grace_s: u64,
     ports: Ports,
     slots: u32,
     dir: PathBuf,
@@ -125,6 +128,27 @@
         config: &str,
         slots: u32,
         record: &Record,
+    ) -> io::Result<Site> {
+        Site::start_all(services, config, slots, GRACE_S, record)
+    }
+
+    /// Starts a deployment whose upstreams have a number of slots, and its daemons a time after SIGTERM, in seconds.
+    pub fn start_with_grace(
+        services: &[&str],
+        config: &str,
+        slots: u32,
+        grace_s: u64,
+        record: &Record,
+    ) -> io::Result<Site> {
+        Site::start_all(services, config, slots, grace_s, record)
+    }
+
+    fn start_all(
+        services: &[&str],
+        config: &str,
+        slots: u32,
+        grace_s: u64,
+        record: &Record,
     ) -> io::Result<Site> {
         let dir = std::env::temp_dir().join(format!("ivytrail-review-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
@@ -135,6 +159,7 @@
             machines: Vec::new(),
             runs: Arc::default(),
             record: record.clone(),
+            grace_s,
             ports: Ports::free()?,
             slots,
             dir,
@@ -155,8 +180,15 @@
         let addresses = self.ports.on_machine(number);
         let id = format!("i-{number}");
         let address = SocketAddr::new(addresses.caller.ip(), 0);
-        let upstream =
-            Upstream::start(&id, service, self.slots, address, &self.runs, &self.record)?;
+        let upstream = Upstream::start(
+            &id,
+            service,
+            self.slots,
+            address,
+            Some(addresses.caller),
+            &self.runs,
+            &self.record,
+        )?;
         self.machines.push(Machine { name: name.to_string(), addresses, upstream, daemon: None });
         let idx = self.machines.len() - 1;
         self.start_daemon(idx)?;
@@ -164,21 +196,17 @@
         Ok(())
     }
 
-    /// Removes a machine without notice: its daemon and its upstream end.
-    pub fn remove_machine(&mut self, idx: usize) -> io::Result<()> {
-        self.kill_daemon(idx)?;
-        self.machines[idx].upstream.end();
-        self.record.line(&format!("{} is removed", self.machines[idx].name));
-        Ok(())
-    }
-
     /// Writes the settings of a machine's daemon and returns the file's path.
     pub fn write_settings(&self, idx: usize) -> io::Result<PathBuf> {
         let machine = &self.machines[idx];
         let Addresses { caller, local, health, peer, metrics } = machine.addresses;
         let settings = format!(
-            "{{\"name\":\"{}\",\"failure_domain\":\"kolkata\",\"service\":\"{}\",\"caller_address\":\"{caller}\",\"local_address\":\"{local}\",\"health_address\":\"{health}\",\"peer_address\":\"{peer}\",\"metrics_address\":\"{metrics}\",\"server_address\":\"{}\",\"table_address\":\"{}\",\"shutdown_grace_s\":6,\"table_recovery_ms\":3000,\"max_descriptors\":4100,\"repeats\":{{\"ratio\":0.2,\"window_s\":10,\"slack\":48}}}}",
-            machine.name, machine.upstream.service, machine.upstream.address, self.store.address
+            "{{\"name\":\"{}\",\"failure_domain\":\"kolkata\",\"service\":\"{}\",\"caller_address\":\"{caller}\",\"local_address\":\"{local}\",\"health_address\":\"{health}\",\"peer_address\":\"{peer}\",\"metrics_address\":\"{metrics}\",\"server_address\":\"{}\",\"table_address\":\"{}\",\"shutdown_grace_s\":{},\"table_recovery_ms\":3000,\"max_descriptors\":4100,\"repeats\":{{\"ratio\":0.2,\"window_s\":10,\"slack\":48}}}}",
+            machine.name,
+            machine.upstream.service,
+            machine.upstream.address,
+            self.store.address,
+            self.grace_s
         );
         let path = self.dir.join(format!("{}.json", machine.name));
         fs::write(&path, settings)?;
@@ -205,17 +233,6 @@
         Ok(())
     }
 
-    /// Returns the machine whose upstream has begun most of the requests whose ids start with `prefix`.
-    pub fn busiest_machine(&self, prefix: &str) -> usize {
-        let runs = self.runs.lock().unwrap();
-        let n_runs = |machine: &Machine| {
-            let own = runs.iter().filter(|it| it.upstream == machine.upstream.id);
-            own.filter(|it| it.id.starts_with(prefix)).count()
-        };
-        let machines = self.machines.iter().enumerate();
-        machines.max_by_key(|(_, it)| n_runs(it)).map_or(0, |(idx, _)| idx)
-    }
-
     /// Sends SIGKILL to a daemon and waits until it has ended.
     pub fn kill_daemon(&mut self, idx: usize) -> io::Result<()> {
         let machine = &mut self.machines[idx];
--- a/review/stand-in-3/upstream.rs
+++ b/review/stand-in-3/upstream.rs
@@ -50,15 +50,30 @@
     /// Whether it has fallen silent: its connections stay open and it does nothing more.
     pub is_dark: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
+    /// Address of the daemon beside it for calls of its own.
+    outbound: Option<SocketAddr>,
+    /// Calls that it made and that ended.
+    pub calls: Arc<Mutex<Vec<EndedCall>>>,
     record: Record,
 }
 
+/// A call that an upstream made for a request that it ran.
+#[derive(Clone, Debug)]
+pub struct EndedCall {
+    pub id: String,
+    pub sent_at: Instant,
+    pub ended_at: Instant,
+    /// Status of the answer, or `None` if the connection ended without one.
+    pub status: Option<u16>,
+}
+
 impl Upstream {
     pub fn start(
         id: &str,
         service: &str,
         slots: u32,
         address: SocketAddr,
+        outbound: Option<SocketAddr>,
         runs: &Arc<Mutex<Vec<Run>>>,
         record: &Record,
     ) -> std::io::Result<Upstream> {
@@ -77,6 +92,8 @@
             has_ended: Arc::default(),
             is_dark: Arc::default(),
             connections: Arc::default(),
+            outbound,
+            calls: Arc::default(),
             record: record.clone(),
         };
         let served = upstream.clone();
@@ -164,6 +181,10 @@
         let work_ms = request.target.rsplit('/').nth(1).and_then(|it| it.parse().ok()).unwrap_or(1);
         thread::sleep(Duration::from_millis(work_ms));
         self.wait_while_dark();
+        let status = match part(&request.target, "call-").and_then(|it| it.parse().ok()) {
+            Some(call_ms) => self.call(request, &request_id, call_ms),
+            None => 200,
+        };
         self.record.line(&format!("{} has run {request_id}", self.id));
         let headers = [
             own[1],
@@ -171,14 +192,43 @@
             ("X-Ivytrail-Response-Signature", "a1.b2.c3"),
             ("Keep-Alive", "timeout=10"),
         ];
-        // A part `answer-N` of the path asks for an answer of N bytes.
-        let size = request.target.split("/answer-").nth(1).and_then(|it| it.split('/').next());
-        match size.and_then(|it| it.parse().ok()) {
+        match part(&request.target, "answer-").and_then(|it| it.parse().ok()) {
             Some(size) => write_response(stream, 200, &headers, &vec![b'a'; size]),
-            None => write_response(stream, 200, &headers, format!("done {request_id}").as_bytes()),
+            None => {
+                write_response(stream, status, &headers, format!("done {request_id}").as_bytes())
+            }
         }
     }
 
+    /// Makes a call of `call_ms` to the service `tracker` for the run of a request, whose deadline it has, and returns the
+    /// status with which the run ends.
+    fn call(&self, request: &Message, request_id: &str, call_ms: u32) -> u16 {
+        let Some(outbound) = self.outbound else { return 500 };
+        let id = format!("{request_id}.1");
+        let deadline = request.header("x-ivytrail-deadline-ms").unwrap_or("1000");
+        let headers = [
+            ("Host", crate::site::HOST),
+            ("X-Ivytrail-Request-Id", id.as_str()),
+            ("X-Ivytrail-Deadline-Ms", deadline),
+        ];
+        let Ok(mut connection) = Connection::open(outbound) else {
+            self.record.line(&format!("{} can't connect for its call {id}", self.id));
+            return 500;
+        };
+        let sent_at = Instant::now();
+        let is_sent = connection.send("GET", &format!("/tracker-call/{call_ms}/x"), &headers, b"");
+        let answer = is_sent.ok().and_then(|()| connection.receive());
+        let status = answer.map(|it| it.status);
+        self.record.line(&format!("{} gets {status:?} for its call {id}", self.id));
+        self.calls.lock().unwrap().push(EndedCall {
+            id,
+            sent_at,
+            ended_at: Instant::now(),
+            status,
+        });
+        if status == Some(200) { 200 } else { 500 }
+    }
+
     /// Returns the body of the next heartbeat.
     pub fn next_heartbeat(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
@@ -223,3 +273,8 @@
         });
     }
 }
+
+/// Returns the rest of the part of a path that begins with `prefix`.
+fn part<'t>(target: &'t str, prefix: &str) -> Option<&'t str> {
+    target.split('/').find_map(|it| it.strip_prefix(prefix))
+}
