Review 3: end the daemons with their script, and bound its time

Cause: a script that is killed would have left its daemons, and a panic would not have ended with status 2. Done: daemons get a signal when the stand-in ends, the stand-in gives up after 110 s, and run.sh maps all other ends to 2.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -6,4 +6,7 @@
     echo "build the deploy file and review/build-3.sh first" >&2
     exit 2
 }
-exec target/review-3/stand-in other-service review/11
+target/review-3/stand-in other-service review/11
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -11,7 +11,10 @@
 mod store;
 mod upstream;
 
-use std::{path::Path, process::ExitCode};
+use std::{path::Path, process::ExitCode, thread, time::Duration};
+
+/// Time after which a case is given up. Its daemons end with this process.
+const MAX_DURATION: Duration = Duration::from_secs(110);
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
@@ -27,6 +30,11 @@
             return ExitCode::from(2);
         }
     };
+    thread::spawn(|| {
+        thread::sleep(MAX_DURATION);
+        eprintln!("the case takes too long");
+        std::process::exit(2);
+    });
     match cases::play(case, has_trouble, &record) {
         Ok(verdict) => {
             record.line(&format!("verdict: {}", verdict.text));
--- a/review/stand-in-3/site.rs
+++ b/review/stand-in-3/site.rs
@@ -5,6 +5,7 @@
     io::{self, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     ops::Range,
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
@@ -32,6 +33,9 @@
 const PORTS: Range<u32> = 18_000..32_000;
 /// Time after which a process that has ended is started again.
 pub const RESTART_DELAY: Duration = Duration::from_millis(500);
+/// Option of `prctl` that sets the signal sent at the end of the parent.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
 /// Time in which a daemon has to serve after its start.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -222,12 +226,15 @@
             .create(true)
             .append(true)
             .open(self.dir.join(format!("{}.log", machine.name)))?;
-        let daemon = Command::new(DAEMON)
+        let mut command = Command::new(DAEMON);
+        command
             .arg("--mesh")
             .arg(&path)
             .stdout(Stdio::from(log.try_clone()?))
-            .stderr(Stdio::from(log))
-            .spawn()?;
+            .stderr(Stdio::from(log));
+        // SAFETY: the function only makes a system call.
+        unsafe { command.pre_exec(end_with_parent) };
+        let daemon = command.spawn()?;
         self.record.line(&format!("{} starts, peers at {peer}", machine.name));
         machine.daemon = Some(daemon);
         Ok(())
@@ -332,6 +339,19 @@
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
+}
+
+/// Makes this process end when the one that has started it ends.
+fn end_with_parent() -> io::Result<()> {
+    // SAFETY: the call takes numbers only.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
+}
+
 /// Sends a request of a client to a daemon, and returns the answer.
 pub fn request(
     caller: SocketAddr,
