--- a/review/stand-in-3/cases/late_calls.rs
+++ b/review/stand-in-3/cases/late_calls.rs
@@ -32,7 +32,7 @@
 /// Time from the start of the requests to the signal.
 const STOP_DELAY: Duration = Duration::from_secs(8);
 /// Time from the signal to a longer request of a client of machine 2, and the time that its work takes, in milliseconds.
-const LONG_REQUEST: (Duration, u32) = (Duration::from_secs(2), 6_000);
+const LONG_REQUEST: (Duration, u32) = (Duration::from_millis(500), 7_000);
 /// Requests that were sent up to this time after the signal may be cut off if their upstreams work on them until late.
 const EXCUSED_TIME: Duration = Duration::from_secs(3);
 
--- a/review/stand-in-3/cases/late_heartbeat.rs
+++ b/review/stand-in-3/cases/late_heartbeat.rs
@@ -67,6 +67,9 @@
     let status = leaving.deregister(control);
     let acknowledged_at = Instant::now();
     record.line(&format!("{} deregisters and gets {status:?}", leaving.id));
+    if status != Some(200) {
+        return Err(io::Error::other("the leave was not acknowledged"));
+    }
     if has_trouble {
         (0..services.len()).try_for_each(|idx| site.kill_daemon(idx))?;
         thread::sleep(DOWN_TIME);
