Store departures of backend servers before they are acknowledged

Cause: the shutdown lay in the memory of the daemons alone. Other daemons supply it to one that restarts; where all end, nobody does.

Evidence: at the restarted daemon the late heartbeat is the first that is heard of the server (event=server_announced phase=Ready with the old start and sequence=4), and no daemon corrects it. Ruled out: the health probe (no announcement with born_ms=0; the check answers 503), and an expired record (no event=announcement_ignored).

Change: the daemon beside a server writes one row for each run that shuts down to the table ivytrail-departures. The acknowledgement of a deregistration or of a draining heartbeat waits for the write, for 700 ms at most, since it counts for one second; while the table is away, the write is retried after it. A daemon reads the departures before the settings, without which no request runs, and sends them to a peer ahead of the settings. A deregistration holds for the run that it names in born: also at a daemon that does not know the run, where it held for 5 s before, and not for a later run of that name.

--- a/crates/ivytrail-daemon/src/mesh/driver.rs
+++ b/crates/ivytrail-daemon/src/mesh/driver.rs
@@ -13,7 +13,7 @@
     id::{CallId, InstanceName},
     mesh::{
         MeshOptions, MeshReducer,
-        event::{CallAnswer, MeshEffect, MeshEvent, PeerAddress, RunId},
+        event::{CallAnswer, MeshEffect, MeshEvent, PeerAddress, RunId, ServerDeparture},
         frame::PeerFrame,
         frame_codec::encode_peer_frame,
         policy::FleetSettings,
@@ -63,6 +63,10 @@
     removal_receiver: RefCell<Option<mpsc::UnboundedReceiver<PeerAddress>>>,
     suspect_changes: mpsc::UnboundedSender<SuspectChanges>,
     suspect_change_receiver: RefCell<Option<mpsc::UnboundedReceiver<SuspectChanges>>>,
+    departures: mpsc::UnboundedSender<ServerDeparture>,
+    departure_receiver: RefCell<Option<mpsc::UnboundedReceiver<ServerDeparture>>>,
+    /// Number of departures that are not stored yet.
+    n_unsaved_departures: watch::Sender<usize>,
     closing: watch::Sender<bool>,
     /// Open connections of clients.
     pub clients: ConnectionCount,
@@ -97,6 +101,7 @@
     pub fn start(options: MeshOptions, settings: &MeshSettings) -> anyhow::Result<Rc<MeshDriver>> {
         let (removals, removal_receiver) = mpsc::unbounded_channel();
         let (suspect_changes, suspect_change_receiver) = mpsc::unbounded_channel();
+        let (departures, departure_receiver) = mpsc::unbounded_channel();
         Ok(Rc::new(MeshDriver {
             reducer: RefCell::new(MeshReducer::new(options)),
             pending_calls: RefCell::default(),
@@ -110,6 +115,9 @@
             removal_receiver: RefCell::new(Some(removal_receiver)),
             suspect_changes,
             suspect_change_receiver: RefCell::new(Some(suspect_change_receiver)),
+            departures,
+            departure_receiver: RefCell::new(Some(departure_receiver)),
+            n_unsaved_departures: watch::Sender::new(0),
             closing: watch::Sender::new(false),
             clients: ConnectionCount::new(settings.max_descriptors),
             n_requests_read: Cell::new(0),
@@ -193,6 +201,25 @@
         self.suspect_change_receiver.borrow_mut().take()
     }
 
+    /// Returns the receiver of departures that must be stored, or `None` after the first call.
+    pub fn take_departures(&self) -> Option<mpsc::UnboundedReceiver<ServerDeparture>> {
+        self.departure_receiver.borrow_mut().take()
+    }
+
+    /// Records that a departure needs no further attempt to store it.
+    pub fn record_saved_departure(&self) {
+        self.n_unsaved_departures.send_modify(|count| *count = count.saturating_sub(1));
+    }
+
+    /// Waits until all departures are stored, for up to `max_wait`.
+    pub async fn wait_until_departures_saved(&self, max_wait: Duration) {
+        let mut unsaved = self.n_unsaved_departures.subscribe();
+        let saved = unsaved.wait_for(|count| *count == 0);
+        if tokio::time::timeout(max_wait, saved).await.is_err() {
+            log::warn!("event=departure_unsaved waited_ms={}", max_wait.as_millis());
+        }
+    }
+
     /// Drops connections to the local backend server that have been idle for too long.
     pub fn prune(&self) {
         self.pool.prune();
@@ -249,6 +276,11 @@
             }
             // The receiver lives as long as the process.
             MeshEffect::SaveSuspects(changes) => drop(self.suspect_changes.send(changes)),
+            MeshEffect::SaveDeparture(departure) => {
+                self.n_unsaved_departures.send_modify(|count| *count += 1);
+                // The receiver lives as long as the process.
+                drop(self.departures.send(departure));
+            }
             MeshEffect::ProbeServer => self.probe_server(),
             MeshEffect::ProbeHealth { path } => self.probe_health(path),
             MeshEffect::CancelRun { run } => {
--- a/crates/ivytrail-daemon/src/mesh/local_api.rs
+++ b/crates/ivytrail-daemon/src/mesh/local_api.rs
@@ -1,6 +1,6 @@
 //! HTTP endpoints for the platform's readiness probe and for announcements of the local backend server.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -9,7 +9,7 @@
     server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use ivytrail::mesh::{MeshReducer, event::MeshEvent};
+use ivytrail::mesh::{MeshReducer, event::MeshEvent, frame::ServerPhase};
 use ivytrail_platform::{
     announcement::{ServerAnnouncement, parse_announcement},
     headers::READY_PATH,
@@ -25,8 +25,12 @@
 /// Maximum size of the body of an announcement, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 10;
 
-/// Handles a request by its path and body; returns status, content type and body of the response.
-type RequestHandler = fn(&Rc<MeshDriver>, &str, &[u8]) -> (StatusCode, &'static str, Bytes);
+/// Maximum time for which the response to an announcement waits until the departure that it reports is stored. Backend
+/// servers take a response as an acknowledgement for one second.
+const MAX_DEPARTURE_WAIT: Duration = Duration::from_millis(700);
+
+/// Status, content type and body of a response.
+pub type LocalResponse = (StatusCode, &'static str, Bytes);
 
 /// Serves the platform's readiness probe at `address`.
 ///
@@ -49,16 +53,19 @@
     listen(driver, address, handle_announcement).await
 }
 
-/// Serves HTTP at `address` and passes each request to `handler`.
+/// Serves HTTP at `address` and passes the path and the body of each request to `handler`.
 ///
 /// # Errors
 ///
 /// Returns an error if the address can't be bound.
-pub async fn listen(
+pub async fn listen<H>(
     driver: &Rc<MeshDriver>,
     address: SocketAddr,
-    handler: RequestHandler,
-) -> anyhow::Result<()> {
+    handler: H,
+) -> anyhow::Result<()>
+where
+    H: AsyncFn(&Rc<MeshDriver>, &str, &[u8]) -> LocalResponse + Copy + 'static,
+{
     let listener = TcpListener::bind(address).await?;
     let driver = Rc::clone(driver);
     tokio::task::spawn_local(async move {
@@ -80,14 +87,17 @@
     Ok(())
 }
 
-async fn handle_request(
+async fn handle_request<H>(
     driver: Rc<MeshDriver>,
     request: Request<Incoming>,
-    handler: RequestHandler,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+    handler: H,
+) -> Result<Response<Full<Bytes>>, Infallible>
+where
+    H: AsyncFn(&Rc<MeshDriver>, &str, &[u8]) -> LocalResponse,
+{
     let (parts, body) = request.into_parts();
     let (status, content_type, body) = match read_request_body(body, MAX_BODY_BYTES).await {
-        Ok(body) => handler(&driver, parts.uri.path(), &body),
+        Ok(body) => handler(&driver, parts.uri.path(), &body).await,
         Err(_) => (StatusCode::BAD_REQUEST, "text/plain", Bytes::new()),
     };
     let mut response = Response::new(Full::new(body));
@@ -96,11 +106,7 @@
     Ok(response)
 }
 
-fn handle_health(
-    driver: &Rc<MeshDriver>,
-    path: &str,
-    _body: &[u8],
-) -> (StatusCode, &'static str, Bytes) {
+async fn handle_health(driver: &Rc<MeshDriver>, path: &str, _body: &[u8]) -> LocalResponse {
     let status = match (path, driver.inspect(MeshReducer::is_ready)) {
         (READY_PATH, true) => StatusCode::OK,
         (READY_PATH, false) => StatusCode::SERVICE_UNAVAILABLE,
@@ -109,19 +115,20 @@
     (status, "text/plain", Bytes::new())
 }
 
-fn handle_announcement(
-    driver: &Rc<MeshDriver>,
-    path: &str,
-    body: &[u8],
-) -> (StatusCode, &'static str, Bytes) {
+async fn handle_announcement(driver: &Rc<MeshDriver>, path: &str, body: &[u8]) -> LocalResponse {
     let json = "application/json";
     match parse_announcement(path, body, unix_millis()) {
         Some(Ok(ServerAnnouncement::Heartbeat { advertisement, sequence })) => {
+            let is_leaving = advertisement.phase == ServerPhase::Draining;
             driver.apply(MeshEvent::ServerAnnounced { advertisement, sequence });
+            if is_leaving {
+                driver.wait_until_departures_saved(MAX_DEPARTURE_WAIT).await;
+            }
             (StatusCode::OK, json, Bytes::from_static(b"{}"))
         }
-        Some(Ok(ServerAnnouncement::Deregister { id })) => {
-            driver.apply(MeshEvent::ServerLeaving { id: id.into() });
+        Some(Ok(ServerAnnouncement::Deregister { id, started_at_ms })) => {
+            driver.apply(MeshEvent::ServerLeaving { id: id.into(), started_at_ms });
+            driver.wait_until_departures_saved(MAX_DEPARTURE_WAIT).await;
             (StatusCode::OK, json, Bytes::from_static(b"{}"))
         }
         Some(Err(cause)) => {
--- a/crates/ivytrail-daemon/src/mesh/metrics.rs
+++ b/crates/ivytrail-daemon/src/mesh/metrics.rs
@@ -291,7 +291,7 @@
 ///
 /// Returns an error if the address can't be bound.
 pub async fn listen(driver: &Rc<MeshDriver>, address: SocketAddr) -> anyhow::Result<()> {
-    local_api::listen(driver, address, |driver, path, _body| match path {
+    local_api::listen(driver, address, async |driver, path, _body| match path {
         "/metrics" => {
             let text = driver.metrics.render(driver);
             (StatusCode::OK, "text/plain; version=0.0.4", Bytes::from(text))
--- a/crates/ivytrail-daemon/src/mesh/table_loop.rs
+++ b/crates/ivytrail-daemon/src/mesh/table_loop.rs
@@ -1,18 +1,18 @@
 //! Tasks that use the platform's table: they watch the configuration, discover other daemons, remove the rows of daemons
-//! that are gone, and store the evidence against quarantined requests.
+//! that are gone, and store the evidence against quarantined requests and the departures of backend servers.
 
 use std::{rc::Rc, time::Duration};
 
 use ivytrail::{
     mesh::{
         MeshReducer,
-        event::{MeshEvent, PeerAddress},
+        event::{MeshEvent, PeerAddress, ServerDeparture},
         settings_file::MeshSettings,
         table_watch::{HistoryId, TableWatch, WatchRequest, WatchTiming},
     },
     quarantine::{MAX_CHANGES, SuspectChanges},
 };
-use ivytrail_platform::table::{SuspectRow, TableClient, TableError};
+use ivytrail_platform::table::{DepartureRow, SuspectRow, TableClient, TableError};
 use rand::RngExt;
 use tokio::{
     sync::{mpsc, watch},
@@ -30,6 +30,9 @@
 /// Time for which stored evidence against a request is used.
 const STORED_SUSPECT_TTL: Duration = Duration::from_secs(3_600);
 
+/// Time for which a stored departure is used. A server exits seconds after it has reported that it shuts down.
+const STORED_DEPARTURE_TTL: Duration = Duration::from_secs(600);
+
 /// Starts the tasks.
 ///
 /// # Errors
@@ -54,6 +57,14 @@
         tokio::task::spawn_local(remove_rows(table.clone(), removals));
     }
     tokio::task::spawn_local(load_suspects(Rc::clone(driver), table.clone(), timing));
+    if let Some(departures) = driver.take_departures() {
+        tokio::task::spawn_local(save_departures(
+            Rc::clone(driver),
+            table.clone(),
+            timing,
+            departures,
+        ));
+    }
     if let Some(changes) = driver.take_suspect_changes() {
         tokio::task::spawn_local(save_suspects(table, timing, changes));
     }
@@ -105,6 +116,9 @@
 }
 
 /// Follows the operators' configuration and the evacuations by reads and long polls, and passes on the table's history.
+///
+/// The departures are read first: without settings no request runs, and with them the daemon must know which servers are
+/// shutting down.
 async fn watch_config(
     driver: Rc<MeshDriver>,
     table: TableClient,
@@ -113,6 +127,7 @@
 ) {
     let mut backoff = DependencyBackoff::new("table-config", timing);
     let mut watch = TableWatch::default();
+    load_departures(&driver, &table, &mut backoff).await;
     loop {
         let request = watch.next_request();
         let result = match request {
@@ -233,6 +248,72 @@
     }
 }
 
+/// Reads the departures of backend servers, since the daemons that know them may all have restarted, and removes those that
+/// are out of date.
+async fn load_departures(
+    driver: &Rc<MeshDriver>,
+    table: &TableClient,
+    backoff: &mut DependencyBackoff,
+) {
+    let rows = loop {
+        match table.list_departures().await {
+            Ok(rows) => break rows,
+            Err(cause) => backoff.wait_after_failure(&cause).await,
+        }
+    };
+    backoff.record_success();
+    let ttl_ms = u64::try_from(STORED_DEPARTURE_TTL.as_millis()).unwrap_or(u64::MAX);
+    let oldest_ms = unix_millis().saturating_sub(ttl_ms);
+    let (current, outdated): (Vec<DepartureRow>, Vec<DepartureRow>) =
+        rows.into_iter().partition(|it| oldest_ms <= it.stored_at_ms);
+    log::info!("event=departures_loaded count={} outdated={}", current.len(), outdated.len());
+    let departures = current.into_iter().map(|it| it.departure).collect();
+    driver.apply(MeshEvent::DeparturesLoaded(departures));
+    let outdated: Vec<ServerDeparture> = outdated.into_iter().map(|it| it.departure).collect();
+    if !outdated.is_empty() {
+        // The settings, which are read next, don't wait for the removal.
+        tokio::task::spawn_local(remove_departures(table.clone(), outdated));
+    }
+}
+
+async fn remove_departures(table: TableClient, departures: Vec<ServerDeparture>) {
+    if let Err(cause) = table.remove_departures(&departures).await {
+        // The next daemon that starts removes them.
+        log::warn!("event=departures_not_removed cause={:?}", cause.to_string());
+    }
+}
+
+/// Stores departures in their order, and retries each until it is stored.
+async fn save_departures(
+    driver: Rc<MeshDriver>,
+    table: TableClient,
+    timing: WatchTiming,
+    mut departures: mpsc::UnboundedReceiver<ServerDeparture>,
+) {
+    let mut backoff = DependencyBackoff::new("table-departures", timing);
+    while let Some(departure) = departures.recv().await {
+        loop {
+            match table.save_departure(&departure, unix_millis()).await {
+                Ok(()) => {
+                    backoff.record_success();
+                    log::info!("event=departure_saved server={departure}");
+                    break;
+                }
+                // The platform takes no row of this name or size.
+                Err(cause @ TableError::Rejected(400 | 413)) => {
+                    log::warn!(
+                        "event=departure_rejected server={departure} cause={:?}",
+                        cause.to_string()
+                    );
+                    break;
+                }
+                Err(cause) => backoff.wait_after_failure(&cause).await,
+            }
+        }
+        driver.record_saved_departure();
+    }
+}
+
 /// Reads the evidence against quarantined requests once, since the daemons that know it may all have restarted, and removes
 /// what is out of date.
 async fn load_suspects(driver: Rc<MeshDriver>, table: TableClient, timing: WatchTiming) {
--- a/crates/ivytrail/examples/measure_heavy_days/fleet.rs
+++ b/crates/ivytrail/examples/measure_heavy_days/fleet.rs
@@ -273,6 +273,7 @@
                 | MeshEffect::ProbeServer
                 | MeshEffect::ProbeHealth { .. }
                 | MeshEffect::SaveSuspects(_)
+                | MeshEffect::SaveDeparture(_)
                 | MeshEffect::Log(_) => {}
             }
         }
--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -61,7 +61,7 @@
     event::{MeshEffect, MeshEvent, PeerAddress},
     frame::{PeerFrame, ServerAdvertisement, ServerLoad},
     guard::GuardState,
-    leaving_servers::LeavingServers,
+    leaving_servers::{DepartureSource, LeavingServers},
     limited_servers::LimitedServers,
     links::{LinkEnd, PeerLinks},
     log_limit::LogLimit,
@@ -221,7 +221,12 @@
             MeshEvent::ServerAnnounced { advertisement, sequence } => {
                 self.handle_server_announcement(&mut step, advertisement, sequence);
             }
-            MeshEvent::ServerLeaving { id } => self.handle_server_shutdown(&mut step, &id, None),
+            MeshEvent::ServerLeaving { id, started_at_ms } => {
+                self.handle_server_shutdown(&mut step, &id, started_at_ms, DepartureSource::Server);
+            }
+            MeshEvent::DeparturesLoaded(departures) => {
+                self.apply_departures(&mut step, &departures);
+            }
             MeshEvent::ServerNoticed { id, notice } => {
                 self.handle_server_notice(&mut step, &id, notice);
             }
--- a/crates/ivytrail/src/mesh/event.rs
+++ b/crates/ivytrail/src/mesh/event.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use derive_more::Display;
 use smol_str::SmolStr;
 
 use crate::{
@@ -120,6 +121,16 @@
     pub cold_for: Duration,
 }
 
+/// A run of a backend server that is shutting down.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("{server_id}@{started_at_ms}")]
+pub struct ServerDeparture {
+    /// Identity of the server.
+    pub server_id: SmolStr,
+    /// Start time of the run, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+}
+
 /// Address at which another daemon accepts links.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerAddress {
@@ -180,7 +191,11 @@
     ServerLeaving {
         /// Identity of the backend server.
         id: SmolStr,
+        /// Start time of the run that shuts down, in milliseconds since the Unix epoch, if the server named it.
+        started_at_ms: Option<u64>,
     },
+    /// The departures of backend servers were read from the platform's table.
+    DeparturesLoaded(Vec<ServerDeparture>),
     /// The local backend server reported its state in a response.
     ServerNoticed {
         /// Identity of the backend server.
@@ -238,6 +253,7 @@
             MeshEvent::RunEnded { .. } => "run-ended",
             MeshEvent::ServerAnnounced { .. } => "server-announced",
             MeshEvent::ServerLeaving { .. } => "server-stopping",
+            MeshEvent::DeparturesLoaded(_) => "departures-loaded",
             MeshEvent::ServerNoticed { .. } => "server-noticed",
             MeshEvent::ServerProbed { .. } => "server-probed",
             MeshEvent::HealthProbed(_) => "health-probed",
@@ -297,6 +313,8 @@
     RemovePeerRow(PeerAddress),
     /// Store evidence against quarantined requests in the platform's table, and remove that against cleared ones.
     SaveSuspects(SuspectChanges),
+    /// Store the departure of the local backend server in the platform's table.
+    SaveDeparture(ServerDeparture),
     /// Run an attempt at the local backend server.
     StartRun {
         /// Identifier of the run.
--- a/crates/ivytrail/src/mesh/links.rs
+++ b/crates/ivytrail/src/mesh/links.rs
@@ -14,6 +14,7 @@
     demand_exchange::ExchangePeer,
     event::{MeshEffect, PeerAddress},
     frame::{PROTOCOL_VERSION, PeerAdvertisement, PeerFrame, UNVERSIONED_PROTOCOL},
+    leaving_servers::DepartureSource,
     quota::quota_owner,
 };
 use crate::{
@@ -409,6 +410,7 @@
             }
             PeerFrame::SettingsRequest => {
                 if let Some(settings) = &self.settings {
+                    self.send_departures(step, peer);
                     let frame = PeerFrame::Settings { version: settings.version() };
                     step.send_on_inbound(peer, frame, self.settings_document.clone());
                 }
@@ -423,7 +425,8 @@
             PeerFrame::DomainDemands { sums } => self.demand_exchange.record_sums(step.now, sums),
             PeerFrame::Costs { costs } => self.costs.record_report(peer, costs),
             PeerFrame::ServerLeft { id, started_at_ms } => {
-                self.handle_server_shutdown(step, &id, Some(started_at_ms));
+                let source = DepartureSource::Record;
+                self.handle_server_shutdown(step, &id, Some(started_at_ms), source);
             }
             PeerFrame::ServerLimited { id, per_s } => self.handle_reported_limit(step, &id, per_s),
             PeerFrame::Silent { instance } => self.handle_silence_report(step, &instance),
--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -7,8 +7,9 @@
 
 use super::{
     MeshReducer, ReducerStep,
+    event::MeshEffect,
     frame::{RequestLimit, ServerAdvertisement, ServerNotice, ServerPhase},
-    leaving_servers::LeavingRun,
+    leaving_servers::{DepartureSource, LeavingRun},
     log_limit::LogPriority,
     rejection_share::RejectionShare,
     run_outcome::CrashSign,
@@ -42,7 +43,8 @@
             None => {}
         }
         if announced.phase == ServerPhase::Draining {
-            self.leaving_servers.record(step.now, &announced.id, Some(announced.started_at_ms));
+            let started_at_ms = Some(announced.started_at_ms);
+            self.record_departure(step, &announced.id, started_at_ms, DepartureSource::Server);
         }
         self.guard.sequence = sequence;
         let is_changed = self.guard.server.as_ref().is_none_or(|it| {
@@ -183,7 +185,7 @@
         self.guard.notice = notice;
         self.update_request_limit(step);
         if notice.is_leaving {
-            self.handle_server_shutdown(step, id, None);
+            self.handle_server_shutdown(step, id, None, DepartureSource::Server);
         }
     }
 
@@ -238,10 +240,11 @@
         step: &mut ReducerStep<'_>,
         id: &SmolStr,
         started_at_ms: Option<u64>,
+        source: DepartureSource,
     ) {
         let current = self.guard.server.as_ref().filter(|it| it.id == *id);
         let started_at_ms = started_at_ms.or(current.map(|it| it.started_at_ms));
-        self.leaving_servers.record(step.now, id, started_at_ms);
+        self.record_departure(step, id, started_at_ms, source);
         let is_leaving =
             |it: &&mut ServerAdvertisement| it.id == *id && Some(it.started_at_ms) <= started_at_ms;
         let Some(server) = self.guard.server.as_mut().filter(is_leaving) else { return };
@@ -254,6 +257,23 @@
         self.publish_before_replies(step);
     }
 
+    /// Records the departure of a server, and stores one that the server beside this daemon has reported.
+    fn record_departure(
+        &mut self,
+        step: &mut ReducerStep<'_>,
+        id: &SmolStr,
+        started_at_ms: Option<u64>,
+        source: DepartureSource,
+    ) {
+        let departure = self.leaving_servers.record(step.now, id, started_at_ms);
+        match (source, departure) {
+            (DepartureSource::Server, Some(departure)) => {
+                step.out.push(MeshEffect::SaveDeparture(departure));
+            }
+            (DepartureSource::Server, None) | (DepartureSource::Record, _) => {}
+        }
+    }
+
     /// Updates the queue's limit to what the backend server accepts now; at a limit of zero, waiting attempts are refused.
     pub(super) fn update_limit(&mut self, step: &mut ReducerStep<'_>) {
         let limit = self.guard.target_limit(step.now);
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -22,7 +22,10 @@
     id::{ContentDigest, InstanceName, MemberId},
     mesh::{
         MeshOptions, MeshReducer,
-        event::{CallAnswer, HealthReport, MeshEffect, MeshEvent, PeerAddress, RunEnd, RunId},
+        event::{
+            CallAnswer, HealthReport, MeshEffect, MeshEvent, PeerAddress, RunEnd, RunId,
+            ServerDeparture,
+        },
         frame::{AttemptRequest, AttemptResult, PeerFrame, ServerAdvertisement},
         policy::{FleetSettings, WarmUpPolicy},
         quota::quota_owner,
@@ -84,6 +87,8 @@
     unsent_runs: VecDeque<(usize, RunId)>,
     /// Evidence in the platform's table.
     stored_suspects: BTreeMap<ContentDigest, StoredSuspect>,
+    /// Departures of backend servers in the platform's table.
+    stored_departures: Vec<ServerDeparture>,
     /// Daemons that probe their backend server.
     probes: VecDeque<usize>,
     /// Daemons that request the health of their backend server.
@@ -180,6 +185,7 @@
             down_servers: HashSet::new(),
             unsent_runs: VecDeque::new(),
             stored_suspects: BTreeMap::new(),
+            stored_departures: Vec::new(),
             probes: VecDeque::new(),
             health_probes: VecDeque::new(),
             cold_until: vec![TimePoint::ORIGIN; n_daemons],
@@ -345,6 +351,7 @@
                 self.stored_suspects.retain(|it, _| !changes.removed.contains(it));
                 self.stored_suspects.extend(changes.stored);
             }
+            MeshEffect::SaveDeparture(departure) => self.stored_departures.push(departure),
             MeshEffect::ProbeServer => self.probes.push_back(daemon),
             MeshEffect::ProbeHealth { .. } => self.health_probes.push_back(daemon),
             MeshEffect::CancelRun { run } => {
--- a/crates/ivytrail/src/mesh/tests/fleet/faults.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet/faults.rs
@@ -192,6 +192,7 @@
     pub(in super::super) fn rejoin(&mut self, daemon: usize) {
         self.restart(daemon);
         self.muted.remove(&daemon);
+        self.load_departures(daemon);
         let event = self.settings_event(VERSION);
         self.apply(daemon, event);
         if !self.is_server_down(daemon) {
@@ -200,6 +201,17 @@
         self.relink(daemon);
     }
 
+    /// Lets a daemon read the departures in the platform's table.
+    pub(in super::super) fn load_departures(&mut self, daemon: usize) {
+        let departures = self.stored_departures.clone();
+        self.apply(daemon, MeshEvent::DeparturesLoaded(departures));
+    }
+
+    /// Returns the number of departures in the platform's table.
+    pub(in super::super) fn n_stored_departures(&self) -> usize {
+        self.stored_departures.len()
+    }
+
     fn announce_server(&mut self, daemon: usize) {
         let advertisement = self.running_server(daemon);
         self.apply(daemon, MeshEvent::ServerAnnounced { advertisement, sequence: 1 });
--- a/crates/ivytrail/src/mesh/tests/servers.rs
+++ b/crates/ivytrail/src/mesh/tests/servers.rs
@@ -13,7 +13,7 @@
 #[test]
 fn a_leaving_server_gets_no_requests_from_a_restarted_daemon() {
     let mut fleet = TestFleet::start();
-    fleet.apply(1, MeshEvent::ServerLeaving { id: "server-1".into() });
+    fleet.apply(1, MeshEvent::ServerLeaving { id: "server-1".into(), started_at_ms: None });
     fleet.restart(1);
     fleet.link_all(1);
 
@@ -41,7 +41,7 @@
 fn a_shutdown_before_the_first_announcement_is_applied() {
     let mut fleet = TestFleet::start();
     fleet.restart(1);
-    fleet.apply(1, MeshEvent::ServerLeaving { id: "server-1".into() });
+    fleet.apply(1, MeshEvent::ServerLeaving { id: "server-1".into(), started_at_ms: None });
 
     fleet.apply(
         1,
@@ -57,7 +57,7 @@
 #[test]
 fn a_new_run_of_a_server_that_has_left_is_ready() {
     let mut fleet = TestFleet::start();
-    fleet.apply(1, MeshEvent::ServerLeaving { id: "server-1".into() });
+    fleet.apply(1, MeshEvent::ServerLeaving { id: "server-1".into(), started_at_ms: None });
     fleet.restart(1);
     fleet.link_all(1);
     let mut restarted = server_advertisement(1, "booking");
@@ -281,7 +281,7 @@
     let id = found.id.clone();
     fleet.apply(0, MeshEvent::ServerAnnounced { advertisement: found, sequence: 0 });
 
-    fleet.apply(0, MeshEvent::ServerLeaving { id });
+    fleet.apply(0, MeshEvent::ServerLeaving { id, started_at_ms: None });
     fleet.advance(Duration::from_secs(2));
     fleet.apply(0, MeshEvent::ServerAnnounced { advertisement: announced, sequence: 21 });
 
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep};
 
 use self::{
-    backend::{COLD_REQUESTS_PER_S, SiteBackend, WARM_UP_TIME},
+    backend::{COLD_REQUESTS_PER_S, FIRST_START_MS, SiteBackend, WARM_UP_TIME},
     table::SiteTable,
 };
 use crate::fault::proxy::FaultProxy;
@@ -343,6 +343,20 @@
         Ok(response.status().as_u16())
     }
 
+    /// Deregisters the first run of a backend server at the daemon of instance `idx`, and returns the status of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no response arrives.
+    pub async fn deregister(&self, idx: usize) -> Result<u16> {
+        let local = self.addresses[idx].local;
+        let url = format!("http://{local}/Instances.Deregister/server-{idx}");
+        let body = serde_json::json!({"born": FIRST_START_MS});
+        let request = self.client.post(url).json(&body);
+        let response = request.send().await.context("the daemon sent no response")?;
+        Ok(response.status().as_u16())
+    }
+
     /// Returns whether the daemon of instance `idx` reports itself ready.
     pub async fn is_ready(&self, idx: usize) -> bool {
         let url = format!("http://{}/readyz", self.addresses[idx].health);
--- a/tests/src/site/backend.rs
+++ b/tests/src/site/backend.rs
@@ -21,6 +21,8 @@
 
 use super::SURVEY_TIMEOUT_MS;
 
+/// Start of the first run of each server, in milliseconds since the Unix epoch; later runs start a millisecond later each.
+pub const FIRST_START_MS: u64 = 1_000;
 /// Interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Timeout of a nested call.
@@ -62,6 +64,8 @@
     /// Times at which requests arrived, with their ids.
     arrivals: Vec<(Instant, String)>,
     is_draining: bool,
+    /// Whether it sends no heartbeats.
+    is_unannounced: bool,
     /// Requests per second that the server names as its limit in responses.
     request_limit: Option<f64>,
     /// Time since which responses state that the server is leaving.
@@ -212,6 +216,11 @@
         self.state.lock().is_draining = true;
     }
 
+    /// Sends no further heartbeats.
+    pub fn stop_announcing(&self) {
+        self.state.lock().is_unannounced = true;
+    }
+
     /// Names a limit in all further responses, in requests per second, or none.
     pub fn set_request_limit(&self, request_limit: Option<f64>) {
         let now = Instant::now();
@@ -335,18 +344,19 @@
 ) {
     let client = Client::new();
     for sequence in 1_u64.. {
-        let (id, phase, is_down, n_crashes, cold_for) = {
+        let (id, phase, is_unheard, n_crashes, cold_for) = {
             let state = state.lock();
             let phase = if state.is_draining { "draining" } else { "ready" };
-            (state.id(idx), phase, state.is_down, state.crashes.len(), state.cold_for())
+            let is_unheard = state.is_down || state.is_unannounced;
+            (state.id(idx), phase, is_unheard, state.crashes.len(), state.cold_for())
         };
         let body = json!({
             "service": service, "address": "127.0.0.1:1", "zone": "kolkata", "version": "v1",
             "slots": REPORTED_SLOTS, "phase": phase, "warmup_left": cold_for.as_millis() as u64,
-            "sequence": sequence, "born": 1_000 + n_crashes,
+            "sequence": sequence, "born": FIRST_START_MS + n_crashes as u64,
         });
         let url = format!("http://{local_address}/Instances.Heartbeat/{id}");
-        if !is_down {
+        if !is_unheard {
             // A daemon that is down receives a later heartbeat.
             let _ = client.post(url).json(&body).send().await;
         }
