Give servers of late nested calls a deadline before the exit

Cause: such a call is accepted where three times the mean run time of its route fits, which is no bound. Its server was told the call's own deadline, which lay behind the exit of the process that waits for the response.

Evidence: event=call_open parent=known stage=sent time_left_ms=4812 at the exit, 9.5 s after SIGTERM. Ruled out: an early exit (the times), and calls that count as requests of clients (parent=known).

Change: the server of a nested call at a stopping daemon is told a deadline 400 ms before the exit at the latest, so that it responds by itself; if it doesn't, the entry responds 250 ms before the exit. The same holds for retries of calls that were accepted before SIGTERM, and, at a stopping guard, for runs that may not be repeated elsewhere. Refusing every call whose time limit doesn't fit would hold the rule, too, and fail accepted requests: with a limit of 8 s, from 1.5 s after SIGTERM on.

--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -18,6 +18,7 @@
     policy::{AccountPolicy, RoutePolicy},
     queue::QueueRank,
     quota_flow::TokenSource,
+    shutdown::ShutdownPlan,
 };
 use crate::{
     id::{CallId, InstanceName},
@@ -91,6 +92,16 @@
         QueueRank(self.request.rank).is_nested()
     }
 
+    /// Returns the deadline that the backend server of the call is given. A nested call at a stopping daemon must have its
+    /// response before the exit.
+    fn run_deadline(&self, shutdown: Option<ShutdownPlan>) -> TimePoint {
+        let deadline = self.deadline.minus(RESPONSE_TRANSIT_MARGIN);
+        match (shutdown, self.parent) {
+            (Some(plan), Some(_)) => deadline.min(plan.nested_run_deadline()),
+            _ => deadline,
+        }
+    }
+
     /// Returns the log line of the call while it has no response.
     pub(super) fn open_line(&self, now: TimePoint) -> String {
         format!(
@@ -200,7 +211,8 @@
     pub(super) fn dispatch(&mut self, step: &mut ReducerStep<'_>, id: CallId) {
         let me = self.options.member.clone();
         let Some(call) = self.entry.calls.get_mut(&id) else { return };
-        if call.deadline <= step.now {
+        let run_deadline = call.run_deadline(self.shutdown);
+        if run_deadline <= step.now {
             return self.refuse(step, id, RefusalReason::DeadlineExceeded, None);
         }
         let (service, fingerprint) = (&call.request.service, &call.request.fingerprint);
@@ -225,7 +237,7 @@
         };
         let serial = self.entry.next_serial;
         self.entry.next_serial += 1;
-        let time_left = call.deadline.since(step.now).saturating_sub(RESPONSE_TRANSIT_MARGIN);
+        let time_left = run_deadline.since(step.now);
         let max_wait = match call.is_nested() {
             true => time_left.mul_f64(NESTED_QUEUE_WAIT_FRACTION),
             false => call.route.target_latency.mul_f64(ROOT_QUEUE_WAIT_FRACTION),
@@ -326,7 +338,7 @@
         let needed =
             self.picker.mean_run_time(&call.request.route).mul_f64(MIN_RUN_TIMES_FOR_RETRY);
         let n_daemons = self.links.contact(step.now).n_daemons;
-        let has_time = needed < call.deadline.since(step.now);
+        let has_time = needed < call.run_deadline(self.shutdown).since(step.now);
         let has_attempts_left = call.n_runs < call.route.max_attempts;
         let has_untried_server = self
             .picker
--- a/crates/ivytrail/src/mesh/intake.rs
+++ b/crates/ivytrail/src/mesh/intake.rs
@@ -84,7 +84,7 @@
         let plan = self.shutdown?;
         let is_accepted = match self.guard.parent_run(&request.request_id) {
             None => plan.accepts_request(now, time_limit),
-            Some(_) => plan.expects_to_finish(now, self.picker.known_run_time(route), time_limit),
+            Some(_) => plan.accepts_nested_call(now, self.picker.known_run_time(route), time_limit),
         };
         (!is_accepted).then(|| plan.time_left(now))
     }
@@ -122,6 +122,10 @@
         let time_limit = request.time_limit.unwrap_or(route.timeout).min(route.timeout);
         let parent = self.guard.parent_run(&request.request_id);
         let root = parent.and_then(|it| self.guard.record_call(it, &route.name));
+        let deadline = match (self.shutdown, parent) {
+            (Some(plan), Some(_)) => step.now.plus(time_limit).min(plan.nested_response_deadline()),
+            _ => step.now.plus(time_limit),
+        };
         let priority = match (root, account.as_deref()) {
             (Some((priority, _)), _) => priority,
             (None, Some(AccountPolicy { priority: Some(priority), .. })) => {
@@ -160,7 +164,7 @@
             account,
             received_at: step.now,
             root_start: root.map_or(step.now, |(_, start)| start),
-            deadline: step.now.plus(time_limit),
+            deadline,
             stage: CallStage::Deciding,
             tried: Vec::new(),
             n_runs: 0,
--- a/crates/ivytrail/src/mesh/run_start.rs
+++ b/crates/ivytrail/src/mesh/run_start.rs
@@ -97,6 +97,13 @@
         let Some(server) = &self.guard.server else { return };
         let server_id = server.id.clone();
         let Some(attempt) = self.guard.attempts.get_mut(&run) else { return };
+        let deadline = match self.shutdown {
+            // The exit would interrupt the run; its server then ends it in time for a response.
+            Some(plan) if !attempt.request.is_idempotent => {
+                attempt.deadline.min(plan.run_deadline())
+            }
+            _ => attempt.deadline,
+        };
         attempt.started_at = Some(step.now);
         attempt.server_id = Some(server_id.clone());
         self.guard.warm_up.record_start(step.now);
@@ -106,7 +113,7 @@
             request: Arc::clone(&attempt.request),
             server_id,
             body: std::mem::take(&mut attempt.body),
-            time_left: attempt.deadline.since(step.now),
+            time_left: deadline.since(step.now),
         });
     }
 
--- a/crates/ivytrail/src/mesh/shutdown.rs
+++ b/crates/ivytrail/src/mesh/shutdown.rs
@@ -8,6 +8,13 @@
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_800);
 /// Time between the end of accepted work and the exit of the process that is left for its response.
 const FINISH_MARGIN: Duration = Duration::from_millis(100);
+/// Time between the deadline of a run of a late nested call and the exit. The run may overrun its deadline, and its response
+/// passes two daemons and the server that made the call.
+const NESTED_RUN_MARGIN: Duration = Duration::from_millis(400);
+/// Time between the entry's own response to a late nested call and the exit.
+const NESTED_RESPONSE_MARGIN: Duration = Duration::from_millis(250);
+/// Time between the deadline of a run that can't be repeated elsewhere and the exit.
+const RUN_MARGIN: Duration = Duration::from_millis(250);
 /// Time that is allowed for a run, as a multiple of the route's mean run time.
 const RUN_TIME_ALLOWANCE: f64 = 3.0;
 
@@ -36,20 +43,49 @@
         now.since(self.requested_at) < STOP_ACCEPT_TIME || self.fits(now, time_limit)
     }
 
-    /// Returns whether work is expected to end before the exit, from the mean run time of its route. Where that is
-    /// unknown, its whole time limit must fit.
+    /// Returns whether a nested call is expected to end before its [`ShutdownPlan::nested_run_deadline`].
+    pub(super) fn accepts_nested_call(
+        &self,
+        now: TimePoint,
+        mean_run_time: Option<Duration>,
+        time_limit: Duration,
+    ) -> bool {
+        expected_time(mean_run_time, time_limit) <= self.nested_run_deadline().since(now)
+    }
+
+    /// Returns whether a run is expected to end before the exit.
     pub(super) fn expects_to_finish(
         &self,
         now: TimePoint,
         mean_run_time: Option<Duration>,
         time_limit: Duration,
     ) -> bool {
-        let needed =
-            mean_run_time.map_or(time_limit, |it| it.mul_f64(RUN_TIME_ALLOWANCE).min(time_limit));
-        self.fits(now, needed)
+        self.fits(now, expected_time(mean_run_time, time_limit))
+    }
+
+    /// Returns the latest deadline that the server of a nested call is given. Some calls of a route take much longer than
+    /// most; their servers end them in time for a response.
+    pub(super) fn nested_run_deadline(&self) -> TimePoint {
+        self.exit_at.minus(NESTED_RUN_MARGIN)
+    }
+
+    /// Returns the time at which the entry itself responds to a nested call that is still open.
+    pub(super) fn nested_response_deadline(&self) -> TimePoint {
+        self.exit_at.minus(NESTED_RESPONSE_MARGIN)
+    }
+
+    /// Returns the latest deadline of a run that can't be repeated elsewhere.
+    pub(super) fn run_deadline(&self) -> TimePoint {
+        self.exit_at.minus(RUN_MARGIN)
     }
 
     fn fits(&self, now: TimePoint, needed: Duration) -> bool {
         needed + FINISH_MARGIN <= self.time_left(now)
     }
 }
+
+/// Returns the time that work is expected to take at most, from the mean run time of its route, or its whole time limit where
+/// that is unknown.
+fn expected_time(mean_run_time: Option<Duration>, time_limit: Duration) -> Duration {
+    mean_run_time.map_or(time_limit, |it| it.mul_f64(RUN_TIME_ALLOWANCE).min(time_limit))
+}
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -59,6 +59,8 @@
 pub(super) struct TestRun {
     pub(super) daemon: usize,
     pub(super) request: Arc<AttemptRequest>,
+    /// Time from the start to the deadline that the backend server was given.
+    pub(super) time_left: Duration,
     run: RunId,
 }
 
@@ -342,8 +344,8 @@
             MeshEffect::StartRun { run, .. } if self.down_servers.contains(&daemon) => {
                 self.unsent_runs.push_back((daemon, run));
             }
-            MeshEffect::StartRun { run, request, .. } => {
-                let started = TestRun { daemon, request, run };
+            MeshEffect::StartRun { run, request, time_left, .. } => {
+                let started = TestRun { daemon, request, time_left, run };
                 self.started.push(started.clone());
                 self.runs.push(started);
             }
--- a/crates/ivytrail/src/mesh/tests/planned_stops.rs
+++ b/crates/ivytrail/src/mesh/tests/planned_stops.rs
@@ -137,6 +137,79 @@
     assert_refused_as_draining(&fleet, 2, Duration::from_millis(1_500));
 }
 
+/// Starts a nested call of a run at the stopping daemon's server on a route of short calls, `time_left` before the exit.
+fn start_late_nested_call(fleet: &mut TestFleet, time_left: Duration) -> TestRun {
+    complete_runs(fleet, "ledger", Duration::from_millis(20));
+    complete_runs(fleet, "track", Duration::from_millis(20));
+    stop(fleet, STOPPING, time_left);
+    let parent = start_parent(fleet);
+    fleet.call(STOPPING, nested_call_of(2, &parent.request.request_id, "ledger"));
+    let nested = fleet.runs().into_iter().find(|it| it.request.route.as_str() == "ledger");
+    nested.expect("the nested call runs")
+}
+
+/// Regression test for review/14: a nested call that took longer than most of its route was interrupted by the exit. Its
+/// server must end it before.
+#[test]
+fn a_late_nested_call_has_a_deadline_before_the_exit() {
+    let mut fleet = TestFleet::start();
+
+    let nested = start_late_nested_call(&mut fleet, Duration::from_millis(1_500));
+
+    assert!(nested.time_left < Duration::from_millis(1_200), "{:?}", nested.time_left);
+    assert!(Duration::from_millis(1_000) < nested.time_left, "{:?}", nested.time_left);
+}
+
+/// The server's own response at its deadline reaches the caller.
+#[test]
+fn a_late_nested_call_gets_the_response_that_its_server_sends_at_the_deadline() {
+    let mut fleet = TestFleet::start();
+    let nested = start_late_nested_call(&mut fleet, Duration::from_millis(1_500));
+
+    fleet.advance(nested.time_left);
+    fleet.end_run(&nested, answered(504));
+
+    assert_eq!(fleet.status_of(2), Some(504));
+}
+
+/// A server that sends nothing at its deadline does not keep the caller waiting until the exit.
+#[test]
+fn a_late_nested_call_whose_server_overruns_is_answered_before_the_exit() {
+    let mut fleet = TestFleet::start();
+    let time_left = Duration::from_millis(1_500);
+    start_late_nested_call(&mut fleet, time_left);
+
+    fleet.advance(time_left - Duration::from_millis(100));
+
+    let (outcome, reason, _) = refused(fleet.answer_of(2));
+    assert_eq!((outcome, reason), (CallOutcome::Unknown, RefusalReason::DeadlineExceeded));
+}
+
+/// A run that the exit would interrupt, and that no other server may repeat, is ended by its server in time for a response.
+#[test]
+fn a_stopping_guard_gives_runs_that_are_not_repeated_a_deadline_before_the_exit() {
+    let time_left = Duration::from_millis(1_500);
+    let mut fleet = TestFleet::start();
+    complete_runs(&mut fleet, "book", Duration::from_millis(20));
+    complete_runs(&mut fleet, "track", Duration::from_millis(20));
+    fleet.apply(1, MeshEvent::StopRequested { exit_within: EXIT_WITHIN });
+    stop(&mut fleet, STOPPING, time_left);
+    let n_before = fleet.n_runs_started();
+
+    for id in 1..=12 {
+        fleet.call(2, call_of(id, "track"));
+        fleet.call(2, call_of(100 + id, "book"));
+    }
+
+    let started = &fleet.started()[n_before..];
+    let time_left_at = |daemon| {
+        let run = started.iter().find(|it| it.daemon == daemon);
+        run.expect("the stopping guard runs attempts").time_left
+    };
+    assert!(time_left < time_left_at(STOPPING), "an idempotent run keeps its deadline");
+    assert!(time_left_at(1) < time_left, "{:?}", time_left_at(1));
+}
+
 /// The exit of a guard interrupts the runs at its backend server, and non-idempotent requests are not retried.
 #[test]
 fn a_stopping_guard_leaves_attempts_that_it_is_not_expected_to_finish_to_another() {
--- a/crates/ivytrail/src/mesh/tests/stop_sessions.rs
+++ b/crates/ivytrail/src/mesh/tests/stop_sessions.rs
@@ -1,6 +1,6 @@
 //! Seeded sessions in which daemons shut down one after the other, at times several at once, while clients keep sending
-//! requests. They check that no exit interrupts a client request that was sent late, and that no request runs that was
-//! refused as not run.
+//! requests and backend servers make nested calls. They check that no exit interrupts a request that was sent late, and that
+//! no request runs that was refused as not run.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -43,7 +43,7 @@
     is_closed: bool,
 }
 
-/// A client request without a response.
+/// A client request or nested call without a response.
 #[derive(Clone, Debug)]
 struct WaitingRequest {
     request_id: String,
@@ -51,6 +51,14 @@
     sent_at: TimePoint,
 }
 
+/// A run whose server ends it, with a response or at its deadline.
+#[derive(Clone, Debug)]
+struct TimedRun {
+    ends_at: TimePoint,
+    is_cut_short: bool,
+    run: TestRun,
+}
+
 /// State of one session, and what it has observed.
 struct StopSession {
     fleet: TestFleet,
@@ -58,13 +66,16 @@
     stopping: Vec<StoppingDaemon>,
     restarts: Vec<(TimePoint, usize)>,
     waiting: HashMap<u64, WaitingRequest>,
-    running: Vec<(TimePoint, TestRun)>,
+    running: Vec<TimedRun>,
     /// Identifiers of the requests that have run, and of those that were refused as not run.
     started: HashSet<String>,
     refused: HashSet<String>,
     n_seen: usize,
     n_calls: u64,
     n_stops: usize,
+    /// Number of nested calls sent late in a stop, and of those among them that were refused.
+    n_late_nested: usize,
+    n_late_nested_refused: usize,
     violations: Vec<String>,
 }
 
@@ -82,6 +93,8 @@
             n_seen: 0,
             n_calls: 0,
             n_stops: 0,
+            n_late_nested: 0,
+            n_late_nested_refused: 0,
             violations: Vec::new(),
         }
     }
@@ -123,20 +136,35 @@
         }
         self.n_calls += 1;
         let id = self.n_calls;
-        let local_run = self.running.iter().find(|(_, it)| it.daemon == entry).cloned();
+        let local_run = self.running.iter().map(|it| &it.run).find(|it| it.daemon == entry);
         let request = match (self.rng.random_range(0..5), local_run) {
             (0, _) => call_of(id, "book"),
             (1, _) => call_of(id, "track"),
             (2, _) => public_call_of(id, "reserve"),
-            (3, Some((_, parent))) => nested_call_of(id, &parent.request.request_id, "ledger"),
+            (3, Some(parent)) => nested_call_of(id, &parent.request.request_id, "ledger"),
             _ => public_call_of(id, "ledger"),
         };
         let request_id = request.request_id.to_string();
-        if !request_id.contains('.') {
-            let sent_at = self.fleet.now();
-            self.waiting.insert(id, WaitingRequest { request_id, entry, sent_at });
-        }
+        let sent_at = self.fleet.now();
+        let is_late = self.stop_before(entry, sent_at).is_some();
+        let is_late_nested = is_late && request_id.contains('.');
+        self.waiting.insert(id, WaitingRequest { request_id, entry, sent_at });
         self.fleet.call(entry, request);
+        if is_late_nested {
+            self.n_late_nested += 1;
+            self.n_late_nested_refused += usize::from(self.is_not_run(id));
+        }
+    }
+
+    /// Returns the stop of a daemon in which a request that was sent at `sent_at` is a late one.
+    fn stop_before(&self, daemon: usize, sent_at: TimePoint) -> Option<&StoppingDaemon> {
+        let stop = self.stopping.iter().find(|it| it.daemon == daemon);
+        stop.filter(|it| LATE_AFTER <= sent_at.since(it.requested_at))
+    }
+
+    fn is_not_run(&self, id: u64) -> bool {
+        let answer = self.fleet.answer_of(id);
+        matches!(answer, Some(CallAnswer::Refused { outcome: CallOutcome::NotRun, .. }))
     }
 
     fn end_runs(&mut self) {
@@ -151,14 +179,16 @@
             self.started.insert(id);
             let is_long = self.rng.random_bool(0.1);
             let run_ms = self.rng.random_range(10..if is_long { MAX_RUN_MS } else { 100 });
-            self.running.push((now.plus(Duration::from_millis(run_ms)), run));
+            let run_time = Duration::from_millis(run_ms);
+            let ends_at = now.plus(run_time.min(run.time_left));
+            self.running.push(TimedRun { ends_at, is_cut_short: run.time_left < run_time, run });
         }
         let (ended, running): (Vec<_>, Vec<_>) =
-            self.running.drain(..).partition(|(at, _)| *at <= now);
+            self.running.drain(..).partition(|it| it.ends_at <= now);
         self.running = running;
-        for (_, run) in ended {
+        for TimedRun { is_cut_short, run, .. } in ended {
             if self.fleet.is_in_progress(&run) {
-                self.fleet.end_run(&run, answered(200));
+                self.fleet.end_run(&run, answered(if is_cut_short { 504 } else { 200 }));
             }
         }
     }
@@ -218,6 +248,7 @@
         .and_then(|it| it.parse().ok())
         .unwrap_or(N_SESSIONS);
     let (mut n_calls, mut n_stops, mut n_refused) = (0, 0, 0);
+    let (mut n_late_nested, mut n_late_nested_refused) = (0, 0);
     for seed in 0..n_sessions {
         let mut session = StopSession::start(seed);
 
@@ -226,8 +257,14 @@
         n_calls += session.n_calls;
         n_stops += session.n_stops;
         n_refused += session.refused.len();
+        n_late_nested += session.n_late_nested;
+        n_late_nested_refused += session.n_late_nested_refused;
         assert!(session.violations.is_empty(), "seed {seed}: {:#?}", session.violations);
     }
     assert!(n_sessions as usize * 5 < n_stops, "too few stops: {n_stops}");
     assert!(n_refused as u64 * 2 < n_calls, "too many refusals: {n_refused} of {n_calls}");
+    assert!(
+        n_late_nested_refused * 2 < n_late_nested,
+        "too many refusals of nested calls: {n_late_nested_refused} of {n_late_nested}"
+    );
 }
