Play departures of servers in seeded sessions

Servers of six reducers report their shutdown, exit and start again under the same name, while daemons restart, one by one and all at once, the table is away at times, and three in ten announcements are late by up to 8 s. No request may start at a server after it has reported its shutdown, and later runs must get requests. IVYTRAIL_DEPARTURE_SESSIONS sets the number of sessions; 8 where nothing is set.

--- a/crates/ivytrail/src/mesh/tests.rs
+++ b/crates/ivytrail/src/mesh/tests.rs
@@ -3,6 +3,7 @@
 mod cold_servers;
 mod crash_sessions;
 mod crashing_requests;
+mod departure_sessions;
 mod departures;
 mod evacuations;
 mod fleet;
--- a/crates/ivytrail/src/mesh/tests/fleet.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet.rs
@@ -91,6 +91,9 @@
     stored_suspects: BTreeMap<ContentDigest, StoredSuspect>,
     /// Departures of backend servers in the platform's table.
     stored_departures: Vec<ServerDeparture>,
+    /// Departures that the platform's table doesn't accept while it is away, by the daemon that stores them.
+    unstored_departures: Vec<(usize, ServerDeparture)>,
+    is_table_away: bool,
     /// Daemons that probe their backend server.
     probes: VecDeque<usize>,
     /// Daemons that request the health of their backend server.
@@ -188,6 +191,8 @@
             unsent_runs: VecDeque::new(),
             stored_suspects: BTreeMap::new(),
             stored_departures: Vec::new(),
+            unstored_departures: Vec::new(),
+            is_table_away: false,
             probes: VecDeque::new(),
             health_probes: VecDeque::new(),
             cold_until: vec![TimePoint::ORIGIN; n_daemons],
@@ -353,6 +358,9 @@
                 self.stored_suspects.retain(|it, _| !changes.removed.contains(it));
                 self.stored_suspects.extend(changes.stored);
             }
+            MeshEffect::SaveDeparture(departure) if self.is_table_away => {
+                self.unstored_departures.push((daemon, departure));
+            }
             MeshEffect::SaveDeparture(departure) => self.stored_departures.push(departure),
             MeshEffect::ProbeServer => self.probes.push_back(daemon),
             MeshEffect::ProbeHealth { .. } => self.health_probes.push_back(daemon),
--- a/crates/ivytrail/src/mesh/tests/fleet/faults.rs
+++ b/crates/ivytrail/src/mesh/tests/fleet/faults.rs
@@ -118,6 +118,7 @@
         self.dead.insert(daemon);
         self.silent_links.retain(|(a, b)| *a != daemon && *b != daemon);
         self.runs.retain(|it| it.daemon != daemon);
+        self.unstored_departures.retain(|(it, _)| *it != daemon);
         for other in (0..self.daemons.len()).filter(|it| *it != daemon) {
             self.break_link(daemon, other);
         }
@@ -207,6 +208,24 @@
         self.apply(daemon, MeshEvent::DeparturesLoaded(departures));
     }
 
+    /// Makes the platform's table unavailable for departures, or available again.
+    pub(in super::super) fn set_table_away(&mut self, is_away: bool) {
+        self.is_table_away = is_away;
+        if !is_away {
+            let unstored = self.unstored_departures.drain(..);
+            self.stored_departures.extend(unstored.map(|(_, departure)| departure));
+        }
+    }
+
+    /// Returns whether a daemon has to store a departure that the platform's table doesn't accept yet.
+    pub(in super::super) fn has_unstored_departure(&self, daemon: usize) -> bool {
+        self.unstored_departures.iter().any(|(it, _)| *it == daemon)
+    }
+
+    pub(in super::super) fn is_table_away(&self) -> bool {
+        self.is_table_away
+    }
+
     /// Returns the number of departures in the platform's table.
     pub(in super::super) fn n_stored_departures(&self) -> usize {
         self.stored_departures.len()
@@ -300,7 +319,7 @@
         }
     }
 
-    fn relink(&mut self, daemon: usize) {
+    pub(in super::super) fn relink(&mut self, daemon: usize) {
         for other in (0..self.daemons.len()).filter(|it| *it != daemon) {
             if !self.is_cut(daemon, other) {
                 self.link(daemon, other);
