Let servers make long nested calls in the soak of planned stops

One in ten requests of the soak makes a nested call of 20 to 200 ms, or in one of five cases of 1 to 4.5 s. A call that has run and whose connection ended without a response is a violation, unless it was sent within 3 s after SIGTERM.

--- a/tests/src/site/backend.rs
+++ b/tests/src/site/backend.rs
@@ -25,10 +25,14 @@
 pub const FIRST_START_MS: u64 = 1_000;
 /// Interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
-/// Timeout of a nested call.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which a backend server waits for a nested call beyond the call's time limit.
+const CALL_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
+/// Time limit of a nested call that takes long.
+const LONG_CALL_TIMEOUT: Duration = Duration::from_millis(SURVEY_TIMEOUT_MS);
 /// Path segment that makes the backend server send a nested call while it handles the request.
 pub const NESTED_CALL_SEGMENT: &str = "/calls/";
+/// Path segment that makes the backend server send a nested call that takes the number of milliseconds which follows.
+pub const LONG_CALL_SEGMENT: &str = "/long-calls/";
 /// Path segment that makes the backend server send a response body without end.
 pub const ENDLESS_SEGMENT: &str = "/endless/";
 /// Path segment that makes the backend server send a response body without end, one byte at a time.
@@ -68,6 +72,8 @@
     is_unannounced: bool,
     /// Requests per second that the server names as its limit in responses.
     request_limit: Option<f64>,
+    /// Nested calls whose connections ended without a response.
+    broken_calls: Vec<BrokenCall>,
     /// Time since which responses state that the server is leaving.
     leaving_since: Option<Instant>,
     /// Ranges of time in which the server named a limit.
@@ -84,6 +90,15 @@
     crashes_when_cold: bool,
 }
 
+/// A nested call whose connection ended without a response.
+#[derive(Clone, Debug)]
+pub struct BrokenCall {
+    /// Identifier of the call.
+    pub id: String,
+    /// Time at which the call was sent.
+    pub sent_at: Instant,
+}
+
 /// Range of time in which a server named a limit in its responses.
 #[derive(Clone, Copy, Debug)]
 pub struct LimitPeriod {
@@ -186,7 +201,7 @@
         caller_address: Option<SocketAddr>,
     ) -> Result<SiteBackend> {
         let state = Arc::new(Mutex::new(BackendState::default()));
-        let client = Client::builder().no_proxy().timeout(CALL_TIMEOUT).build()?;
+        let client = Client::builder().no_proxy().build()?;
         let (crashes, crash_receiver) = mpsc::unbounded_channel();
         let crash_requests = crashes.clone();
         let handler =
@@ -253,6 +268,11 @@
         self.state.lock().arrivals.clone()
     }
 
+    /// Returns the nested calls whose connections ended without a response.
+    pub fn broken_calls(&self) -> Vec<BrokenCall> {
+        self.state.lock().broken_calls.clone()
+    }
+
     /// Returns the times at which a request crashed the server.
     pub fn crashes(&self) -> Vec<Instant> {
         self.state.lock().crashes.clone()
@@ -409,19 +429,40 @@
         state.record_cold_arrival()
     }
 
-    /// Sends a nested call through the instance's daemon and returns whether its status was 200.
-    async fn make_nested_call(&self, request_id: &str) -> bool {
+    /// Sends a nested call of the request at `path` through the instance's daemon and returns whether its status was 200.
+    async fn make_nested_call(&self, request_id: &str, path: &str) -> bool {
         let Some(address) = self.caller_address else { return false };
+        let id = format!("{request_id}.0");
+        let (call_path, time_limit) = match long_call_ms(path) {
+            Some(work_ms) => (format!("/survey/{request_id}/{work_ms}"), LONG_CALL_TIMEOUT),
+            None => (format!("/ledger/{request_id}/5"), Duration::from_secs(1)),
+        };
         let request = self
             .client
-            .get(format!("http://{address}/ledger/{request_id}/5"))
+            .get(format!("http://{address}{call_path}"))
+            .timeout(time_limit + CALL_TIMEOUT_MARGIN)
             .header("host", "site.example")
-            .header("x-ivytrail-request-id", format!("{request_id}.0"))
-            .header("x-ivytrail-deadline-ms", "1000");
-        request.send().await.is_ok_and(|it| it.status() == 200)
+            .header("x-ivytrail-request-id", &id)
+            .header("x-ivytrail-deadline-ms", time_limit.as_millis().to_string());
+        let sent_at = Instant::now();
+        match request.send().await {
+            Ok(response) => response.status() == 200,
+            Err(cause) => {
+                if !cause.is_connect() && !cause.is_timeout() {
+                    self.state.lock().broken_calls.push(BrokenCall { id, sent_at });
+                }
+                false
+            }
+        }
     }
 }
 
+/// Returns the time that the nested call of a request at `path` takes, in milliseconds, if the path names one.
+fn long_call_ms(path: &str) -> Option<u64> {
+    let (_, call) = path.split_once(LONG_CALL_SEGMENT)?;
+    call.split('/').next()?.parse().ok()
+}
+
 #[async_trait]
 impl Handler for BackendHandler {
     async fn handle(
@@ -467,8 +508,8 @@
             let _ = self.crashes.send(Instant::now());
             return std::future::pending().await;
         }
-        let is_served =
-            !path.contains(NESTED_CALL_SEGMENT) || self.make_nested_call(&request_id).await;
+        let makes_call = path.contains(NESTED_CALL_SEGMENT) || path.contains(LONG_CALL_SEGMENT);
+        let is_served = !makes_call || self.make_nested_call(&request_id, &path).await;
         if !is_served {
             res.status_code(StatusCode::INTERNAL_SERVER_ERROR);
         }
--- a/tests/src/stop_soak.rs
+++ b/tests/src/stop_soak.rs
@@ -14,7 +14,7 @@
 
 use crate::site::{
     API_KEY, SURVEY_TIMEOUT_MS, SiteOptions, TestSite,
-    backend::NESTED_CALL_SEGMENT,
+    backend::{LONG_CALL_SEGMENT, NESTED_CALL_SEGMENT},
     persistent_connection::{PersistentConnection, SimpleRequest},
 };
 
@@ -32,6 +32,11 @@
 const SURVEY_SHARE: f64 = 0.15;
 /// Range of the time that such a request takes, in milliseconds.
 const SURVEY_WORK_MS: std::ops::Range<u64> = 300..6_000;
+/// Share of the nested calls of surveys that last for seconds.
+const LONG_CALL_SHARE: f64 = 0.2;
+/// Range of the time that such a call takes, in milliseconds, and of the time that the others take.
+const LONG_CALL_MS: std::ops::Range<u64> = 1_000..4_500;
+const CALL_MS: std::ops::Range<u64> = 20..200;
 /// Range of the time that other requests take, in milliseconds.
 const WORK_MS: std::ops::Range<u64> = 0..60;
 /// Range of the time between two stops, in milliseconds.
@@ -87,10 +92,11 @@
 }
 
 impl StopRecord {
-    fn covers(&self, request: &SentRequest) -> bool {
-        self.instance == request.entry
-            && self.requested_at <= request.sent_at
-            && self.exited_at.is_none_or(|it| request.sent_at <= it)
+    /// Returns whether a request that was sent to the daemon of instance `entry` at `sent_at` falls into the stop.
+    fn covers(&self, entry: usize, sent_at: Instant) -> bool {
+        self.instance == entry
+            && self.requested_at <= sent_at
+            && self.exited_at.is_none_or(|it| sent_at <= it)
     }
 }
 
@@ -124,6 +130,7 @@
     let requests = sent.into_inner();
     report.n_stops = stops.len();
     check_requests(&site, &requests, &stops, &mut report);
+    check_nested_calls(&site, &stops, &mut report);
     if !report.violations.is_empty() {
         report.violations.push(site.logs());
     }
@@ -163,6 +170,11 @@
                 (format!("/book{NESTED_CALL_SEGMENT}{id}/{work_ms}"), Some(API_KEY))
             }
             share if share < 0.75 => (format!("/book/{id}/{work_ms}"), Some(API_KEY)),
+            share if share < 0.85 => {
+                let is_long = rng.random_bool(LONG_CALL_SHARE);
+                let call_ms = rng.random_range(if is_long { LONG_CALL_MS } else { CALL_MS });
+                (format!("/survey{LONG_CALL_SEGMENT}{call_ms}/{id}/{work_ms}"), None)
+            }
             _ => (format!("/track/{id}/{work_ms}"), Some(API_KEY)),
         };
         let request = SimpleRequest {
@@ -268,7 +280,7 @@
 ) {
     for request in requests {
         let n_runs = site.n_runs_of(&request.id);
-        let stop = stops.iter().find(|it| it.covers(request));
+        let stop = stops.iter().find(|it| it.covers(request.entry, request.sent_at));
         let sent_after = stop.map(|it| request.sent_at - it.requested_at);
         let is_late = sent_after.is_some_and(|it| EXCUSED_TIME < it);
         let mut fail = |problem: &str| {
@@ -292,6 +304,23 @@
     report.n_calls = requests.len();
 }
 
+/// Checks the nested calls whose connections ended without a response: only early ones may be interrupted by an exit.
+fn check_nested_calls(site: &TestSite, stops: &[StopRecord], report: &mut StopReport) {
+    for (entry, backend) in site.backends.iter().enumerate() {
+        for call in backend.broken_calls() {
+            let stop = stops.iter().find(|it| it.covers(entry, call.sent_at));
+            let sent_after = stop.map(|it| call.sent_at - it.requested_at);
+            let is_excused = sent_after.is_some_and(|it| it <= EXCUSED_TIME);
+            let n_runs = site.n_runs_of(&call.id);
+            if 0 < n_runs && !is_excused {
+                report.violations.push(format!(
+                    "nested call cut off at instance {entry}: {call:?}, runs {n_runs}, after SIGTERM {sent_after:?}"
+                ));
+            }
+        }
+    }
+}
+
 fn is_idempotent(path: &str) -> bool {
     path.starts_with("/track/") || path.starts_with("/ledger/")
 }
