--- a/crates/ivytrail/src/mesh.rs
+++ b/crates/ivytrail/src/mesh.rs
@@ -24,6 +24,7 @@
 pub mod frame;
 pub mod frame_codec;
 mod guard;
+mod instance_service;
 mod intake;
 mod leaving_servers;
 mod limited_servers;
@@ -66,7 +67,7 @@
     links::{LinkEnd, PeerLinks},
     log_limit::LogLimit,
     picker::ServerPicker,
-    policy::{FleetSettings, ServicePolicy},
+    policy::FleetSettings,
     quota::QuotaBuckets,
     quota_flow::DenialCounts,
     retry_budget::{RetryBudgets, RetryPolicy},
@@ -379,34 +380,6 @@
         self.publish_advertisement(step);
     }
 
-    /// Returns the settings of the local backend server's service, or of the instance's service while no server is known.
-    fn server_policy(&self) -> Option<&ServicePolicy> {
-        let server = self.guard.server();
-        let service = server.map_or(&self.options.service, |it| &it.service);
-        self.settings.as_ref()?.service(service)
-    }
-
-    /// Applies the warm-up policy of the local backend server's service.
-    fn update_warm_up_policy(&mut self) {
-        let warm_up = self.server_policy().and_then(|it| it.warm_up);
-        self.guard.warm_up.set_policy(warm_up);
-    }
-
-    /// Changes the service of the instance, which requests that begin here name as their caller's from now on.
-    fn assign_service(&mut self, step: &mut ReducerStep<'_>, service: ServiceName) {
-        if service == self.options.service {
-            return;
-        }
-        step.log(format!(
-            "event=service_assigned service={service} before={}",
-            self.options.service
-        ));
-        self.options.service = service;
-        self.update_warm_up_policy();
-        self.update_request_limit(step);
-        self.publish_advertisement(step);
-    }
-
     fn add_peers(&mut self, step: &mut ReducerStep<'_>, peers: Vec<PeerAddress>) {
         let (me, address) = (&self.options.member.instance, &self.options.address);
         for peer in peers {
--- a/crates/ivytrail/src/mesh/entry.rs
+++ b/crates/ivytrail/src/mesh/entry.rs
@@ -18,7 +18,6 @@
     policy::{AccountPolicy, RoutePolicy},
     queue::QueueRank,
     quota_flow::TokenSource,
-    shutdown::ShutdownPlan,
 };
 use crate::{
     id::{CallId, InstanceName},
@@ -37,8 +36,6 @@
 const MAX_REDIRECTS: usize = 3;
 /// Remaining time that a retry requires, as a multiple of the route's expected run time.
 const MIN_RUN_TIMES_FOR_RETRY: f64 = 1.3;
-/// Part of the remaining time that is reserved for the transfer of the response to the entry.
-const RESPONSE_TRANSIT_MARGIN: Duration = Duration::from_millis(4);
 
 /// Current stage of a call.
 #[derive(Clone, Debug, PartialEq)]
@@ -92,16 +89,6 @@
         QueueRank(self.request.rank).is_nested()
     }
 
-    /// Returns the deadline that the backend server of the call is given. A nested call at a stopping daemon must have its
-    /// response before the exit.
-    fn run_deadline(&self, shutdown: Option<ShutdownPlan>) -> TimePoint {
-        let deadline = self.deadline.minus(RESPONSE_TRANSIT_MARGIN);
-        match (shutdown, self.parent) {
-            (Some(plan), Some(_)) => deadline.min(plan.nested_run_deadline()),
-            _ => deadline,
-        }
-    }
-
     /// Returns the log line of the call while it has no response.
     pub(super) fn open_line(&self, now: TimePoint) -> String {
         format!(
--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -280,13 +280,6 @@
         }
     }
 
-    /// Returns whether an attempt is expected to end before the process exits. Another guard may run one that is not.
-    fn can_finish(&self, now: TimePoint, request: &AttemptRequest, time_left: Duration) -> bool {
-        let Some(plan) = self.shutdown else { return true };
-        let mean_run_time = self.guard.cost_estimator.mean_hold_time(&request.route);
-        plan.expects_to_finish(now, mean_run_time, time_left)
-    }
-
     /// Returns whether a request that may run as a trial only may run at the local backend server.
     fn is_trial_server(&self, request: &AttemptRequest) -> bool {
         let server = self.picker.trial_server(&request.service, &request.fingerprint);
--- a/crates/ivytrail/src/mesh/server_announcements.rs
+++ b/crates/ivytrail/src/mesh/server_announcements.rs
@@ -89,8 +89,8 @@
         self.publish_advertisement(step);
     }
 
-    /// Handles that the local backend server belongs to another service than the one `before` it: entries are notified,
-    /// and what the former server has shown is dropped.
+    /// Notifies the entries if the local backend server belongs to another service than the former one, `before`, refuses the
+    /// attempts that wait for that, and drops what the former server has shown.
     fn handle_service_change(&mut self, step: &mut ReducerStep<'_>, before: &ServiceName) {
         let Some(server) = self.guard.server.as_ref().filter(|it| it.service != *before) else {
             return;
--- a/crates/ivytrail/src/mesh/shutdown.rs
+++ b/crates/ivytrail/src/mesh/shutdown.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::{MeshReducer, entry::EntryCall, frame::AttemptRequest};
 use crate::time::TimePoint;
 
 /// Time after a requested shutdown in which all client requests are accepted.
@@ -15,6 +16,8 @@
 const NESTED_RESPONSE_MARGIN: Duration = Duration::from_millis(250);
 /// Time between the deadline of a run that can't be repeated elsewhere and the exit.
 const RUN_MARGIN: Duration = Duration::from_millis(250);
+/// Part of the remaining time that is reserved for the transfer of the response to the entry.
+const RESPONSE_TRANSIT_MARGIN: Duration = Duration::from_millis(4);
 /// Time that is allowed for a run, as a multiple of the route's mean run time.
 const RUN_TIME_ALLOWANCE: f64 = 3.0;
 
@@ -84,6 +87,32 @@
     }
 }
 
+impl EntryCall {
+    /// Returns the deadline that the backend server of the call is given. A nested call at a stopping daemon must have its
+    /// response before the exit.
+    pub(super) fn run_deadline(&self, shutdown: Option<ShutdownPlan>) -> TimePoint {
+        let deadline = self.deadline.minus(RESPONSE_TRANSIT_MARGIN);
+        match (shutdown, self.parent) {
+            (Some(plan), Some(_)) => deadline.min(plan.nested_run_deadline()),
+            _ => deadline,
+        }
+    }
+}
+
+impl MeshReducer {
+    /// Returns whether an attempt is expected to end before the process exits. Another guard may run one that is not.
+    pub(super) fn can_finish(
+        &self,
+        now: TimePoint,
+        request: &AttemptRequest,
+        time_left: Duration,
+    ) -> bool {
+        let Some(plan) = self.shutdown else { return true };
+        let mean_run_time = self.guard.cost_estimator.mean_hold_time(&request.route);
+        plan.expects_to_finish(now, mean_run_time, time_left)
+    }
+}
+
 /// Returns the time that work is expected to take at most, from the mean run time of its route, or its whole time limit where
 /// that is unknown.
 fn expected_time(mean_run_time: Option<Duration>, time_limit: Duration) -> Duration {
