--- a/crates/ivytrail/src/mesh/guard.rs
+++ b/crates/ivytrail/src/mesh/guard.rs
@@ -270,7 +270,7 @@
     ) -> Option<RefusalReason> {
         match &self.guard.server {
             None => Some(RefusalReason::NoUpstream),
-            // The server that the entry has chosen is gone, which says nothing about the present one.
+            // Not `NoUpstream`, which entries count as a failure of the present server.
             Some(server) if server.service != request.service => Some(RefusalReason::Draining),
             Some(server) if server.phase == ServerPhase::Draining => Some(RefusalReason::Draining),
             Some(_) if self.guard.is_evacuated => Some(RefusalReason::Draining),
--- a/crates/ivytrail/src/mesh/run_start.rs
+++ b/crates/ivytrail/src/mesh/run_start.rs
@@ -98,7 +98,7 @@
         let server_id = server.id.clone();
         let Some(attempt) = self.guard.attempts.get_mut(&run) else { return };
         let deadline = match self.shutdown {
-            // The exit would interrupt the run; its server then ends it in time for a response.
+            // A run that is not repeated elsewhere gets a deadline before the exit, so that its server can still respond.
             Some(plan) if !attempt.request.is_idempotent => {
                 attempt.deadline.min(plan.run_deadline())
             }
--- a/crates/ivytrail/src/mesh/tests/planned_stops.rs
+++ b/crates/ivytrail/src/mesh/tests/planned_stops.rs
@@ -148,8 +148,7 @@
     nested.expect("the nested call runs")
 }
 
-/// Regression test for review/14: a nested call that took longer than most of its route was interrupted by the exit. Its
-/// server must end it before.
+/// Regression test for review/14: the exit interrupted a nested call that took longer than most calls of its route.
 #[test]
 fn a_late_nested_call_has_a_deadline_before_the_exit() {
     let mut fleet = TestFleet::start();
--- a/tests/tests/departures.rs
+++ b/tests/tests/departures.rs
@@ -25,7 +25,7 @@
 
 fn late_heartbeat() -> String {
     let body = json!({
-        "service": "booking", "address": "127.0.0.1:1", "zone": "kolkata", "version": "v1",
+        "service": "booking", "address": "127.0.0.1:1", "zone": "z", "version": "v1",
         "slots": 16, "phase": "ready", "warmup_left": 0, "sequence": 100_000,
         "born": FIRST_START_MS,
     });
